--- a/internal/statemachine/statemachine.go
+++ b/internal/statemachine/statemachine.go
@@ -76,12 +76,12 @@
 	if used <= 0 || n > uint64(len(framed)-used) {
 		return nil
 	}
-	name, body := string(framed[used:used+int(n)]), framed[used+int(n):]
-	machine := m.machines[name]
+	end := used + int(n)
+	machine := m.machines[string(framed[used:end])]
 	if machine == nil {
 		return nil
 	}
-	return machine.Apply(index, body)
+	return machine.Apply(index, framed[end:])
 }
 
 type section struct {
