Agree on the control state and serve it to operators and watchers

Cause: accepted changes must survive any restart and be in force everywhere. Change: consensus core and bbolt store, state machine with revisions and operation IDs, operator API, watch server and client, membership table, eelctl, daemon.

--- /dev/null
+++ b/cmd/eelgrass-control/main.go
@@ -0,0 +1,47 @@
+// Command eelgrass-control is one replica of the control state.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"eelgrasshollow/internal/controld"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/settings"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "eelgrass-control:", err)
+		stop()
+		os.Exit(errkind.Of(err).Kind.Answer().Exit)
+	}
+}
+
+func command() *cobra.Command {
+	var config string
+	cmd := &cobra.Command{
+		Use:           "eelgrass-control",
+		Short:         "Run a control replica",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var s controld.Settings
+			if err := settings.Load(config, &s); err != nil {
+				return err
+			}
+			return controld.Run(cmd.Context(), &s)
+		},
+	}
+	cmd.Flags().StringVar(&config, "config", "", "settings file")
+	_ = cmd.MarkFlagRequired("config") // the flag exists
+	return cmd
+}
--- /dev/null
+++ b/internal/consensus/lease.go
@@ -0,0 +1,85 @@
+package consensus
+
+import "time"
+
+// maxProbes bounds the probes remembered while no answer comes.
+const maxProbes = 256
+
+// probeBootShift keeps the probes of two boots apart.
+const probeBootShift = 32
+
+// leaseEnd is when the leader's right to act ends by its own clock.
+func (c *Core) leaseEnd() time.Time {
+	if c.quorumAt.IsZero() {
+		return time.Time{}
+	}
+	return c.quorumAt.Add(c.cfg.Lease())
+}
+
+// Status is what others may know of a replica.
+type Status struct {
+	ID, Term, Leader   uint64
+	Role               Role
+	Commit, Last, Snap uint64
+	Members            Membership
+	Match              map[uint64]uint64
+	// Serving: the term's own entry is committed, at TermStart.
+	Serving   bool
+	TermStart uint64
+	// LeaseEnd is when the lease ends by this replica's clock.
+	LeaseEnd time.Time
+	// Attested: the state at AttestedIndex held all that was accepted before.
+	Attested      time.Time
+	AttestedIndex uint64
+	Trusted       bool
+}
+
+// Status returns the replica's present state.
+func (c *Core) Status() Status {
+	s := Status{ID: c.id, Term: c.hard.Term, Leader: c.leader, Role: c.role, Commit: c.commit,
+		Last: c.log.last(), Snap: c.log.snapIndex, Members: c.members, Trusted: c.trusted(),
+		Attested: c.attested, AttestedIndex: c.attestedN}
+	if c.role != Leader {
+		return s
+	}
+	s.Serving, s.TermStart, s.LeaseEnd = c.commit >= c.termStart, c.termStart, c.leaseEnd()
+	s.Match = map[uint64]uint64{}
+	for id, p := range c.progress {
+		s.Match[id] = p.match
+	}
+	s.Match[c.id] = c.durable
+	if s.Serving {
+		s.Attested, s.AttestedIndex = c.quorumAt, c.commit
+		if c.soleVoter() {
+			s.Attested = c.now
+		}
+	}
+	return s
+}
+
+// nextProbe draws a number whose echo dates the leader's word.
+func (c *Core) nextProbe() uint64 {
+	c.probe++
+	if len(c.probes) >= maxProbes {
+		c.probes = map[uint64]time.Time{}
+	}
+	c.probes[c.probe] = c.now
+	return c.probe
+}
+
+// takeAttestation dates the leader's word: it was sent after the leader heard the
+// probe, so it is no older than the probe plus the age it states.
+func (c *Core) takeAttestation(m Message) {
+	sent, known := c.probes[m.Probe]
+	if !known || !m.Attested {
+		return
+	}
+	if at := sent.Add(-m.Age); at.After(c.attested) {
+		c.attested, c.attestedN = at, max(c.attestedN, m.Commit)
+	}
+	for n := range c.probes {
+		if n < m.Probe {
+			delete(c.probes, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/consensus/module.go
@@ -0,0 +1,96 @@
+package consensus
+
+import (
+	"context"
+	"math/rand/v2"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/statemachine"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// ModuleName is the replica's name in the kernel.
+const ModuleName = "control.consensus"
+
+// ModuleConfig of a Module.
+type ModuleConfig struct {
+	Replica         uint64
+	Initial         Membership // empty for a replica that is added later
+	DataDir         string
+	ElectionTimeout time.Duration
+	HeartbeatEvery  time.Duration
+	SnapshotEvery   uint64
+	KeepEntries     uint64
+	Machine         *statemachine.Mux
+	Log             *zap.Logger
+	OnFatal         func(error)
+}
+
+// Module is the kernel's wrapper around a Replica.
+type Module struct {
+	*Replica
+	cfg ModuleConfig
+}
+
+// NewModule returns a module that is opened when provisioned.
+func NewModule(cfg ModuleConfig) *Module { return &Module{cfg: cfg} }
+
+// Provision opens the store and registers the net/rpc receiver.
+func (m *Module) Provision(k *kernel.Kernel) error {
+	server, err := kernel.Lookup[*peer.ServerModule](k, peer.ServerName)
+	if err != nil {
+		return err
+	}
+	pool, err := kernel.Lookup[*peer.PoolModule](k, peer.PoolName)
+	if err != nil {
+		return err
+	}
+	store, stored, err := OpenStore(filepath.Join(m.cfg.DataDir, "replica-"+strconv.FormatUint(m.cfg.Replica, 10)), m.cfg.Replica, m.cfg.Initial)
+	if err != nil {
+		return err
+	}
+	m.Replica, err = NewReplica(Options{
+		Core: Config{ID: m.cfg.Replica, ElectionTimeout: m.cfg.ElectionTimeout, HeartbeatEvery: m.cfg.HeartbeatEvery,
+			MaxAppendBytes: DefaultAppendBytes, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		Storage: store, Stored: stored, Transport: NewPeerTransport(pool), Machine: m.cfg.Machine, Log: m.cfg.Log,
+		SnapshotEvery: m.cfg.SnapshotEvery, KeepEntries: m.cfg.KeepEntries, OnFatal: m.cfg.OnFatal,
+	})
+	if err != nil {
+		return errors.CombineErrors(err, store.Close())
+	}
+	return server.Register(ServiceName, NewService(m.Replica))
+}
+
+// Start begins to take part.
+func (m *Module) Start(context.Context) error {
+	m.Replica.Start()
+	return nil
+}
+
+// Stop ends the work; Drain has handed leadership over.
+func (m *Module) Stop(context.Context) error { return m.Replica.Stop() }
+
+// ParseMembers reads replicas written as "1=127.0.0.1:7101".
+func ParseMembers(list []string) (Membership, error) {
+	var m Membership
+	for _, text := range list {
+		number, address, ok := strings.Cut(text, "=")
+		id, err := strconv.ParseUint(strings.TrimSpace(number), 10, 64)
+		if !ok || err != nil || id == 0 || strings.TrimSpace(address) == "" {
+			return m, errkind.New(errkind.InvalidRequest, "%q is not written as NUMBER=ADDRESS", text)
+		}
+		if _, twice := m.Find(id); twice {
+			return m, errkind.New(errkind.InvalidRequest, "replica %d is named twice", id)
+		}
+		m = m.with(Member{ID: id, Address: strings.TrimSpace(address)})
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/consensus/replica.go
@@ -0,0 +1,330 @@
+package consensus
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/statemachine"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// Transport carries messages to other replicas. Messages may be lost, repeated or
+// reordered.
+type Transport interface {
+	// Send queues messages for the replica at address and returns at once.
+	Send(address string, msgs []Message)
+	// ReadIndex asks the replica at address for a read barrier's index.
+	ReadIndex(ctx context.Context, address string) (uint64, error)
+	Close()
+}
+
+// Defaults of Options.
+const (
+	DefaultTickEvery     = 20 * time.Millisecond
+	DefaultHeartbeat     = 100 * time.Millisecond
+	DefaultElection      = time.Second
+	DefaultAppendBytes   = 1 << 20
+	DefaultSnapshotEvery = 10_000
+	DefaultKeepEntries   = 1_000
+	inboxSize            = 4096
+	batchSize            = 1024
+)
+
+// Options of a Replica.
+type Options struct {
+	Core          Config
+	Storage       Storage
+	Stored        Stored
+	Transport     Transport
+	Machine       *statemachine.Mux
+	Log           *zap.Logger
+	TickEvery     time.Duration
+	SnapshotEvery uint64 // applied entries between two snapshots
+	KeepEntries   uint64 // entries kept before a snapshot, for slow replicas
+	// OnFatal is called once when the replica stops by itself.
+	OnFatal func(error)
+}
+
+// Replica runs a Core: one goroutine owns core, storage and machine.
+type Replica struct {
+	opt  Options
+	core *Core
+
+	inbox   chan func()
+	stop    chan struct{}
+	done    chan struct{}
+	stopped sync.Once
+
+	waiting map[uint64]waiter
+	reads   map[uint64]chan ReadReady
+	readID  uint64
+	pending bool // proposals were appended in this batch
+
+	applied     uint64
+	appliedTerm uint64
+	snapAt      uint64
+	draining    atomic.Bool
+	published   atomic.Pointer[Published]
+	fatal       atomic.Pointer[errkind.Error]
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+type waiter struct {
+	term  uint64
+	reply chan proposed
+}
+
+type proposed struct {
+	result statemachine.Result
+	err    error
+}
+
+// Published is a replica's state after a step.
+type Published struct {
+	Status
+	Applied uint64
+	// Current: the applied state held everything accepted before this time; zero
+	// when nothing attests it.
+	Current time.Time
+}
+
+// NewReplica restores the machine from the stored snapshot. The machine must not
+// be used otherwise until Start.
+func NewReplica(opt Options) (*Replica, error) {
+	if opt.TickEvery == 0 {
+		opt.TickEvery = DefaultTickEvery
+	}
+	if opt.SnapshotEvery == 0 {
+		opt.SnapshotEvery = DefaultSnapshotEvery
+	}
+	if opt.OnFatal == nil {
+		opt.OnFatal = func(error) {}
+	}
+	r := &Replica{opt: opt, inbox: make(chan func(), inboxSize), stop: make(chan struct{}), done: make(chan struct{}),
+		waiting: map[uint64]waiter{}, reads: map[uint64]chan ReadReady{}, changed: make(chan struct{})}
+	snap := opt.Stored.Snapshot
+	if len(snap.Data) > 0 {
+		if err := opt.Machine.Restore(bytes.NewReader(snap.Data)); err != nil {
+			return nil, errors.Wrap(err, "restore snapshot")
+		}
+	}
+	r.applied, r.appliedTerm, r.snapAt = snap.Index, snap.Term, snap.Index
+	r.published.Store(&Published{Status: Status{ID: opt.Core.ID, Members: snap.Membership}, Applied: r.applied})
+	return r, nil
+}
+
+// Start begins to take part.
+func (r *Replica) Start() {
+	r.core = NewCore(r.opt.Core, r.opt.Stored, time.Now())
+	r.opt.Stored.Entries = nil
+	go r.run()
+}
+
+func (r *Replica) run() {
+	defer close(r.done)
+	ticker := time.NewTicker(r.opt.TickEvery)
+	defer ticker.Stop()
+	for {
+		if err := r.settle(); err != nil {
+			r.fail(err)
+			return
+		}
+		select {
+		case <-r.stop:
+			return
+		case <-ticker.C:
+			r.core.Tick(time.Now())
+		case f := <-r.inbox:
+			f()
+			r.drainInbox()
+		}
+	}
+}
+
+// drainInbox takes what has queued up, so that one sync serves it all.
+func (r *Replica) drainInbox() {
+	for range batchSize {
+		select {
+		case f := <-r.inbox:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// settle carries out what the core asks until it asks nothing.
+func (r *Replica) settle() error {
+	if r.pending {
+		r.core.Flush()
+		r.pending = false
+	}
+	r.core.FlushReads()
+	for {
+		ready := r.core.Ready()
+		if ready.Fatal != nil {
+			return ready.Fatal
+		}
+		if ready.Empty() {
+			break
+		}
+		if err := r.carryOut(ready); err != nil {
+			return err
+		}
+	}
+	if err := r.snapshotIfDue(); err != nil {
+		return err
+	}
+	r.publish()
+	return nil
+}
+
+func (r *Replica) carryOut(ready Ready) error {
+	r.transmit(ready.Early)
+	if ready.HardState != nil {
+		if err := r.opt.Storage.Save(*ready.HardState, ready.Install, ready.Entries); err != nil {
+			return errkind.Wrap(err, errkind.Corrupt, "write to the store")
+		}
+		r.core.Persisted(time.Now(), ready)
+	}
+	r.transmit(ready.Late)
+	if ready.Install != nil {
+		if err := r.install(*ready.Install); err != nil {
+			return err
+		}
+	}
+	for _, e := range ready.Committed {
+		r.apply(e)
+	}
+	for _, read := range ready.Reads {
+		if reply := r.reads[read.ID]; reply != nil {
+			reply <- read
+			delete(r.reads, read.ID)
+		}
+	}
+	return nil
+}
+
+func (r *Replica) install(s Snapshot) error {
+	if err := r.opt.Machine.Restore(bytes.NewReader(s.Data)); err != nil {
+		return errors.Wrap(err, "install snapshot")
+	}
+	r.applied, r.appliedTerm, r.snapAt = s.Index, s.Term, s.Index
+	r.opt.Log.Info("snapshot installed", zap.Uint64("index", s.Index))
+	return nil
+}
+
+func (r *Replica) apply(e Entry) {
+	var data []byte
+	if e.Kind == EntryCommand {
+		data = r.opt.Machine.Apply(e.Index, e.Data)
+	}
+	r.applied, r.appliedTerm = e.Index, e.Term
+	w, ok := r.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(r.waiting, e.Index)
+	if w.term != e.Term {
+		w.reply <- proposed{err: errkind.New(errkind.NotLeader, "another leader's entry took the place")}
+		return
+	}
+	w.reply <- proposed{result: statemachine.Result{Index: e.Index, Data: data}}
+}
+
+// transmit groups messages by receiver and adds the data of snapshots.
+func (r *Replica) transmit(msgs []Message) {
+	if len(msgs) == 0 {
+		return
+	}
+	members := r.core.Status().Members
+	groups := map[uint64][]Message{}
+	for _, m := range msgs {
+		if m.Kind == MsgSnapshot {
+			s, err := r.opt.Storage.Snapshot()
+			if err != nil {
+				r.opt.Log.Error("read snapshot", zap.Error(err))
+				continue
+			}
+			m.Snapshot = &s
+		}
+		groups[m.To] = append(groups[m.To], m)
+	}
+	for to, group := range groups {
+		if x, ok := members.Find(to); ok {
+			r.opt.Transport.Send(x.Address, group)
+		}
+	}
+}
+
+func (r *Replica) snapshotIfDue() error {
+	if r.applied < r.snapAt+r.opt.SnapshotEvery {
+		return nil
+	}
+	var b bytes.Buffer
+	if err := r.opt.Machine.Snapshot(&b); err != nil {
+		return errors.Wrap(err, "take snapshot")
+	}
+	s := Snapshot{Index: r.applied, Term: r.appliedTerm, Membership: r.core.MembershipAt(r.applied), Data: b.Bytes()}
+	dropTo := r.applied - min(r.applied, r.opt.KeepEntries)
+	if err := r.opt.Storage.SaveSnapshot(s, dropTo); err != nil {
+		return errkind.Wrap(err, errkind.Corrupt, "write snapshot")
+	}
+	r.core.Compact(dropTo, r.core.MembershipAt(dropTo))
+	r.snapAt = r.applied
+	return nil
+}
+
+// publish makes the state after a step known and wakes those who wait for it.
+func (r *Replica) publish() {
+	old := r.published.Load()
+	p := &Published{Status: r.core.Status(), Applied: r.applied, Current: old.Current}
+	if p.Attested.After(p.Current) && r.applied >= p.AttestedIndex {
+		p.Current = p.Attested
+	}
+	if p.Role != Leader && len(r.waiting) > 0 {
+		r.loseWaiters(errkind.New(errkind.Timeout, "leadership was lost; the change may still be accepted"))
+	}
+	r.published.Store(p)
+	if old.Applied != p.Applied || old.Role != p.Role || old.Leader != p.Leader || old.Serving != p.Serving {
+		r.wake()
+	}
+	if old.Role != p.Role || old.Leader != p.Leader {
+		r.opt.Log.Info("agreement", zap.Stringer("role", p.Role), zap.Uint64("term", p.Term),
+			zap.Uint64("leader", p.Leader), zap.Uint64("commit", p.Commit))
+	}
+}
+
+func (r *Replica) wake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Replica) loseWaiters(err error) {
+	for index, w := range r.waiting {
+		w.reply <- proposed{err: err}
+		delete(r.waiting, index)
+	}
+}
+
+// fail stops a replica that can't go on.
+func (r *Replica) fail(err error) {
+	r.fatal.Store(errkind.Of(err))
+	r.opt.Log.Error("replica stops", zap.Error(err))
+	p := *r.published.Load()
+	p.Role, p.Leader, p.Current, p.LeaseEnd = Follower, 0, time.Time{}, time.Time{}
+	r.published.Store(&p)
+	r.loseWaiters(errkind.New(errkind.Timeout, "replica stopped; the change may still be accepted"))
+	r.wake()
+	go r.opt.OnFatal(err)
+}
--- /dev/null
+++ b/internal/control/module.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"eelgrasshollow/gen/eelgrass/v1/eelgrassv1connect"
+	"eelgrasshollow/internal/consensus"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/state"
+	"eelgrasshollow/internal/watch"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// ModuleName is the operator API's name in the kernel.
+const ModuleName = "control.operator"
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxMessageBytes   = 32 << 20
+)
+
+// Module serves the operator API over HTTP.
+type Module struct {
+	address   string
+	operators *Operators
+	keys      keys.Deriver
+	log       *zap.Logger
+	server    *http.Server
+	listener  net.Listener
+}
+
+// NewModule returns a module that serves operators at address.
+func NewModule(address string, o *Operators, d keys.Deriver, log *zap.Logger) *Module {
+	return &Module{address: address, operators: o, keys: d, log: log}
+}
+
+// Provision builds the handlers and registers the net/rpc receiver for followers.
+func (m *Module) Provision(k *kernel.Kernel) error {
+	replica, err := kernel.Lookup[*consensus.Module](k, consensus.ModuleName)
+	if err != nil {
+		return err
+	}
+	machine, err := kernel.Lookup[*state.Module](k, state.ModuleName)
+	if err != nil {
+		return err
+	}
+	w, err := kernel.Lookup[*watch.Module](k, watch.ModuleName)
+	if err != nil {
+		return err
+	}
+	pool, err := kernel.Lookup[*peer.PoolModule](k, peer.PoolName)
+	if err != nil {
+		return err
+	}
+	server, err := kernel.Lookup[*peer.ServerModule](k, peer.ServerName)
+	if err != nil {
+		return err
+	}
+	service := NewService(replica, machine.Machine, w.Server, pool, m.keys, m.log)
+	m.server = &http.Server{Handler: Handler(service, m.operators, replica.Health), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return server.Register(ServiceName, service.leader.local)
+}
+
+// Handler serves a Service with authentication, and /healthz without.
+func Handler(s *Service, o *Operators, health func() error) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(eelgrassv1connect.NewOperatorHandler(s, connect.WithInterceptors(authenticate(o)), connect.WithReadMaxBytes(maxMessageBytes)))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := health(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	return mux
+}
+
+// Start listens and serves in the background.
+func (m *Module) Start(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", m.address)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	m.listener = l
+	go func() {
+		if err := m.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			m.log.Error("operator API ended", zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// Stop lets calls under way finish within ctx.
+func (m *Module) Stop(ctx context.Context) error {
+	return m.server.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/controld/daemon.go
@@ -0,0 +1,108 @@
+package controld
+
+import (
+	"context"
+	"os"
+	"strings"
+
+	"eelgrasshollow/internal/consensus"
+	"eelgrasshollow/internal/control"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/logging"
+	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/state"
+	"eelgrasshollow/internal/statemachine"
+	"eelgrasshollow/internal/watch"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// daemonName is the name in the logs.
+const daemonName = "eelgrass-control"
+
+// parts is what the modules of the daemon are built from.
+type parts struct {
+	settings *Settings
+	log      *zap.Logger
+	kernel   *kernel.Kernel
+	mux      *statemachine.Mux
+	fatal    func(error)
+}
+
+// Run serves until ctx ends or the replica can't go on.
+func Run(ctx context.Context, s *Settings) error {
+	log, err := logging.New(s.Log, daemonName, s.Node.Name)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	k, err := Build(s, log, cancel)
+	if err != nil {
+		return err
+	}
+	err = k.Run(ctx, s.Control.StopGrace)
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return errors.CombineErrors(cause, err)
+	}
+	return err
+}
+
+// Build registers the modules of a control replica. fatal is called when the
+// replica can't go on.
+func Build(s *Settings, log *zap.Logger, fatal func(error)) (*kernel.Kernel, error) {
+	p := &parts{settings: s, log: log, kernel: kernel.New(log), mux: statemachine.NewMux(), fatal: fatal}
+	p.addPeers()
+	p.addAgreement()
+	if err := p.addOperators(); err != nil {
+		return nil, err
+	}
+	p.addServices()
+	p.addMetrics()
+	return p.kernel, nil
+}
+
+func (p *parts) addPeers() {
+	p.kernel.Register(peer.ServerName, peer.NewServerModule(p.log.Named("peer"), p.settings.Node.PeerAddress, nil))
+	p.kernel.Register(peer.PoolName, peer.NewPoolModule(peer.Options{}, p.settings.controlAddresses()))
+}
+
+// addAgreement registers the replicated machines and agreement over them. A
+// service with replicated state adds its machine to p.mux here or in addServices.
+func (p *parts) addAgreement() {
+	c := p.settings.Control
+	machine := state.NewMachine()
+	p.mux.Add(state.Namespace, machine)
+	p.kernel.Register(state.ModuleName, state.NewModule(machine))
+	p.kernel.Register(consensus.ModuleName, consensus.NewModule(consensus.ModuleConfig{
+		Replica: c.ReplicaID, Initial: p.settings.initial(), DataDir: p.settings.Node.DataDir,
+		ElectionTimeout: c.ElectionTimeout, HeartbeatEvery: c.Heartbeat,
+		SnapshotEvery: c.SnapshotEvery, KeepEntries: c.KeepEntries,
+		Machine: p.mux, Log: p.log.Named("consensus"), OnFatal: p.fatal,
+	}), peer.ServerName, peer.PoolName)
+	p.kernel.Register(watch.ModuleName, watch.NewModule(c.Freshness, p.log.Named("watch")), consensus.ModuleName, state.ModuleName)
+}
+
+func (p *parts) addOperators() error {
+	hashKey, err := os.ReadFile(p.settings.Security.HashKeyFile)
+	if err != nil {
+		return errors.Wrap(err, "hash key")
+	}
+	operators, err := control.LoadOperators(p.settings.Security.OperatorTokensFile)
+	if err != nil {
+		return err
+	}
+	deriver := keys.NewDeriver(strings.TrimSpace(string(hashKey)))
+	p.kernel.Register(control.ModuleName, control.NewModule(p.settings.Node.OperatorAddress, operators, deriver, p.log.Named("operator")), watch.ModuleName)
+	if c := p.settings.Control; c.Platform != "" {
+		p.kernel.Register(control.PlatformName, control.NewPlatform(c.Platform, c.PlatformEvery, p.log.Named("platform")), watch.ModuleName)
+	}
+	return nil
+}
+
+// addServices registers the services that run on the leader. Each adds its machine
+// to p.mux and its module to p.kernel, with consensus.ModuleName among its needs.
+func (p *parts) addServices() {
+}
--- /dev/null
+++ b/internal/controld/metrics.go
@@ -0,0 +1,85 @@
+package controld
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"eelgrasshollow/internal/consensus"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/state"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+)
+
+const (
+	metricsName       = "control.metrics"
+	readHeaderTimeout = 5 * time.Second
+)
+
+// metricsModule serves the replica's figures.
+type metricsModule struct {
+	address string
+	log     *zap.Logger
+	server  *http.Server
+}
+
+func (p *parts) addMetrics() {
+	if a := p.settings.Node.MetricsAddress; a != "" {
+		p.kernel.Register(metricsName, &metricsModule{address: a, log: p.log}, consensus.ModuleName)
+	}
+}
+
+// Provision makes the collectors.
+func (m *metricsModule) Provision(k *kernel.Kernel) error {
+	replica, err := kernel.Lookup[*consensus.Module](k, consensus.ModuleName)
+	if err != nil {
+		return err
+	}
+	machine, err := kernel.Lookup[*state.Module](k, state.ModuleName)
+	if err != nil {
+		return err
+	}
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	gauge := func(name, help string, f func() float64) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "eelgrass", Subsystem: "control", Name: name, Help: help}, f))
+	}
+	gauge("term", "Term of the agreement.", func() float64 { return float64(replica.Published().Term) })
+	gauge("commit_index", "Last committed log entry.", func() float64 { return float64(replica.Published().Commit) })
+	gauge("applied_index", "Last applied log entry.", func() float64 { return float64(replica.Published().Applied) })
+	gauge("revision", "Revision of the configuration.", func() float64 { return float64(machine.Revision()) })
+	gauge("leading", "1 while this replica holds the leader lease.", func() float64 {
+		if _, ok := replica.Leading(); ok {
+			return 1
+		}
+		return 0
+	})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	return nil
+}
+
+// Start listens and serves in the background.
+func (m *metricsModule) Start(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", m.address)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	go func() {
+		if err := m.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			m.log.Error("metrics ended", zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// Stop closes the listener.
+func (m *metricsModule) Stop(context.Context) error { return m.server.Close() }
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -9,6 +9,7 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"strings"
 
@@ -61,3 +62,23 @@
 	}
 	return Token{ID: parts[1], Secret: parts[2]}, nil
 }
+
+// Deriver hashes secrets and derives the token of an issuing operation, so that a
+// resend of the operation gets the same token although no secret is kept.
+type Deriver struct{ Hasher }
+
+// NewDeriver returns a deriver under the fleet's hash key.
+func NewDeriver(hashKey string) Deriver { return Deriver{NewHasher(hashKey)} }
+
+// Derive returns the token of an operation. It can't be told without the hash key.
+func (d Deriver) Derive(operator, operationID, account string) Token {
+	part := func(use string, n int) string {
+		mac := hmac.New(sha256.New, d.key)
+		for _, s := range []string{"derive", use, operator, operationID, account} {
+			mac.Write(binary.BigEndian.AppendUint64(nil, uint64(len(s))))
+			mac.Write([]byte(s))
+		}
+		return hex.EncodeToString(mac.Sum(nil)[:n])
+	}
+	return Token{ID: part("id", idBytes), Secret: part("secret", secretBytes)}
+}
--- /dev/null
+++ b/internal/membership/platform.go
@@ -0,0 +1,63 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/errkind"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxListBytes bounds the platform's answer.
+const maxListBytes = 8 << 20
+
+// platformTimeout bounds one request to the platform.
+const platformTimeout = 2 * time.Second
+
+// Platform reads the platform's lagging list of VMs.
+type Platform struct {
+	client *http.Client
+	url    string
+}
+
+// NewPlatform returns a reader of the list at address (IP and port).
+func NewPlatform(address string) *Platform {
+	return &Platform{client: &http.Client{Timeout: platformTimeout}, url: "http://" + address + "/vms"}
+}
+
+// List returns the list.
+func (p *Platform) List(ctx context.Context) (engineapi.VMList, error) {
+	var list engineapi.VMList
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.url, nil)
+	if err != nil {
+		return list, errors.Wrap(err, "platform's VM list")
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return list, errkind.Wrap(err, errkind.EndpointFailed, "platform's VM list")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return list, errkind.New(errkind.EndpointFailed, "platform's VM list: status %d", resp.StatusCode)
+	}
+	err = json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxListBytes)).Decode(&list)
+	return list, errors.Wrap(err, "platform's VM list")
+}
+
+// LeavingNames returns the names and addresses of the leaving VMs of a list.
+func LeavingNames(list engineapi.VMList) map[string]bool {
+	out := map[string]bool{}
+	for _, vm := range list.VMs {
+		if vm.State == engineapi.VMLeaving {
+			out[vm.Name] = true
+			if vm.Address != "" {
+				out[vm.Address] = true
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/objects.go
@@ -0,0 +1,92 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	pb "eelgrasshollow/gen/eelgrass/v1"
+)
+
+// object is a stored message; it is never changed once stored.
+type object interface {
+	GetRevision() uint64
+}
+
+// table holds the objects of one type by name.
+type table[T object] map[string]T
+
+// sorted lists the objects changed after a revision, by name.
+func (t table[T]) sorted(after uint64) []T {
+	var out []T
+	for _, name := range slices.Sorted(maps.Keys(t)) {
+		if t[name].GetRevision() > after {
+			out = append(out, t[name])
+		}
+	}
+	return out
+}
+
+func tableOf[T object](list []T, name func(T) string) table[T] {
+	t := table[T]{}
+	for _, x := range list {
+		t[name(x)] = x
+	}
+	return t
+}
+
+// objects is a configuration by type and name.
+type objects struct {
+	revision  uint64
+	accounts  table[*pb.ClientAccount]
+	keys      table[*pb.Key]
+	routes    table[*pb.Route]
+	models    table[*pb.Model]
+	endpoints table[*pb.Endpoint]
+}
+
+func newObjects() objects { return objectsOf(&pb.Configuration{}) }
+
+func objectsOf(c *pb.Configuration) objects {
+	return objects{
+		revision:  c.GetRevision(),
+		accounts:  tableOf(c.GetClientAccounts(), (*pb.ClientAccount).GetName),
+		keys:      tableOf(c.GetKeys(), (*pb.Key).GetId),
+		routes:    tableOf(c.GetRoutes(), (*pb.Route).GetName),
+		models:    tableOf(c.GetModels(), (*pb.Model).GetName),
+		endpoints: tableOf(c.GetEndpoints(), (*pb.Endpoint).GetName),
+	}
+}
+
+// configuration lists the objects changed after a revision.
+func (o *objects) configuration(after uint64) *pb.Configuration {
+	return &pb.Configuration{
+		Revision:       o.revision,
+		ClientAccounts: o.accounts.sorted(after),
+		Keys:           o.keys.sorted(after),
+		Routes:         o.routes.sorted(after),
+		Models:         o.models.sorted(after),
+		Endpoints:      o.endpoints.sorted(after),
+	}
+}
+
+// ApplyDelta returns the configuration after a delta. Neither argument is changed.
+func ApplyDelta(c *pb.Configuration, d *pb.Delta) *pb.Configuration {
+	o, n := objectsOf(c), objectsOf(d.GetChanged())
+	o.revision = d.GetToRevision()
+	dropNames(o.accounts, d.GetDeletedClientAccounts())
+	dropNames(o.routes, d.GetDeletedRoutes())
+	dropNames(o.models, d.GetDeletedModels())
+	dropNames(o.endpoints, d.GetDeletedEndpoints())
+	maps.Copy(o.accounts, n.accounts)
+	maps.Copy(o.keys, n.keys)
+	maps.Copy(o.routes, n.routes)
+	maps.Copy(o.models, n.models)
+	maps.Copy(o.endpoints, n.endpoints)
+	return o.configuration(0)
+}
+
+func dropNames[T object](t table[T], names []string) {
+	for _, name := range names {
+		delete(t, name)
+	}
+}
