--- /dev/null
+++ b/internal/engine/module.go
@@ -0,0 +1,30 @@
+package engine
+
+import (
+	"context"
+
+	"eelgrasshollow/internal/kernel"
+)
+
+// Module is entry.engine: the client of the endpoints.
+type Module struct {
+	client *Client
+}
+
+// NewModule returns the module.
+func NewModule(s Settings) *Module { return &Module{client: New(s, nil)} }
+
+// Client returns the client.
+func (m *Module) Client() *Client { return m.client }
+
+// Provision needs nothing.
+func (m *Module) Provision(*kernel.Kernel) error { return nil }
+
+// Start does nothing.
+func (m *Module) Start(context.Context) error { return nil }
+
+// Stop closes unused connections.
+func (m *Module) Stop(context.Context) error {
+	m.client.Close()
+	return nil
+}
--- /dev/null
+++ b/internal/entry/completions.go
@@ -0,0 +1,254 @@
+package entry
+
+import (
+	"context"
+	"mime"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/grants"
+	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/routing"
+	"eelgrasshollow/internal/state"
+)
+
+// job is a completion on its way through one or more engines.
+type job struct {
+	*exchange
+	*completion
+	path      string
+	version   string
+	seed      prefix.Seed
+	request   routing.Request
+	delivered int // last position that the caller has; 0 before the first
+	finished  bool
+	numbered  bool // the engine numbers its events, so the stream can be resumed
+	firstAt   time.Duration
+	usage     engineapi.Usage
+	events    int // events with content in this run, delivered by this VM
+}
+
+// completions serves chat or text completions.
+func (f *Front) completions(chat bool) func(*exchange) error {
+	path := "/v1/completions"
+	if chat {
+		path = "/v1/chat/completions"
+	}
+	return func(x *exchange) error {
+		view, err := f.currentView()
+		if err != nil {
+			return err
+		}
+		// Without a valid key or any open route there is no reason to read a body.
+		if err := f.mayAsk(view, x.token); err != nil {
+			return err
+		}
+		if err := wantJSON(x.r); err != nil {
+			return err
+		}
+		body, err := f.readBody(x)
+		if err != nil {
+			return err
+		}
+		c, err := decodeCompletion(body, chat, f.settings)
+		if err != nil {
+			return err
+		}
+		return f.complete(x, c, view, path)
+	}
+}
+
+// mayAsk refuses a caller that no model route can admit.
+func (f *Front) mayAsk(view *state.View, token string) error {
+	_, err := view.Authenticate(f.hasher, token)
+	if err == nil {
+		return nil
+	}
+	for _, m := range view.Models() {
+		if route, ok := view.ModelRoute(m.GetName()); ok && route.GetOpen() {
+			return nil
+		}
+	}
+	return err
+}
+
+func wantJSON(r *http.Request) error {
+	kind, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || kind != "application/json" {
+		return errkind.New(errkind.InvalidRequest, "content type must be application/json")
+	}
+	return nil
+}
+
+func (f *Front) complete(x *exchange, c *completion, view *state.View, path string) error {
+	j, err := f.newJob(x, c, view, path)
+	if err != nil {
+		return err
+	}
+	reservation, err := f.reserve(x, int64(j.request.PromptTokens+c.output))
+	if err != nil {
+		return err
+	}
+	gauge := f.metrics.inFlight.WithLabelValues(x.account, x.route)
+	gauge.Inc()
+	defer gauge.Dec()
+	f.budget.request()
+	err = f.run(j)
+	reservation.Settle(j.used())
+	f.measure(j, err)
+	return err
+}
+
+// newJob finds the route and the cache namespace of a completion.
+func (f *Front) newJob(x *exchange, c *completion, view *state.View, path string) (*job, error) {
+	route, model, err := f.modelRoute(x, view, c)
+	if err != nil {
+		return nil, err
+	}
+	from, err := resumePosition(x.r)
+	if err != nil {
+		return nil, err
+	}
+	if from > 0 && (!c.stream || c.choices > 1) {
+		return nil, errkind.New(errkind.InvalidRequest, "only a stream with one choice can be resumed")
+	}
+	priority := int(route.GetPriority())
+	if account, ok := view.Account(x.account); ok {
+		priority += int(account.GetPriority())
+	}
+	j := &job{exchange: x, completion: c, path: path, version: model.GetWeightsVersion(), delivered: from}
+	j.seed = prefix.Namespace{Account: x.account, Model: c.model, Adapter: c.adapter, Version: j.version}.Seed()
+	j.request = routing.Request{
+		ID: x.id, Account: x.account, Model: c.model, Version: j.version, Adapter: c.adapter,
+		Seed: j.seed, Chain: prefix.Chain(j.seed, c.prompt), PromptTokens: prefix.Tokens(len(c.prompt)),
+		MaxTokens: c.output, Priority: priority, Idempotent: true,
+	}
+	return j, nil
+}
+
+func (f *Front) modelRoute(x *exchange, view *state.View, c *completion) (*pb.Route, *pb.Model, error) {
+	route, ok := view.ModelRoute(c.model)
+	model, known := view.Model(c.model)
+	if !ok || !known {
+		return nil, nil, errkind.New(errkind.NotFound, "no such model")
+	}
+	account, err := f.admit(view, x.token, route)
+	if err != nil {
+		return nil, nil, err
+	}
+	x.account, x.route = account, route.GetName()
+	if c.adapter != "" && !slices.Contains(model.GetAdapters(), c.adapter) {
+		return nil, nil, errkind.New(errkind.NotFound, "no such adapter")
+	}
+	return route, model, nil
+}
+
+// resumePosition returns the last position that the caller has.
+func resumePosition(r *http.Request) (int, error) {
+	text := r.Header.Get(engineapi.HeaderLastEventID)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		return 0, errkind.New(errkind.InvalidRequest, "Last-Event-ID must be a position")
+	}
+	return n, nil
+}
+
+// reserve takes tokens of the account's grant; an open route has none.
+func (f *Front) reserve(x *exchange, tokens int64) (grants.Reservation, error) {
+	if x.account == "" || tokens <= 0 {
+		return noReservation{}, nil
+	}
+	return f.limiter.Reserve(x.ctx, x.account, tokens)
+}
+
+type noReservation struct{}
+
+// Settle does nothing.
+func (noReservation) Settle(int64) {}
+
+// used is what the request has cost, in tokens.
+func (j *job) used() int64 {
+	if j.usage.TotalTokens > 0 {
+		return int64(j.usage.TotalTokens)
+	}
+	if j.firstAt == 0 && j.delivered == 0 {
+		return 0
+	}
+	return int64(j.request.PromptTokens + j.events)
+}
+
+// run tries engines until the answer is whole or cannot become so.
+func (f *Front) run(j *job) error {
+	for attempt := 1; ; attempt++ {
+		ticket, err := f.pick(j.ctx, j.request)
+		if err != nil {
+			return j.afterAttempts(err)
+		}
+		err = f.attempt(j, ticket)
+		if err == nil {
+			return nil
+		}
+		if !f.mayRetry(j, err, attempt) {
+			return err
+		}
+		f.metrics.retries.WithLabelValues(j.account, j.route).Inc()
+		j.request.Exclude = append(j.request.Exclude, ticket.Decision().Endpoint)
+	}
+}
+
+// afterAttempts tells the truth about a request that was tried before no endpoint was left.
+func (j *job) afterAttempts(err error) error {
+	if len(j.request.Exclude) == 0 {
+		return err
+	}
+	e := errkind.Of(err)
+	if j.begun {
+		return errkind.Wrap(err, errkind.StreamBroken, "engine was lost and no other could go on")
+	}
+	return e.WithOutcome(errkind.Unknown)
+}
+
+// mayRetry allows another endpoint when what the caller has can be continued.
+func (f *Front) mayRetry(j *job, err error, attempt int) bool {
+	if j.ctx.Err() != nil || attempt >= f.settings.Attempts || (j.delivered > 0 && !j.numbered) {
+		return false
+	}
+	switch errkind.Of(err).Kind {
+	case errkind.EndpointFailed, errkind.StreamBroken, errkind.Overloaded:
+		return f.budget.retry()
+	}
+	return false
+}
+
+// pick waits for an endpoint within the queue's bound.
+func (f *Front) pick(ctx context.Context, r routing.Request) (routing.Ticket, error) {
+	bounded, cancel := context.WithTimeout(ctx, f.settings.Queue)
+	defer cancel()
+	ticket, err := f.router.Pick(bounded, r)
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		return nil, errkind.Wrap(err, errkind.Overloaded, "no endpoint became free in time")
+	}
+	return ticket, err
+}
+
+func (f *Front) measure(j *job, err error) {
+	labels := []string{j.account, j.route}
+	if j.firstAt > 0 {
+		f.metrics.firstToken.WithLabelValues(labels...).Observe(j.firstAt.Seconds())
+	}
+	if err != nil {
+		return
+	}
+	f.metrics.requests.WithLabelValues(labels...).Inc()
+	f.metrics.promptTokens.WithLabelValues(labels...).Add(float64(j.usage.PromptTokens))
+	f.metrics.cachedTokens.WithLabelValues(labels...).Add(float64(j.usage.Details.CachedTokens))
+	f.metrics.outputTokens.WithLabelValues(labels...).Add(float64(j.usage.CompletionTokens))
+}
--- /dev/null
+++ b/internal/entry/resume.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"eelgrasshollow/internal/engine"
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/routing"
+
+	"net/http"
+)
+
+// streamRef is what any entry VM needs to find a stream again. It travels as
+// "base64(JSON).base64(HMAC)", so that a caller can neither change nor forge it.
+type streamRef struct {
+	ID          string `json:"i"`
+	Endpoint    string `json:"e"`
+	Incarnation string `json:"n"`
+	Account     string `json:"a,omitempty"`
+	Model       string `json:"m"`
+	Output      int    `json:"o"` // greatest output, in tokens
+	Prompt      int    `json:"p"` // prompt, in tokens
+}
+
+var streamEncoding = base64.RawURLEncoding
+
+// streamMACDomain keeps these MACs apart from hashes of keys under the same hash key.
+const streamMACDomain = "stream:"
+
+// streamName returns the name by which the caller can ask any entry VM for the rest.
+func (f *Front) streamName(j *job, d routing.Decision, incarnation string) string {
+	data, err := json.Marshal(streamRef{j.id, d.Endpoint, incarnation, j.account, j.model, j.output, j.request.PromptTokens})
+	if err != nil {
+		return ""
+	}
+	text := streamEncoding.EncodeToString(data)
+	return text + "." + streamEncoding.EncodeToString(f.hasher.Hash(streamMACDomain+text))
+}
+
+func (f *Front) parseStreamName(name string) (streamRef, bool) {
+	var ref streamRef
+	text, mac, _ := strings.Cut(name, ".")
+	sum, err := streamEncoding.DecodeString(mac)
+	if err != nil || !f.hasher.Matches(streamMACDomain+text, sum) {
+		return ref, false
+	}
+	data, err := streamEncoding.DecodeString(text)
+	return ref, err == nil && json.Unmarshal(data, &ref) == nil
+}
+
+// resumeStream goes on with a stream that another entry VM began, on the engine that
+// runs it. When that engine's run is gone, the caller is told so and can send the
+// request itself again with Last-Event-ID.
+func (f *Front) resumeStream(x *exchange) error {
+	x.route = "streams"
+	view, err := f.currentView()
+	if err != nil {
+		return err
+	}
+	ref, ok := f.parseStreamName(x.r.PathValue("stream"))
+	route, routed := view.ModelRoute(ref.Model)
+	if !ok || !routed {
+		return errkind.New(errkind.NotFound, "no such stream")
+	}
+	x.account, err = f.admit(view, x.token, route)
+	if err != nil {
+		return err
+	}
+	x.route = route.GetName()
+	if x.account != ref.Account {
+		return errkind.New(errkind.NotFound, "no such stream")
+	}
+	from, err := resumePosition(x.r)
+	if err != nil {
+		return err
+	}
+	endpoint, ok := view.Endpoint(ref.Endpoint)
+	if !ok {
+		return gone()
+	}
+	reservation, err := f.reserve(x, int64(ref.Prompt+ref.Output))
+	if err != nil {
+		return err
+	}
+	x.id = ref.ID
+	j := &job{exchange: x, completion: &completion{stream: true, output: ref.Output}, delivered: from, numbered: true}
+	j.request.PromptTokens = ref.Prompt
+	err = f.goOn(j, ref, endpoint.GetAddress())
+	reservation.Settle(j.used())
+	return err
+}
+
+func (f *Front) goOn(j *job, ref streamRef, address string) error {
+	call := engine.Call{Address: address, ID: ref.ID, Method: http.MethodGet, Path: engine.StreamPath(ref.ID), Header: http.Header{}}
+	if j.delivered > 0 {
+		call.Header[engineapi.HeaderLastEventID] = j.r.Header[engineapi.HeaderLastEventID]
+	}
+	stream, err := f.engine.Stream(j.ctx, call)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	if stream.Refusal != nil || (ref.Incarnation != "" && stream.Incarnation != ref.Incarnation) {
+		return gone()
+	}
+	d := routing.Decision{Endpoint: ref.Endpoint, Address: address, Incarnation: stream.Incarnation}
+	a := &attempt{front: f, job: j, ticket: noTicket{}, sent: time.Now(), incarnation: stream.Incarnation}
+	return a.relay(stream, d)
+}
+
+func gone() error {
+	return errkind.New(errkind.StreamBroken, "the engine no longer has this stream; send the request again with Last-Event-ID")
+}
+
+// noTicket stands for a place that routing does not count.
+type noTicket struct{}
+
+// Decision is empty.
+func (noTicket) Decision() routing.Decision { return routing.Decision{} }
+
+// Started does nothing.
+func (noTicket) Started() {}
+
+// Done does nothing.
+func (noTicket) Done(routing.Result) {}
