--- /dev/null
+++ b/internal/standin/load.go
@@ -0,0 +1,44 @@
+package standin
+
+import (
+	"net/http"
+	"time"
+
+	"eelgrasshollow/internal/engineapi"
+)
+
+// serveLoad reports the engine's load, up to its lag old.
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now := time.Now(); e.reportAt.IsZero() || now.Sub(e.reportAt) >= e.config.LoadLag {
+		e.report, e.reportAt = e.loadLocked(), now
+	}
+	report := e.report
+	report.AgeMS = time.Since(e.reportAt).Milliseconds()
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (e *Engine) loadLocked() engineapi.Load {
+	waiting, tokens := e.batch.waiting()
+	l := engineapi.Load{
+		Incarnation:  e.incarnation,
+		Running:      e.running,
+		Waiting:      waiting,
+		WaitingToken: tokens,
+		BlocksUsed:   len(e.cache.blocks),
+		BlocksTotal:  e.cache.capacity,
+		Role:         e.role,
+		Versions:     map[string]string{},
+	}
+	for m, v := range e.models {
+		l.Versions[m] = v
+	}
+	for a := range e.adapters {
+		l.Adapters = append(l.Adapters, a)
+	}
+	for m := range e.loading {
+		l.Loading = append(l.Loading, m)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/standin/plain.go
@@ -0,0 +1,115 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"eelgrasshollow/internal/engineapi"
+)
+
+// PlainStats is what a plain service counted.
+type PlainStats struct {
+	Calls     int            `json:"calls"`
+	Runs      map[string]int `json:"runs"`       // by Idempotency-Key
+	SawSecret bool           `json:"saw_secret"` // a caller's key reached this endpoint
+}
+
+// PlainAnswer is a plain service's answer: an echo that names the run.
+type PlainAnswer struct {
+	Service string `json:"service"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Key     string `json:"idempotency_key,omitempty"`
+	Run     int    `json:"run"` // how often this key has run here, this time included
+	Body    string `json:"body"`
+}
+
+// Plain is a plain service that counts how often each request ID ran. It does not
+// recognise repeats by itself, so a doubled request shows.
+type Plain struct {
+	name   string
+	work   time.Duration
+	faults *faults
+	mu     sync.Mutex
+	stats  PlainStats
+}
+
+// NewPlain returns a service whose calls take work.
+func NewPlain(name string, work time.Duration) *Plain {
+	return &Plain{name: name, work: work, faults: newFaults(), stats: PlainStats{Runs: map[string]int{}}}
+}
+
+// Handler serves the service and its admin paths.
+func (p *Plain) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /admin/fault", p.faults.handler(func() {}))
+	mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, p.Stats()) })
+	mux.HandleFunc("/", p.serve)
+	return mux
+}
+
+// Stats returns a copy of the counts.
+func (p *Plain) Stats() PlainStats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stats
+	s.Runs = make(map[string]int, len(p.stats.Runs))
+	for k, n := range p.stats.Runs {
+		s.Runs[k] = n
+	}
+	return s
+}
+
+// serve runs the call once its body is whole; the run counts even when the caller
+// has gone by then, as a real service's effect would stand.
+func (p *Plain) serve(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return
+	}
+	key := r.Header.Get(engineapi.HeaderIdempotencyKey)
+	run := p.count(key, carriesSecret(r))
+	sleep(context.WithoutCancel(r.Context()), p.work)
+	if !p.faults.before(r) {
+		return
+	}
+	w.Header().Set(engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
+	if _, ok := p.faults.strike(FaultEmpty); ok {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	if _, ok := p.faults.strike(FaultCutStream); ok {
+		panic(http.ErrAbortHandler)
+	}
+	if _, ok := p.faults.strike(FaultCrossed); ok {
+		w.Header().Set(engineapi.HeaderRequestID, "another-request")
+	}
+	writeJSON(w, http.StatusOK, PlainAnswer{p.name, r.Method, r.URL.Path, key, run, string(data)})
+}
+
+func (p *Plain) count(key string, secret bool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Calls++
+	p.stats.SawSecret = p.stats.SawSecret || secret
+	if key == "" {
+		return 0
+	}
+	p.stats.Runs[key]++
+	return p.stats.Runs[key]
+}
+
+// carriesSecret reports whether a request holds anything that looks like a caller's key.
+func carriesSecret(r *http.Request) bool {
+	for _, values := range r.Header {
+		for _, v := range values {
+			if looksLikeKey(v) {
+				return true
+			}
+		}
+	}
+	return looksLikeKey(r.URL.RawQuery)
+}
