--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -30,6 +30,9 @@
 	Query   string
 	Header  http.Header // copied; never holds a caller's key
 	Body    []byte
+	// BareRefusals takes an answer with an error status that carries no request ID;
+	// nothing of such an answer may be handed to a caller but its status.
+	BareRefusals bool
 }
 
 // Answer is a whole answer.
@@ -101,7 +104,7 @@
 	if err != nil {
 		return nil, failure(ctx, err)
 	}
-	if err := c.checkEcho(call.ID, response.Header); err != nil {
+	if err := c.checkEcho(call, response); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
@@ -126,9 +129,10 @@
 	}, nil
 }
 
-func (c *Client) checkEcho(id string, h http.Header) error {
-	echoed := h.Get(engineapi.HeaderRequestID)
-	if echoed == id || (echoed == "" && !c.settings.RequireEcho) {
+func (c *Client) checkEcho(call Call, response *http.Response) error {
+	echoed := response.Header.Get(engineapi.HeaderRequestID)
+	bare := !c.settings.RequireEcho || (call.BareRefusals && response.StatusCode >= http.StatusBadRequest)
+	if echoed == call.ID || (echoed == "" && bare) {
 		return nil
 	}
 	return errkind.New(errkind.EndpointFailed, "answer belongs to another request")
--- a/internal/engine/module.go
+++ b/internal/engine/module.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/kernel"
 )
 
@@ -28,3 +29,13 @@
 	m.client.Close()
 	return nil
 }
+
+// Load reads an endpoint's load report; see Client.Load.
+func (m *Module) Load(ctx context.Context, address string) (engineapi.Load, error) {
+	return m.client.Load(ctx, address)
+}
+
+// Events reads an endpoint's cache events; see Client.Events.
+func (m *Module) Events(ctx context.Context, address string, after uint64, handle func(engineapi.Event) error) error {
+	return m.client.Events(ctx, address, after, handle)
+}
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -53,7 +53,7 @@
 	}
 	limited.left = -1
 	defer func() { _ = response.Body.Close() }()
-	if err := c.checkEcho(call.ID, response.Header); err != nil {
+	if err := c.checkEcho(call, response); err != nil {
 		return nil, err
 	}
 	return c.whole(ctx, response)
--- a/internal/engine/settings.go
+++ b/internal/engine/settings.go
@@ -19,6 +19,5 @@
 	MaxAnswer       settings.Bytes `ini:"max_answer" default:"16 MiB" min:"1 KiB" max:"1 GiB" doc:"Greatest answer in one piece."`
 	MaxHeader       settings.Bytes `ini:"max_header" default:"64 KiB" min:"1 KiB" max:"1 MiB" doc:"Greatest header of an answer."`
 	IdleConnections int            `ini:"idle_connections" default:"256" min:"1" max:"100000" doc:"Unused connections kept per endpoint."`
-	LoadEvery       time.Duration  `ini:"load_every" default:"250ms" min:"10ms" max:"1m" doc:"Pause between two load reports of an endpoint."`
 	RequireEcho     bool           `ini:"require_echo" default:"true" doc:"Refuse an answer that does not carry its request's ID back."`
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -230,7 +230,11 @@
 
 // pick waits for an endpoint within the queue's bound.
 func (f *Front) pick(ctx context.Context, r routing.Request) (routing.Ticket, error) {
-	bounded, cancel := context.WithTimeout(ctx, f.settings.Queue)
+	return f.pickWithin(ctx, f.settings.Queue, r)
+}
+
+func (f *Front) pickWithin(ctx context.Context, bound time.Duration, r routing.Request) (routing.Ticket, error) {
+	bounded, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	ticket, err := f.router.Pick(bounded, r)
 	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
--- /dev/null
+++ b/internal/entry/fakes_test.go
@@ -0,0 +1,345 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/internal/engine"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/grants"
+	"eelgrasshollow/internal/journal"
+	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/routing"
+	"eelgrasshollow/internal/settings"
+	"eelgrasshollow/internal/standin"
+	"eelgrasshollow/internal/state"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+)
+
+// fakeDirectory is a configuration that tests change.
+type fakeDirectory struct {
+	mu      sync.Mutex
+	view    *state.View
+	stale   error
+	changed chan struct{}
+}
+
+func (d *fakeDirectory) View() *state.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view
+}
+
+func (d *fakeDirectory) Fresh() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stale
+}
+
+func (d *fakeDirectory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+func (d *fakeDirectory) set(view *state.View, stale error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view, d.stale = view, stale
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// fakeLimiter counts what was reserved and used.
+type fakeLimiter struct {
+	mu             sync.Mutex
+	reserved, used int64
+	refuse         error
+}
+
+func (l *fakeLimiter) Reserve(_ context.Context, _ string, tokens int64) (grants.Reservation, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.refuse != nil {
+		return nil, l.refuse
+	}
+	l.reserved += tokens
+	return &fakeReservation{l: l}, nil
+}
+
+type fakeReservation struct {
+	l    *fakeLimiter
+	once sync.Once
+}
+
+func (r *fakeReservation) Settle(used int64) {
+	r.once.Do(func() {
+		r.l.mu.Lock()
+		defer r.l.mu.Unlock()
+		r.l.used += used
+	})
+}
+
+// fakeJournal keeps claims in memory.
+type fakeJournal struct {
+	mu       sync.Mutex
+	records  map[string]*fakeClaim
+	noBegin  error
+	released int
+}
+
+type fakeClaim struct {
+	j      *fakeJournal
+	id     string
+	body   [32]byte
+	answer *journal.Answer
+	lost   bool
+}
+
+func (j *fakeJournal) Claim(_ context.Context, r journal.Request) (journal.Claim, *journal.Answer, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	id := r.Account + "/" + r.Route + "/" + r.ID
+	c := j.records[id]
+	switch {
+	case c == nil:
+		c = &fakeClaim{j: j, id: id, body: r.Body}
+		j.records[id] = c
+		return c, nil, nil
+	case c.body != r.Body:
+		return nil, nil, errkind.New(errkind.BodyMismatch, "another body")
+	case c.lost:
+		return nil, nil, errkind.New(errkind.OutcomeUnknown, "lost")
+	case c.answer != nil:
+		return nil, c.answer, nil
+	}
+	return nil, nil, errkind.New(errkind.InProgress, "running")
+}
+
+func (c *fakeClaim) Begin() error { return c.j.noBegin }
+
+func (c *fakeClaim) Complete(_ context.Context, a journal.Answer) error {
+	c.j.mu.Lock()
+	defer c.j.mu.Unlock()
+	c.answer = &a
+	return nil
+}
+
+func (c *fakeClaim) Release(context.Context) error {
+	c.j.mu.Lock()
+	defer c.j.mu.Unlock()
+	delete(c.j.records, c.id)
+	c.j.released++
+	return nil
+}
+
+func (c *fakeClaim) Lost(context.Context) error {
+	c.j.mu.Lock()
+	defer c.j.mu.Unlock()
+	c.lost = true
+	return nil
+}
+
+// fakeRouter takes the first endpoint that is not excluded.
+type fakeRouter struct {
+	mu        sync.Mutex
+	endpoints []routing.Decision
+	requests  []routing.Request
+	results   []routing.Result
+}
+
+func (r *fakeRouter) Pick(_ context.Context, q routing.Request) (routing.Ticket, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, q)
+	for _, d := range r.endpoints {
+		if !slices.Contains(q.Exclude, d.Endpoint) && strings.HasPrefix(d.Endpoint, kindOf(q)) {
+			return &fakeTicket{r, d}, nil
+		}
+	}
+	return nil, errkind.New(errkind.NoEndpoint, "none left")
+}
+
+func kindOf(q routing.Request) string {
+	if q.Service != "" {
+		return "plain"
+	}
+	return "engine"
+}
+
+type fakeTicket struct {
+	r *fakeRouter
+	d routing.Decision
+}
+
+func (t *fakeTicket) Decision() routing.Decision { return t.d }
+func (t *fakeTicket) Started()                   {}
+func (t *fakeTicket) Done(result routing.Result) {
+	t.r.mu.Lock()
+	defer t.r.mu.Unlock()
+	t.r.results = append(t.r.results, result)
+}
+
+// bench is a front before stand-ins, over loopback.
+type bench struct {
+	t         *testing.T
+	front     *Front
+	directory *fakeDirectory
+	limiter   *fakeLimiter
+	journal   *fakeJournal
+	router    *fakeRouter
+	logs      *observer.ObservedLogs
+	server    *httptest.Server
+	token     string
+	config    *pb.Configuration
+	engines   []*httptest.Server
+	plain     *httptest.Server
+}
+
+const testHashKey = "hash-key-of-tests"
+
+// defaults returns settings as an empty file gives them.
+func defaults(t testing.TB) (Settings, engine.Settings) {
+	t.Helper()
+	var all struct {
+		Entry  Settings        `ini:"entry"`
+		Engine engine.Settings `ini:"engine"`
+	}
+	assert.NilError(t, settings.Parse("defaults", nil, &all))
+	return all.Entry, all.Engine
+}
+
+func newBench(t *testing.T, change func(*Settings, *engine.Settings)) *bench {
+	t.Helper()
+	entrySettings, engineSettings := defaults(t)
+	entrySettings.LookupKeep = 10 * time.Millisecond
+	if change != nil {
+		change(&entrySettings, &engineSettings)
+	}
+	b := &bench{
+		t: t, limiter: &fakeLimiter{}, journal: &fakeJournal{records: map[string]*fakeClaim{}}, router: &fakeRouter{},
+	}
+	hasher := keys.NewHasher(testHashKey)
+	token := keys.New()
+	b.token = token.Text()
+	b.config = testConfiguration(hasher, token)
+	b.directory = &fakeDirectory{view: state.NewView(b.config), changed: make(chan struct{})}
+	core, logs := observer.New(zapcore.DebugLevel)
+	b.logs = logs
+	b.front = NewFront(entrySettings, Deps{
+		Directory: b.directory, Limiter: b.limiter, Journal: b.journal, Router: b.router,
+		Engine: engine.New(engineSettings, nil), Hasher: hasher, Log: zap.New(core),
+		Fleet: selfOnly{VM{Name: "e1", Address: "127.0.0.1:7001", FailureDomain: "a"}},
+	})
+	b.server = httptest.NewUnstartedServer(nil)
+	b.server.Config = b.front.Server(zap.New(core))
+	b.server.Start()
+	ctx, cancel := context.WithCancel(t.Context())
+	var background sync.WaitGroup
+	background.Go(func() { b.front.recheck(ctx) })
+	t.Cleanup(func() { cancel(); background.Wait(); b.server.CloseClientConnections(); b.server.Close() })
+	return b
+}
+
+func testConfiguration(hasher keys.Hasher, token keys.Token) *pb.Configuration {
+	return &pb.Configuration{
+		Revision:       1,
+		ClientAccounts: []*pb.ClientAccount{{Name: "litoral", RateTokens: 1000, BurstTokens: 1000}},
+		Keys:           []*pb.Key{{Id: token.ID, ClientAccount: "litoral", SecretHash: hasher.Hash(token.Secret)}},
+		Models:         []*pb.Model{{Name: "quote", WeightsVersion: "v1"}},
+		Routes: []*pb.Route{
+			{Name: "quotes", Kind: pb.RouteKind_ROUTE_KIND_MODEL, Model: "quote"},
+			{Name: "stock", Kind: pb.RouteKind_ROUTE_KIND_PLAIN, PathPrefix: "/stock", Service: "ordering", Idempotent: true, CallTokens: 5},
+			{Name: "orders", Kind: pb.RouteKind_ROUTE_KIND_PLAIN, PathPrefix: "/orders", Service: "ordering", CallTokens: 5},
+			{Name: "news", Kind: pb.RouteKind_ROUTE_KIND_PLAIN, PathPrefix: "/news", Service: "ordering", Idempotent: true, Open: true},
+		},
+	}
+}
+
+// addEngine starts a stand-in engine.
+func (b *bench) addEngine(tokenTime time.Duration) *httptest.Server {
+	e := standin.NewEngine(standin.EngineConfig{
+		Models: map[string]string{"quote": "v1"}, Blocks: 100, Slots: 64, PrefillRate: 1e6, TokenTime: tokenTime,
+	})
+	s := httptest.NewServer(e.Handler())
+	b.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	b.engines = append(b.engines, s)
+	b.addEndpoint("engine", s)
+	return s
+}
+
+func (b *bench) addPlain() *httptest.Server {
+	b.plain = httptest.NewServer(standin.NewPlain("ordering", 0).Handler())
+	b.t.Cleanup(func() { b.plain.CloseClientConnections(); b.plain.Close() })
+	b.addEndpoint("plain", b.plain)
+	return b.plain
+}
+
+func (b *bench) addEndpoint(kind string, s *httptest.Server) {
+	b.addAddress(kind, s.Listener.Addr().String())
+}
+
+func (b *bench) addAddress(kind, address string) {
+	b.router.mu.Lock()
+	defer b.router.mu.Unlock()
+	name := kind + "-" + address
+	b.router.endpoints = append(b.router.endpoints, routing.Decision{Endpoint: name, Address: address})
+	b.config.Endpoints = append(b.config.Endpoints, &pb.Endpoint{Name: name, Address: address})
+}
+
+func (b *bench) fault(s *httptest.Server, fault standin.Fault) {
+	b.t.Helper()
+	body, err := json.Marshal(fault)
+	assert.NilError(b.t, err)
+	r, err := http.Post(s.URL+"/admin/fault", "application/json", strings.NewReader(string(body)))
+	assert.NilError(b.t, err)
+	assert.NilError(b.t, r.Body.Close())
+	if fault.Kind == standin.FaultSilent {
+		b.t.Cleanup(func() { b.fault(s, standin.Fault{Kind: standin.FaultClear}) })
+	}
+}
+
+// do sends a request with the bench's key and reads the whole answer.
+func (b *bench) do(method, path, body string, header ...string) (*http.Response, string) {
+	b.t.Helper()
+	r, err := http.NewRequestWithContext(b.t.Context(), method, b.server.URL+path, strings.NewReader(body))
+	assert.NilError(b.t, err)
+	r.Header.Set("Authorization", "Bearer "+b.token)
+	r.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	answer, err := http.DefaultClient.Do(r)
+	assert.NilError(b.t, err)
+	defer func() { _ = answer.Body.Close() }()
+	data, err := io.ReadAll(answer.Body)
+	assert.NilError(b.t, err)
+	return answer, string(data)
+}
+
+// refused checks a refusal's status, kind and outcome, in header and body.
+func refused(t *testing.T, answer *http.Response, body string, kind errkind.Kind, outcome errkind.Outcome) {
+	t.Helper()
+	var e errorBody
+	assert.NilError(t, json.Unmarshal([]byte(body), &e), body)
+	assert.Equal(t, e.Error.Code, kind.String())
+	assert.Equal(t, e.Error.Outcome, outcome)
+	assert.Equal(t, answer.StatusCode, kind.Answer().HTTP)
+	assert.Equal(t, answer.Header.Get(errkind.HeaderName), string(outcome))
+	assert.Equal(t, answer.Header.Get("Retry-After") != "", kind.Answer().Retryable)
+}
+
+const chatBody = `{"model":"quote","stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`
--- a/internal/entry/open.go
+++ b/internal/entry/open.go
@@ -83,17 +83,21 @@
 
 // end gives up every request that check refuses, with its error as the reason.
 func (o *openRequests) end(check func(*openRequest) error) {
+	for _, r := range o.list() {
+		if err := check(r); err != nil {
+			r.cancel(err)
+		}
+	}
+}
+
+func (o *openRequests) list() []*openRequest {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	list := make([]*openRequest, 0, len(o.all))
 	for r := range o.all {
 		list = append(list, r)
 	}
-	o.mu.Unlock()
-	for _, r := range list {
-		if err := check(r); err != nil {
-			r.cancel(err)
-		}
-	}
+	return list
 }
 
 // recheck checks the keys of open requests at every change of the configuration or of
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -158,7 +158,7 @@
 // are followed by another.
 func (f *Front) claimed(p *plainCall, claim journal.Claim) error {
 	for attempt := 1; ; attempt++ {
-		ticket, err := f.pick(p.ctx, p.request)
+		ticket, err := f.pickWithin(p.ctx, f.settings.ClaimQueue, p.request)
 		if err != nil {
 			f.release(p, claim)
 			return errkind.Of(err).WithOutcome(errkind.NotRun)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -75,7 +75,7 @@
 	}
 	call := engine.Call{
 		Address: d.Address, ID: j.id, Method: http.MethodPost, Path: j.path, Body: body,
-		Header: http.Header{"Content-Type": {"application/json"}},
+		Header: http.Header{"Content-Type": {"application/json"}}, BareRefusals: true,
 	}
 	if !j.stream {
 		return a.whole(call)
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"net/http"
 	"strings"
 	"time"
 
@@ -10,8 +11,6 @@
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/routing"
-
-	"net/http"
 )
 
 // streamRef is what any entry VM needs to find a stream again. It travels as
@@ -95,7 +94,7 @@
 }
 
 func (f *Front) goOn(j *job, ref streamRef, address string) error {
-	call := engine.Call{Address: address, ID: ref.ID, Method: http.MethodGet, Path: engine.StreamPath(ref.ID), Header: http.Header{}}
+	call := engine.Call{Address: address, ID: ref.ID, Method: http.MethodGet, Path: engine.StreamPath(ref.ID), Header: http.Header{}, BareRefusals: true}
 	if j.delivered > 0 {
 		call.Header[engineapi.HeaderLastEventID] = j.r.Header[engineapi.HeaderLastEventID]
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -16,6 +16,7 @@
 	Idle           time.Duration  `ini:"idle" default:"60s" min:"100ms" max:"1h" doc:"Time an unused connection of a caller is kept."`
 	Acknowledge    time.Duration  `ini:"acknowledge" default:"5s" min:"100ms" max:"1m" doc:"Time that bytes sent to a caller may stay unacknowledged."`
 	Queue          time.Duration  `ini:"queue" default:"20s" min:"10ms" max:"10m" doc:"Time a request may wait for an endpoint."`
+	ClaimQueue     time.Duration  `ini:"claim_queue" default:"3s" min:"10ms" max:"1m" doc:"Time a call under a journal claim may wait for an endpoint; below the journal's begin_lease."`
 	Attempts       int            `ini:"attempts" default:"4" min:"1" max:"20" doc:"Endpoints an idempotent request is tried at."`
 	RetryShare     float64        `ini:"retry_share" default:"0.1" min:"0" max:"1" doc:"Retries per request, on average."`
 	RetryBurst     float64        `ini:"retry_burst" default:"100" min:"1" max:"100000" doc:"Retries at once."`
