Route by predicted time to first token with a bounded fair queue

Cause: entry VMs need a Router that knows leaving endpoints and failure domains. Change: a plain core (index from own routing and answers, scorers, fair admission queue, retry budget) and the module entry.routing around it; baselines as policies.

--- /dev/null
+++ b/internal/cacheindex/match.go
@@ -0,0 +1,115 @@
+package cacheindex
+
+import (
+	"math"
+	"time"
+
+	"eelgrasshollow/internal/prefix"
+)
+
+// rateWindow is the time over which touches of a prefix are averaged.
+const rateWindow = 4 * time.Second
+
+// Match is what one endpoint probably holds of a chain.
+type Match struct {
+	Depth    int           // pieces believed to be held
+	RawDepth int           // pieces once held, however old
+	Age      time.Duration // age of the deepest piece once held
+}
+
+// Find fills into, indexed by Endpoint, with what each endpoint holds of the chain,
+// and returns it.
+func (x *Index) Find(chain []prefix.Hash, now time.Time, into []Match) []Match {
+	into = into[:0]
+	for range x.endpoints {
+		into = append(into, Match{})
+	}
+	at := x.ticks(now)
+	for i, h := range chain {
+		n, ok := x.byHash[h]
+		if !ok {
+			break
+		}
+		for _, held := range x.entries[n].holders {
+			state := &x.endpoints[held.endpoint]
+			m := &into[held.endpoint]
+			if held.generation != state.generation || m.RawDepth != i {
+				continue
+			}
+			m.RawDepth, m.Age = i+1, age(at, held.at)
+			if m.Depth == i && m.Age <= state.lifetime {
+				m.Depth = i + 1
+			}
+		}
+	}
+	return into
+}
+
+func age(now, then uint32) time.Duration {
+	if then >= now {
+		return 0
+	}
+	return time.Duration(now-then) * tick
+}
+
+// Learn corrects the endpoint's lifetime by an answer: m was the match when the
+// request was sent, cached the pieces that were found.
+func (x *Index) Learn(e Endpoint, m Match, cached int) {
+	if m.RawDepth == 0 {
+		return
+	}
+	state := &x.endpoints[e]
+	switch {
+	case cached >= m.RawDepth && m.Age > state.lifetime/2:
+		grown := time.Duration(float64(state.lifetime) * growFactor)
+		state.lifetime = min(max(grown, min(m.Age, state.lifetime*2)), maxLifetime)
+	case cached < m.Depth && m.Age < state.lifetime:
+		state.lifetime -= time.Duration(shrinkShare * float64(state.lifetime-m.Age))
+		state.lifetime = max(state.lifetime, minLifetime)
+	}
+}
+
+// Level is the place in a chain where siblings part.
+type Level struct {
+	Depth int     // pieces up to and including the last known fork; 0 when none
+	Rate  float64 // touches per second of the piece after the fork
+}
+
+// Level finds the deepest piece of the chain with more than one continuation.
+func (x *Index) Level(chain []prefix.Hash, now time.Time) Level {
+	at := x.ticks(now)
+	var l Level
+	for i, h := range chain {
+		n, ok := x.byHash[h]
+		if !ok {
+			break
+		}
+		en := &x.entries[n]
+		if i == l.Depth {
+			l.Rate = en.rateNow(at)
+		}
+		if en.forked && i+1 < len(chain) {
+			l.Depth, l.Rate = i+1, 0
+		}
+	}
+	return l
+}
+
+// Rate returns the touches per second of a prefix.
+func (x *Index) Rate(h prefix.Hash, now time.Time) float64 {
+	n, ok := x.byHash[h]
+	if !ok {
+		return 0
+	}
+	return x.entries[n].rateNow(x.ticks(now))
+}
+
+func (en *entry) rateNow(at uint32) float64 {
+	elapsed := age(at, en.rateAt)
+	return float64(en.rate) * math.Exp(-elapsed.Seconds()/rateWindow.Seconds())
+}
+
+func (en *entry) count(at uint32) {
+	en.rate = float32(en.rateNow(at) + 1/rateWindow.Seconds())
+	en.rateAt = at
+}
--- /dev/null
+++ b/internal/routing/core.go
@@ -0,0 +1,245 @@
+package routing
+
+import (
+	"time"
+
+	"eelgrasshollow/internal/cacheindex"
+	"eelgrasshollow/internal/errkind"
+)
+
+// Limits bound what a Core keeps and how long it lets requests wait.
+type Limits struct {
+	QueuePerEndpoint int
+	LongestWait      time.Duration
+	TrackedPrefixes  int
+	RetryShare       float64 // retries per first try
+	RetryBurst       float64
+}
+
+// DefaultLimits are the limits of an entry VM.
+func DefaultLimits() Limits {
+	return Limits{QueuePerEndpoint: 64, LongestWait: 5 * time.Second, TrackedPrefixes: 100_000, RetryShare: 0.1, RetryBurst: 10}
+}
+
+// Core decides on endpoints and admission. It is a plain state machine: inputs and
+// time in, decisions out through Pending. It is not safe for concurrent use.
+type Core struct {
+	policy     Policy
+	limits     Limits
+	vms        int
+	index      *cacheindex.Index
+	byName     map[string]*State
+	byModel    map[string][]*State
+	byService  map[string][]*State
+	unused     []cacheindex.Endpoint
+	stores     []Store
+	retries    budget
+	matches    []cacheindex.Match
+	candidates []Candidate
+	out        []float64
+}
+
+// NewCore returns a core without endpoints.
+func NewCore(policy Policy, limits Limits, now time.Time) *Core {
+	return &Core{
+		policy: policy, limits: limits, vms: 1,
+		index:   cacheindex.New(limits.TrackedPrefixes, now),
+		byName:  map[string]*State{},
+		retries: budget{share: limits.RetryShare, burst: limits.RetryBurst, left: limits.RetryBurst},
+	}
+}
+
+// SetVMs tells how many entry VMs route to these endpoints, this one included.
+func (c *Core) SetVMs(n int) { c.vms = max(n, 1) }
+
+// SetFleet replaces the endpoints. Requests that wait for one that is gone or leaving
+// are placed anew.
+func (c *Core) SetFleet(now time.Time, fleet []Endpoint) {
+	old := c.byName
+	c.byName = map[string]*State{}
+	c.byModel = map[string][]*State{}
+	c.byService = map[string][]*State{}
+	var moved []*Pending
+	for _, e := range fleet {
+		s := old[e.Name]
+		if s == nil || s.Address != e.Address {
+			s = c.newState()
+		} else {
+			delete(old, e.Name)
+		}
+		s.Endpoint = e
+		c.byName[e.Name] = s
+		for _, m := range e.Models {
+			c.byModel[m] = append(c.byModel[m], s)
+		}
+		if e.Service != "" {
+			c.byService[e.Service] = append(c.byService[e.Service], s)
+		}
+		if s.Leaving {
+			moved = append(moved, s.queue.Overdue(now.Add(time.Nanosecond))...)
+		}
+	}
+	for _, s := range old {
+		s.gone = true
+		c.index.Forget(s.index)
+		c.unused = append(c.unused, s.index)
+		moved = append(moved, s.queue.Overdue(now.Add(time.Nanosecond))...)
+	}
+	for _, p := range moved {
+		c.place(now, p)
+	}
+}
+
+func (c *Core) newState() *State {
+	s := &State{PrefillPerToken: initialPrefillPerToken, Service: initialService}
+	if last := len(c.unused) - 1; last >= 0 {
+		s.index = c.unused[last]
+		c.unused = c.unused[:last]
+	} else {
+		s.index = c.index.Add()
+	}
+	return s
+}
+
+// Submit decides on a request's endpoint. settled is called once, when the request
+// has its place or its refusal; possibly before Submit returns.
+func (c *Core) Submit(now time.Time, r Request, settled func()) *Pending {
+	p := &Pending{Request: r, submitted: now, settled: settled}
+	if len(r.Exclude) == 0 {
+		c.retries.earn()
+	} else if !c.retries.spend() {
+		c.refuse(p, errkind.New(errkind.Overloaded, "retry budget is spent").WithRetryAfter(c.limits.LongestWait))
+		return p
+	}
+	c.place(now, p)
+	return p
+}
+
+// place chooses an endpoint and queues the request there.
+func (c *Core) place(now time.Time, p *Pending) {
+	best := c.decide(now, p)
+	if best == nil {
+		c.refuse(p, errkind.New(errkind.NoEndpoint, "no endpoint can serve the request now").WithRetryAfter(time.Second))
+		return
+	}
+	s := best.State
+	if !c.admit(now, p, s) {
+		return
+	}
+	p.state, p.match, p.missed = s, best.Match, best.Missed
+	p.Decision = Decision{
+		Endpoint: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
+		CachedTokens: max(p.Request.PromptTokens-best.Missed, 0),
+		ImportFrom:   best.ImportFrom, Parts: c.parts(best),
+	}
+	s.queue.Push(p)
+	c.pump(now, s)
+}
+
+// admit sheds early: by the predicted wait in fair order, and by the queue's bound,
+// where the account that waits with the most tokens gives way.
+func (c *Core) admit(now time.Time, p *Pending, s *State) bool {
+	limit := s.limit(c.vms)
+	if s.InFlight < limit && s.queue.Len() == 0 {
+		return true
+	}
+	ahead := s.queue.Ahead(p.Request.Account, p.Request.Priority)
+	wait := time.Duration(ahead+1) * s.Service / time.Duration(limit)
+	if wait > c.limits.LongestWait {
+		c.refuse(p, overloaded(wait))
+		return false
+	}
+	if s.queue.Len() < c.limits.QueuePerEndpoint {
+		return true
+	}
+	victim := s.queue.Longest(p.Request.Priority)
+	if victim == nil || victim.Request.Account == p.Request.Account && victim.Request.Priority == p.Request.Priority {
+		c.refuse(p, overloaded(wait))
+		return false
+	}
+	s.queue.Remove(victim)
+	c.refuse(victim, overloaded(wait))
+	return true
+}
+
+func overloaded(wait time.Duration) *errkind.Error {
+	return errkind.New(errkind.Overloaded, "every place is taken").WithRetryAfter(max(wait, 100*time.Millisecond))
+}
+
+func (c *Core) refuse(p *Pending, e *errkind.Error) {
+	p.phase, p.Refusal = over, e
+	p.settled()
+}
+
+// pump sends waiting requests while there are places.
+func (c *Core) pump(now time.Time, s *State) {
+	for s.InFlight < s.limit(c.vms) {
+		p := s.queue.Pop()
+		if p == nil {
+			return
+		}
+		c.send(now, p)
+	}
+}
+
+func (c *Core) send(now time.Time, p *Pending) {
+	s := p.state
+	p.phase, p.sent = sent, now
+	p.work = s.PendingTokens + s.PeerPending + p.missed
+	s.InFlight++
+	s.PendingTokens += p.missed
+	c.index.Touch(s.index, p.Request.Chain, now)
+	p.settled()
+}
+
+// Start tells that the first token of a sent request has arrived.
+func (c *Core) Start(p *Pending) {
+	if p.phase == sent {
+		p.phase = started
+		p.state.PendingTokens -= p.missed
+	}
+}
+
+// Finish ends a sent request with its result.
+func (c *Core) Finish(now time.Time, p *Pending, r Result) {
+	if p.phase != sent && p.phase != started {
+		return
+	}
+	c.Start(p)
+	p.phase = over
+	s := p.state
+	s.InFlight--
+	c.learn(now, p, r)
+	if !s.gone {
+		c.pump(now, s)
+	}
+}
+
+// Cancel takes back a request that still waits; it reports whether it did.
+func (c *Core) Cancel(p *Pending) bool {
+	if p.phase != waiting {
+		return false
+	}
+	p.phase = over
+	p.state.queue.Remove(p)
+	return true
+}
+
+// Tick refuses, at once, what has waited for longer than the bound.
+func (c *Core) Tick(now time.Time) {
+	for _, s := range c.byName {
+		if s.queue.Len() == 0 {
+			continue
+		}
+		for _, p := range s.queue.Overdue(now.Add(-c.limits.LongestWait)) {
+			c.refuse(p, overloaded(s.Service))
+		}
+		c.pump(now, s)
+	}
+}
+
+// State finds what is known of an endpoint, for reports.
+func (c *Core) State(name string) (*State, bool) {
+	s, ok := c.byName[name]
+	return s, ok
+}
--- /dev/null
+++ b/internal/routing/core_test.go
@@ -0,0 +1,114 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/prefix"
+
+	"gotest.tools/v3/assert"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func engines(n, concurrent int) []Endpoint {
+	fleet := make([]Endpoint, n)
+	for i := range fleet {
+		fleet[i] = Endpoint{Name: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Models: []string{"m"}, MaxConcurrent: concurrent}
+	}
+	return fleet
+}
+
+func newCore(n, concurrent int) *Core {
+	c := NewCore(Ours(), DefaultLimits(), epoch)
+	c.SetFleet(epoch, engines(n, concurrent))
+	return c
+}
+
+func request(account string, pieces ...prefix.Hash) Request {
+	return Request{ID: "r", Account: account, Model: "m", Version: "v1", Chain: pieces, PromptTokens: 1000*len(pieces) + 100, MaxTokens: 50}
+}
+
+func submit(c *Core, now time.Time, r Request) *Pending { return c.Submit(now, r, func() {}) }
+
+func answer(p *Pending, incarnation string, cached int) Result {
+	return Result{Incarnation: incarnation, PromptTokens: p.Request.PromptTokens, CachedTokens: cached, FirstToken: 100 * time.Millisecond}
+}
+
+func TestSiblingsFollowTheirPrefix(t *testing.T) {
+	c := newCore(9, 8)
+	first := submit(c, epoch, request("a", 1, 2, 3))
+	c.Finish(epoch.Add(time.Second), first, answer(first, "i1", 0))
+	second := submit(c, epoch.Add(2*time.Second), request("a", 1, 2, 3, 4))
+	assert.Equal(t, second.Decision.Endpoint, first.Decision.Endpoint)
+	assert.Equal(t, second.Decision.CachedTokens, 3000)
+}
+
+func TestLeavingAndExcludedGetNothing(t *testing.T) {
+	c := newCore(2, 8)
+	fleet := engines(2, 8)
+	fleet[0].Leaving = true
+	c.SetFleet(epoch, fleet)
+	for range 20 {
+		assert.Equal(t, submit(c, epoch, request("a")).Decision.Endpoint, "e1")
+	}
+	r := request("a")
+	r.Exclude = []string{"e1"}
+	assert.Equal(t, submit(c, epoch, r).Refusal.Kind, errkind.NoEndpoint)
+}
+
+func TestWaitingMovesOffALeavingEndpoint(t *testing.T) {
+	c := newCore(1, 1)
+	running, queued := submit(c, epoch, request("a")), submit(c, epoch, request("a"))
+	assert.Equal(t, running.phase, sent)
+	assert.Equal(t, queued.phase, waiting)
+	fleet := engines(2, 1)
+	fleet[0].Leaving = true
+	c.SetFleet(epoch, fleet)
+	assert.Equal(t, queued.phase, sent)
+	assert.Equal(t, queued.Decision.Endpoint, "e1")
+}
+
+func TestFloodingAccountGivesWay(t *testing.T) {
+	limits := DefaultLimits()
+	limits.QueuePerEndpoint = 8
+	limits.LongestWait = time.Hour
+	c := NewCore(Ours(), limits, epoch)
+	c.SetFleet(epoch, engines(1, 1))
+	var flood []*Pending
+	for range 9 {
+		flood = append(flood, submit(c, epoch, request("big")))
+	}
+	small := submit(c, epoch, request("small"))
+	assert.Assert(t, small.Refusal == nil)
+	assert.Equal(t, flood[8].Refusal.Kind, errkind.Overloaded)
+	assert.Assert(t, flood[8].Refusal.RetryAfter > 0)
+	assert.Equal(t, flood[8].Refusal.Outcome, errkind.NotRun)
+	c.Finish(epoch, flood[0], answer(flood[0], "i", 0))
+	assert.Equal(t, small.phase, sent, "the account that had least goes first")
+}
+
+func TestGivenUpAtTheBound(t *testing.T) {
+	c := newCore(1, 1)
+	submit(c, epoch, request("a"))
+	late := submit(c, epoch, request("a"))
+	c.Tick(epoch.Add(DefaultLimits().LongestWait - time.Millisecond))
+	assert.Assert(t, late.Refusal == nil)
+	c.Tick(epoch.Add(DefaultLimits().LongestWait + time.Millisecond))
+	assert.Equal(t, late.Refusal.Kind, errkind.Overloaded)
+}
+
+func TestRetriesStayInsideTheBudget(t *testing.T) {
+	c := newCore(3, 1000)
+	retry := request("a")
+	retry.Exclude = []string{"e0"}
+	ran := 0
+	for range 100 {
+		if submit(c, epoch, retry).Refusal == nil {
+			ran++
+		}
+	}
+	assert.Equal(t, ran, int(DefaultLimits().RetryBurst))
+}
--- /dev/null
+++ b/internal/routing/endpoint.go
@@ -0,0 +1,94 @@
+package routing
+
+import (
+	"time"
+
+	"eelgrasshollow/internal/cacheindex"
+	"eelgrasshollow/internal/engineapi"
+)
+
+// DefaultConcurrent is the number of requests at a time of an endpoint whose
+// configuration names none.
+const DefaultConcurrent = 16
+
+const (
+	initialPrefillPerToken = 100 * time.Microsecond
+	initialService         = 500 * time.Millisecond
+	learnShare             = 0.1
+	firstBackOff           = 250 * time.Millisecond
+	greatestBackOff        = 5 * time.Second
+	endedRuns              = 4
+)
+
+// Endpoint is what the configuration says of a server.
+type Endpoint struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	Models        []string
+	Service       string
+	Leaving       bool
+	MaxConcurrent int
+}
+
+// State is what routing knows of one endpoint; plugins read it.
+type State struct {
+	Endpoint
+	// InFlight and PendingTokens count this VM's own requests there: all of them, and
+	// the uncached prompt tokens of those without a first token.
+	InFlight      int
+	PendingTokens int
+	// PeerInFlight and PeerPending are the same for the other entry VMs, as of their
+	// last digests.
+	PeerInFlight int
+	PeerPending  int
+	Incarnation  string
+	Load         engineapi.Load
+	LoadAt       time.Time
+	// PrefillPerToken and Service are learned from answers.
+	PrefillPerToken time.Duration
+	Service         time.Duration
+
+	index     cacheindex.Endpoint
+	queue     fairQueue
+	failures  int
+	downUntil time.Time
+	gone      bool
+	eventSeq  uint64
+	ended     [endedRuns]string // incarnations that are over, newest first
+}
+
+// limit is the number of own requests that may run there now: what the peers leave,
+// but never less than an equal share.
+func (s *State) limit(vms int) int {
+	most := s.MaxConcurrent
+	if most <= 0 {
+		most = DefaultConcurrent
+	}
+	share := (most + vms - 1) / max(vms, 1)
+	return max(most-s.PeerInFlight, share)
+}
+
+// observe learns from an answer. work is the number of uncached tokens that stood
+// between sending and the first token, own ones included.
+func (s *State) observe(work int, firstToken, service time.Duration) {
+	if work > 0 && firstToken > 0 {
+		s.PrefillPerToken = blend(s.PrefillPerToken, firstToken/time.Duration(work))
+	}
+	if service > 0 {
+		s.Service = blend(s.Service, service)
+	}
+}
+
+func blend(old, sample time.Duration) time.Duration {
+	return old + time.Duration(learnShare*float64(sample-old))
+}
+
+// failed takes the endpoint out for a while that doubles with every failure in a row.
+func (s *State) failed(now time.Time) {
+	backOff := min(firstBackOff<<min(s.failures, 8), greatestBackOff)
+	s.failures++
+	s.downUntil = now.Add(backOff)
+}
+
+func (s *State) succeeded() { s.failures = 0 }
--- /dev/null
+++ b/internal/routing/filter_available.go
@@ -0,0 +1,27 @@
+package routing
+
+import "slices"
+
+// available keeps endpoints that may get new work: not leaving, not just failed, not
+// excluded by the request, not known to run other weights.
+type available struct{}
+
+// Name names the filter.
+func (available) Name() string { return "available" }
+
+// Keep applies the filter.
+func (available) Keep(c *Case, s *State) bool {
+	if s.Leaving || s.gone || c.Now.Before(s.downUntil) {
+		return false
+	}
+	return !slices.Contains(c.Request.Exclude, s.Name) && runsVersion(c.Request, s)
+}
+
+// runsVersion is true when nothing is known: the engine itself refuses other weights.
+func runsVersion(r *Request, s *State) bool {
+	if r.Model == "" || r.Version == "" {
+		return true
+	}
+	loaded, known := s.Load.Versions[r.Model]
+	return !known || loaded == r.Version
+}
--- /dev/null
+++ b/internal/routing/module.go
@@ -0,0 +1,209 @@
+package routing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/state"
+	"eelgrasshollow/internal/watch"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// ModuleName is the module's name in the kernel.
+const ModuleName = "entry.routing"
+
+const tickEvery = 20 * time.Millisecond
+
+// Settings is the [routing] section of eelgrass-entry.
+type Settings struct {
+	QueuePerEndpoint int           `ini:"queue_per_endpoint" default:"64" min:"1" max:"10000" doc:"Requests that may wait for a place at one endpoint."`
+	LongestWait      time.Duration `ini:"longest_wait" default:"5s" min:"10ms" max:"1m" doc:"Longest wait for a place before a request is refused as not run."`
+	TrackedPrefixes  int           `ini:"tracked_prefixes" default:"100000" min:"1000" max:"10000000" doc:"Prefixes whose whereabouts are kept in memory."`
+	RetryShare       float64       `ini:"retry_share" default:"0.1" min:"0" max:"1" doc:"Second tries allowed per first try."`
+}
+
+func (s Settings) limits() Limits {
+	l := DefaultLimits()
+	l.QueuePerEndpoint, l.LongestWait = s.QueuePerEndpoint, s.LongestWait
+	l.TrackedPrefixes, l.RetryShare = s.TrackedPrefixes, s.RetryShare
+	return l
+}
+
+// Module is the Router of an entry VM.
+type Module struct {
+	settings  Settings
+	policy    Policy
+	log       *zap.Logger
+	directory watch.Directory
+
+	mu       sync.Mutex
+	core     *Core
+	revision uint64
+	known    bool
+
+	cancel context.CancelFunc
+	group  *errgroup.Group
+}
+
+// NewModule returns the module entry.routing with the entry VMs' policy.
+func NewModule(s Settings) *Module { return &Module{settings: s, policy: Ours()} }
+
+// Provision looks up the directory.
+func (m *Module) Provision(k *kernel.Kernel) error {
+	directory, err := kernel.Lookup[watch.Directory](k, "entry.directory")
+	if err != nil {
+		return err
+	}
+	m.directory, m.log = directory, k.Log.Named("routing")
+	m.core = NewCore(m.policy, m.settings.limits(), time.Now())
+	return nil
+}
+
+// Start follows the directory.
+func (m *Module) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.group, ctx = errgroup.WithContext(ctx)
+	m.group.Go(func() error { return m.follow(ctx) })
+	m.group.Go(func() error { return m.tick(ctx) })
+	return nil
+}
+
+// Stop ends the background work.
+func (m *Module) Stop(context.Context) error {
+	m.cancel()
+	return m.group.Wait()
+}
+
+func (m *Module) follow(ctx context.Context) error {
+	for {
+		changed := m.directory.Changed()
+		m.mu.Lock()
+		m.refresh(time.Now())
+		m.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func (m *Module) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			m.mu.Lock()
+			m.core.Tick(now)
+			m.mu.Unlock()
+		}
+	}
+}
+
+// refresh takes over a newer view; the caller holds the mutex.
+func (m *Module) refresh(now time.Time) {
+	v := m.directory.View()
+	if v == nil || m.known && v.Revision() == m.revision {
+		return
+	}
+	m.known, m.revision = true, v.Revision()
+	m.core.SetFleet(now, Fleet(v))
+}
+
+// Fleet lists the endpoints of a view that requests go to.
+func Fleet(v *state.View) []Endpoint {
+	var fleet []Endpoint
+	for _, e := range v.Configuration().GetEndpoints() {
+		switch e.GetRole() {
+		case pb.EndpointRole_ENDPOINT_ROLE_ENGINE, pb.EndpointRole_ENDPOINT_ROLE_PLAIN:
+			fleet = append(fleet, Endpoint{
+				Name: e.GetName(), Address: e.GetAddress(), FailureDomain: e.GetFailureDomain(),
+				Models: e.GetModels(), Service: e.GetService(), Leaving: e.GetLeaving(),
+				MaxConcurrent: int(e.GetMaxConcurrent()),
+			})
+		}
+	}
+	return fleet
+}
+
+// Pick waits in the admission queue for a place at the best endpoint.
+func (m *Module) Pick(ctx context.Context, r Request) (Ticket, error) {
+	settled := make(chan struct{})
+	m.mu.Lock()
+	m.refresh(time.Now()) // no request is placed by an older view than it was checked against
+	p := m.core.Submit(time.Now(), r, func() { close(settled) })
+	m.mu.Unlock()
+	select {
+	case <-settled:
+	case <-ctx.Done():
+		if err := m.abandon(p); err != nil {
+			return nil, err
+		}
+	}
+	m.report(p)
+	if p.Refusal != nil {
+		return nil, p.Refusal
+	}
+	return &ticket{module: m, pending: p}, nil
+}
+
+// abandon takes a waiting request back; nil when it was settled meanwhile.
+func (m *Module) abandon(p *Pending) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.core.Cancel(p) {
+		return nil
+	}
+	return errkind.New(errkind.Canceled, "caller left the admission queue").WithOutcome(errkind.NotRun)
+}
+
+func (m *Module) report(p *Pending) {
+	if p.Refusal != nil {
+		m.log.Info("routing refused", zap.String("request", p.Request.ID), zap.String("client_account", p.Request.Account),
+			zap.String("kind", p.Refusal.Kind.String()), zap.Duration("retry_after", p.Refusal.RetryAfter))
+		return
+	}
+	d := &p.Decision
+	fields := []zap.Field{
+		zap.String("request", p.Request.ID), zap.String("client_account", p.Request.Account),
+		zap.String("endpoint", d.Endpoint), zap.String("failure_domain", d.FailureDomain),
+		zap.Int("prompt_tokens", p.Request.PromptTokens), zap.Int("cached_tokens", d.CachedTokens),
+		zap.Duration("waited", p.sent.Sub(p.submitted)),
+	}
+	for _, part := range d.Parts {
+		fields = append(fields, zap.Float64(part.Name+"_ms", part.Milliseconds))
+	}
+	m.log.Info("routing decision", fields...)
+}
+
+type ticket struct {
+	module  *Module
+	pending *Pending
+}
+
+// Decision names the endpoint.
+func (t *ticket) Decision() Decision { return t.pending.Decision }
+
+// Started tells that the first token has arrived.
+func (t *ticket) Started() {
+	t.module.mu.Lock()
+	defer t.module.mu.Unlock()
+	t.module.core.Start(t.pending)
+}
+
+// Done ends the request.
+func (t *ticket) Done(r Result) {
+	t.module.mu.Lock()
+	defer t.module.mu.Unlock()
+	t.module.core.Finish(time.Now(), t.pending, r)
+}
--- /dev/null
+++ b/internal/routing/pending.go
@@ -0,0 +1,43 @@
+package routing
+
+import (
+	"time"
+
+	"eelgrasshollow/internal/cacheindex"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/prefix"
+)
+
+// Pending is a request from Submit to Finish.
+type Pending struct {
+	Request  Request
+	Decision Decision
+	// Refusal is set when the request is given up on without an endpoint.
+	Refusal *errkind.Error
+
+	state     *State
+	match     cacheindex.Match
+	missed    int
+	work      int // uncached tokens ahead at the endpoint when it was sent, own included
+	submitted time.Time
+	sent      time.Time
+	phase     phase
+	settled   func() // told once: granted or refused
+}
+
+type phase int
+
+const (
+	waiting phase = iota
+	sent
+	started
+	over
+)
+
+// cost is what a request counts against its account's share.
+func (p *Pending) cost() int { return max(p.Request.PromptTokens+p.Request.MaxTokens, 1) }
+
+// cachedTokens turns pieces into tokens, within the prompt.
+func cachedTokens(pieces, prompt int) int {
+	return min(pieces*prefix.PieceTokens, prompt)
+}
--- /dev/null
+++ b/internal/routing/pick_least.go
@@ -0,0 +1,32 @@
+package routing
+
+// leastPicker takes the lowest total; ties go by rendezvous over the request's
+// prefix, so that they spread and stay put.
+type leastPicker struct{}
+
+// Pick chooses.
+func (leastPicker) Pick(c *Case, candidates []Candidate) int {
+	best := 0
+	for i := 1; i < len(candidates); i++ {
+		if better(c, &candidates[i], &candidates[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+const tieMilliseconds = 1e-6
+
+func better(c *Case, a, b *Candidate) bool {
+	if d := a.Total - b.Total; d > tieMilliseconds || d < -tieMilliseconds {
+		return d < 0
+	}
+	if len(c.Request.Chain) == 0 {
+		if x, y := a.State.InFlight, b.State.InFlight; x != y {
+			return x < y
+		}
+		return a.State.Name < b.State.Name
+	}
+	key := levelKey(c.Request.Chain, c.Level.Depth)
+	return rendezvous(key, a.State.Name) > rendezvous(key, b.State.Name)
+}
--- /dev/null
+++ b/internal/routing/plugin.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"time"
+
+	"eelgrasshollow/internal/cacheindex"
+)
+
+// Candidate is an endpoint under consideration for a request.
+type Candidate struct {
+	State *State
+	Match cacheindex.Match
+	// Missed are the prompt tokens that the endpoint would have to compute.
+	Missed int
+	// ImportFrom is the store that makes the score of an import the better one.
+	ImportFrom string
+	Total      float64 // predicted milliseconds
+	parts      [maxScorers]float64
+}
+
+const maxScorers = 6
+
+// Case is one request with what the plugins share about it.
+type Case struct {
+	Now     time.Time
+	Request *Request
+	Level   cacheindex.Level
+	VMs     int // entry VMs that route to the same endpoints
+	Stores  []Store
+}
+
+// Store is a kept-cache store that can be imported from.
+type Store struct {
+	Address string
+	// Holds reports how many leading pieces of a chain the store keeps.
+	Holds func(r *Request) int
+}
+
+// Filter drops endpoints that may not get a request.
+type Filter interface {
+	Name() string
+	Keep(c *Case, s *State) bool
+}
+
+// Scorer predicts a share of the time to first token, in milliseconds.
+type Scorer interface {
+	Name() string
+	Score(c *Case, candidates []Candidate, out []float64)
+}
+
+// Picker chooses among scored candidates; it returns an index.
+type Picker interface {
+	Pick(c *Case, candidates []Candidate) int
+}
+
+// Policy is a set of plugins.
+type Policy struct {
+	Filters []Filter
+	Scorers []Scorer
+	Picker  Picker
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/routing/policy.go
@@ -0,0 +1,65 @@
+package routing
+
+import "sync/atomic"
+
+// Ours is the policy of the entry VMs.
+func Ours() Policy {
+	return Policy{
+		Filters: []Filter{available{}},
+		Scorers: []Scorer{queueScorer{}, prefillScorer{weight: 2}, homeScorer{weight: 1, perCopyRate: 20}},
+		Picker:  leastPicker{},
+	}
+}
+
+// LeastLoad is a baseline: the endpoint with the fewest requests.
+func LeastLoad() Policy {
+	return Policy{Filters: []Filter{available{}}, Scorers: []Scorer{loadScorer{}}, Picker: firstPicker{}}
+}
+
+// RoundRobin is a baseline: every endpoint in turn.
+func RoundRobin() Policy {
+	return Policy{Filters: []Filter{available{}}, Picker: &turnPicker{}}
+}
+
+// WholePrefix is a baseline: rendezvous hashing over the whole prefix.
+func WholePrefix() Policy {
+	return Policy{Filters: []Filter{available{}}, Picker: wholePicker{}}
+}
+
+// firstPicker takes the lowest total, the first of equals by a turning offset.
+type firstPicker struct{}
+
+// Pick chooses.
+func (firstPicker) Pick(_ *Case, candidates []Candidate) int {
+	best := 0
+	for i := range candidates {
+		if candidates[i].Total < candidates[best].Total {
+			best = i
+		}
+	}
+	return best
+}
+
+type turnPicker struct{ turn atomic.Uint64 }
+
+// Pick chooses.
+func (t *turnPicker) Pick(_ *Case, candidates []Candidate) int {
+	return int(t.turn.Add(1) % uint64(len(candidates)))
+}
+
+type wholePicker struct{}
+
+// Pick chooses.
+func (wholePicker) Pick(c *Case, candidates []Candidate) int {
+	if len(c.Request.Chain) == 0 {
+		return firstPicker{}.Pick(c, candidates)
+	}
+	key := c.Request.Chain[len(c.Request.Chain)-1]
+	best, most := 0, uint64(0)
+	for i := range candidates {
+		if w := rendezvous(key, candidates[i].State.Name); w > most {
+			best, most = i, w
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/routing/source.go
@@ -0,0 +1,17 @@
+package routing
+
+import (
+	"context"
+
+	"eelgrasshollow/internal/engineapi"
+)
+
+// Source reads what endpoints publish about themselves. The module entry.engine
+// implements it.
+type Source interface {
+	// Load reads an endpoint's load report.
+	Load(ctx context.Context, address string) (engineapi.Load, error)
+	// Events hands the endpoint's cache events after a sequence number to handle, in
+	// order, until ctx ends, the stream ends or handle fails.
+	Events(ctx context.Context, address string, after uint64, handle func(engineapi.Event) error) error
+}
