--- /dev/null
+++ b/internal/load/compare.go
@@ -0,0 +1,96 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// figure is a row of a comparison.
+type figure struct {
+	name string
+	of   func(*Report) float64
+}
+
+func figures() []figure {
+	return []figure{
+		{"requests", func(r *Report) float64 { return float64(r.Requests) }},
+		{"answered", func(r *Report) float64 { return float64(r.OK) }},
+		{"refused", func(r *Report) float64 { return float64(r.Refused) }},
+		{"failed", func(r *Report) float64 { return float64(r.Failed) }},
+		{"refused inside rate (attempts)", func(r *Report) float64 { return float64(r.refusedInRate()) }},
+		{"first token p50 ms", func(r *Report) float64 { return r.First.P50 }},
+		{"first token p95 ms", func(r *Report) float64 { return r.First.P95 }},
+		{"first token p99 ms", func(r *Report) float64 { return r.First.P99 }},
+		{"between tokens p95 ms", func(r *Report) float64 { return r.Gap.P95 }},
+		{"order p99 ms", func(r *Report) float64 { return r.Order.P99 }},
+		{"prefix hit rate", func(r *Report) float64 { return r.Cache.HitRate }},
+		{"recomputed tokens", func(r *Report) float64 { return float64(r.Cache.Recomputed) }},
+		{"worst account's answered share", func(r *Report) float64 { return r.worstAccount() }},
+		{"oracle breaks", func(r *Report) float64 { return float64(r.breaks()) }},
+	}
+}
+
+func (r *Report) refusedInRate() (n int) {
+	for _, a := range r.Accounts {
+		n += a.RefusedInRate
+	}
+	return n
+}
+
+func (r *Report) worstAccount() float64 {
+	worst := 1.0
+	for _, a := range r.Accounts {
+		if a.Requests > 0 {
+			worst = min(worst, a.AnsweredOfInRate)
+		}
+	}
+	return worst
+}
+
+func (r *Report) breaks() (n int) {
+	for _, v := range r.Verdicts {
+		n += v.Broken
+	}
+	return n
+}
+
+// Compare prints two reports side by side.
+func Compare(w io.Writer, before, after *Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "figure\t%s\t%s\tratio\t\n", before.Name, after.Name)
+	for _, f := range figures() {
+		a, b := f.of(before), f.of(after)
+		ratio := "-"
+		if a != 0 {
+			ratio = fmt.Sprintf("%.3f", b/a)
+		}
+		fmt.Fprintf(t, "%s\t%.4g\t%.4g\t%s\t\n", f.name, a, b, ratio)
+	}
+	return t.Flush()
+}
+
+// Print writes the report as text.
+func (r *Report) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, f := range figures() {
+		fmt.Fprintf(t, "%s\t%.4g\n", f.name, f.of(r))
+	}
+	for code, n := range r.Codes {
+		fmt.Fprintf(t, "attempts without an answer: %s\t%d\n", code, n)
+	}
+	for _, v := range r.Verdicts {
+		fmt.Fprintf(t, "oracle: %s\t%s\n", v.Oracle, v.text())
+	}
+	return t.Flush()
+}
+
+func (v Verdict) text() string {
+	switch {
+	case v.Skipped != "":
+		return "not judged: " + v.Skipped
+	case v.Broken > 0:
+		return fmt.Sprintf("BROKEN %d times in %d; %q", v.Broken, v.Checked, v.Examples)
+	}
+	return fmt.Sprintf("held in %d", v.Checked)
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,273 @@
+package load
+
+import (
+	"cmp"
+	"encoding/json"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/prefix"
+)
+
+// Report is what a run showed.
+type Report struct {
+	Name     string          `json:"name"`
+	Seed     int64           `json:"seed"`
+	Started  time.Time       `json:"started"`
+	Seconds  float64         `json:"seconds"`
+	Requests int             `json:"requests"`
+	OK       int             `json:"answered"`
+	Refused  int             `json:"refused"`
+	Failed   int             `json:"failed"`
+	NotSent  int             `json:"not_sent"`
+	Attempts int             `json:"attempts"`
+	Codes    map[string]int  `json:"codes"` // of attempts without an answer
+	First    Quantiles       `json:"first_token_ms"`
+	Gap      Quantiles       `json:"between_tokens_ms"`
+	Order    Quantiles       `json:"order_ms"`
+	Cache    CacheFigures    `json:"cache"`
+	Accounts []AccountReport `json:"accounts"`
+	Verdicts []Verdict       `json:"oracles"`
+	Timeline []Second        `json:"timeline"`
+}
+
+// Quantiles of a latency, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+// CacheFigures say how much prompt work was repeated. The engines report cached
+// tokens; Known are the tokens of shared parts that had been answered before in this
+// run, for the same client account.
+type CacheFigures struct {
+	PromptTokens int64   `json:"prompt_tokens"`
+	CachedTokens int64   `json:"cached_tokens"`
+	HitRate      float64 `json:"hit_rate"`
+	KnownTokens  int64   `json:"known_tokens"`
+	Recomputed   int64   `json:"recomputed_tokens"` // known, yet computed again
+}
+
+// AccountReport is one client account's part.
+type AccountReport struct {
+	Name             string    `json:"name"`
+	Requests         int       `json:"requests"`
+	OK               int       `json:"answered"`
+	Refused          int       `json:"refused"`
+	RefusedInRate    int       `json:"refused_inside_rate"` // attempts that one central bucket would have admitted
+	Tokens           int64     `json:"tokens"`
+	ShareOfGrant     float64   `json:"share_of_grant"` // tokens used over what rate and time gave
+	AnsweredOfInRate float64   `json:"answered_share"` // answered over requests
+	First            Quantiles `json:"first_token_ms"`
+}
+
+// Second is one second of the run.
+type Second struct {
+	At      int     `json:"at"`
+	OK      int     `json:"answered"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	P99     float64 `json:"first_token_p99_ms"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{Count: h.TotalCount(), P50: milliseconds(h, 50), P90: milliseconds(h, 90),
+		P95: milliseconds(h, 95), P99: milliseconds(h, 99), Max: milliseconds(h, 100)}
+}
+
+// NewReport sums a trace up.
+func NewReport(t *Trace, verdicts []Verdict) *Report {
+	r := &Report{Name: t.Settings.Run.Name, Seed: t.Settings.Run.Seed, Started: t.Started,
+		Seconds: t.Settings.Run.Duration.Seconds(), Requests: len(t.Finals) + t.NotSent,
+		NotSent: t.NotSent, Attempts: len(t.Attempts), Codes: map[string]int{}, Verdicts: verdicts}
+	first, gap, order := newHistogram(), newHistogram(), newHistogram()
+	for _, a := range t.Attempts {
+		if !a.OK {
+			r.Codes[a.codeOrViolation()]++
+		}
+		for _, d := range a.Gaps {
+			record(gap, d)
+		}
+	}
+	for _, f := range t.Finals {
+		switch {
+		case f.Last.OK:
+			r.OK++
+		case f.Last.Refused:
+			r.Refused++
+		default:
+			r.Failed++
+		}
+		switch {
+		case f.Last.OK && f.Kind == Chat:
+			record(first, f.Last.First-f.Due)
+		case f.Last.OK && f.Kind == Order:
+			record(order, f.Last.End-f.Due)
+		}
+	}
+	r.First, r.Gap, r.Order = quantiles(first), quantiles(gap), quantiles(order)
+	r.Cache = cacheFigures(t)
+	r.Accounts = accountReports(t)
+	r.Timeline = timeline(t)
+	return r
+}
+
+func (a *Attempt) codeOrViolation() string {
+	if a.Violation != "" {
+		return "violation"
+	}
+	return cmp.Or(a.Code, "none")
+}
+
+// cacheFigures follows the trace in the order of answers.
+func cacheFigures(t *Trace) CacheFigures {
+	finals := slices.Clone(t.Finals)
+	slices.SortFunc(finals, func(a, b Final) int { return cmp.Compare(a.Last.Start, b.Last.Start) })
+	seen := map[prefix.Hash]bool{}
+	var c CacheFigures
+	for _, f := range finals {
+		if f.Kind != Chat || !f.Last.OK {
+			continue
+		}
+		known := knownTokens(seen, f)
+		cached := int64(f.Last.Usage.Details.CachedTokens)
+		c.PromptTokens += int64(f.Last.Usage.PromptTokens)
+		c.CachedTokens += cached
+		c.KnownTokens += known
+		c.Recomputed += max(known-cached, 0)
+	}
+	if c.PromptTokens > 0 {
+		c.HitRate = float64(c.CachedTokens) / float64(c.PromptTokens)
+	}
+	return c
+}
+
+func knownTokens(seen map[prefix.Hash]bool, f Final) int64 {
+	seed := prefix.Namespace{Account: f.Account}.Seed()
+	known := int64(0)
+	for _, h := range prefix.Chain(seed, []byte(f.prompt)) {
+		if seen[h] {
+			known += prefix.PieceTokens
+		}
+		seen[h] = true
+	}
+	return known
+}
+
+func accountReports(t *Trace) []AccountReport {
+	reports := make([]AccountReport, len(t.Accounts))
+	histograms := make([]*hdrhistogram.Histogram, len(t.Accounts))
+	index := map[string]int{}
+	for i, a := range t.Accounts {
+		reports[i].Name, histograms[i], index[a.Name] = a.Name, newHistogram(), i
+	}
+	for _, f := range t.Finals {
+		r := &reports[index[f.Account]]
+		r.Requests++
+		switch {
+		case f.Last.OK:
+			r.OK++
+			if f.Kind == Chat {
+				record(histograms[index[f.Account]], f.Last.First-f.Due)
+			}
+		case f.Last.Refused:
+			r.Refused++
+		}
+	}
+	for i, a := range t.Accounts {
+		r := &reports[i]
+		r.First = quantiles(histograms[i])
+		r.Tokens, r.RefusedInRate = againstCentralBucket(t, a)
+		if a.Rate > 0 {
+			r.ShareOfGrant = float64(r.Tokens) / (a.Rate * t.Settings.Run.Duration.Seconds())
+		}
+		if r.Requests > 0 {
+			r.AnsweredOfInRate = float64(r.OK) / float64(r.Requests)
+		}
+	}
+	return reports
+}
+
+// againstCentralBucket returns the tokens an account used and how many of its refused
+// attempts one central token bucket would have admitted.
+func againstCentralBucket(t *Trace, account Account) (used int64, refused int) {
+	var attempts []Attempt
+	for _, a := range t.Attempts {
+		if a.Account == account.Name && a.Kind == Chat {
+			attempts = append(attempts, a)
+		}
+	}
+	slices.SortFunc(attempts, func(a, b Attempt) int { return cmp.Compare(a.Start, b.Start) })
+	level, last := account.Burst, time.Duration(0)
+	for _, a := range attempts {
+		level = min(account.Burst, level+account.Rate*(a.Start-last).Seconds())
+		last = a.Start
+		switch {
+		case a.OK:
+			used += int64(a.Usage.TotalTokens)
+			level -= float64(a.Usage.TotalTokens)
+		case a.Code == errkind.RateLimited.String() && float64(a.Asked) <= level:
+			refused++
+		}
+	}
+	return used, refused
+}
+
+func timeline(t *Trace) []Second {
+	seconds := make([]Second, int(t.Settings.Run.Duration/time.Second)+1)
+	histograms := make([]*hdrhistogram.Histogram, len(seconds))
+	for i := range seconds {
+		seconds[i].At, histograms[i] = i, newHistogram()
+	}
+	for _, f := range t.Finals {
+		i := min(int(f.Due/time.Second), len(seconds)-1)
+		switch {
+		case f.Last.OK:
+			seconds[i].OK++
+			if f.Kind == Chat {
+				record(histograms[i], f.Last.First-f.Due)
+			}
+		case f.Last.Refused:
+			seconds[i].Refused++
+		default:
+			seconds[i].Failed++
+		}
+	}
+	for i := range seconds {
+		seconds[i].P99 = milliseconds(histograms[i], 99)
+	}
+	return seconds
+}
+
+// Broken reports whether an oracle failed.
+func (r *Report) Broken() bool {
+	return slices.ContainsFunc(r.Verdicts, func(v Verdict) bool { return v.Broken > 0 })
+}
+
+// WriteJSON writes the report to a file.
+func (r *Report) WriteJSON(path string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(path, append(data, '\n'), 0o644), "write report")
+}
+
+// ReadReport reads a report that WriteJSON wrote.
+func ReadReport(path string) (*Report, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read report")
+	}
+	r := &Report{}
+	return r, errors.Wrapf(json.Unmarshal(data, r), "decode report %s", path)
+}
