--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -26,6 +26,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 )
 
@@ -297,7 +298,16 @@
 	defer b.router.mu.Unlock()
 	name := kind + "-" + address
 	b.router.endpoints = append(b.router.endpoints, routing.Decision{Endpoint: name, Address: address})
-	b.config.Endpoints = append(b.config.Endpoints, &pb.Endpoint{Name: name, Address: address})
+	b.change(func(c *pb.Configuration) {
+		c.Endpoints = append(c.Endpoints, &pb.Endpoint{Name: name, Address: address})
+	})
+}
+
+// change brings a changed configuration into force.
+func (b *bench) change(edit func(*pb.Configuration)) {
+	b.config = proto.CloneOf(b.config)
+	edit(b.config)
+	b.directory.set(state.NewView(b.config), nil)
 }
 
 func (b *bench) fault(s *httptest.Server, fault standin.Fault) {
--- a/internal/entry/front_test.go
+++ b/internal/entry/front_test.go
@@ -8,10 +8,10 @@
 	"testing"
 	"time"
 
+	pb "eelgrasshollow/gen/eelgrass/v1"
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/standin"
-	"eelgrasshollow/internal/state"
 
 	"github.com/openai/openai-go"
 	"github.com/openai/openai-go/option"
@@ -184,8 +184,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(100 * time.Millisecond)
-	b.config.Keys[0].Withdrawn = true
-	b.directory.set(state.NewView(b.config), nil)
+	b.change(func(c *pb.Configuration) { c.Keys[0].Withdrawn = true })
 	list := events(t, <-done, 0)
 	assert.Assert(t, strings.Contains(list[len(list)-1], `"code":"unauthenticated"`), list[len(list)-1])
 	assert.Assert(t, strings.Contains(list[len(list)-1], `"outcome":"outcome-unknown"`))
@@ -200,7 +199,6 @@
 	_, rest := b.do("POST", "/v1/chat/completions", body, "Last-Event-ID", "4")
 	assert.Equal(t, textOf(t, events(t, rest, 4)), textOf(t, want[4:]))
 	name := answer.Header.Get(HeaderStream)
-	b.directory.set(state.NewView(b.config), nil) // index the endpoint added above
 	_, rest = b.do("GET", "/v1/streams/"+name, "", "Last-Event-ID", "6")
 	assert.Equal(t, textOf(t, events(t, rest, 6)), textOf(t, want[6:]))
 	forged, text := b.do("GET", "/v1/streams/x"+name, "")
