--- /dev/null
+++ b/internal/grants/holder.go
@@ -0,0 +1,319 @@
+package grants
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"eelgrasshollow/internal/errkind"
+)
+
+// HolderOptions are the holder's settings.
+type HolderOptions struct {
+	Name     string        // VM and run, never used twice
+	Interval time.Duration // between two reports
+	Horizon  time.Duration // demand that a slice should last for
+	Queue    time.Duration // how long a request may wait for tokens
+	MaxQueue int           // requests of one account that may wait
+}
+
+// Holder admits requests of one VM from its slices. It is a plain state machine: time,
+// requests and the owner's answers in, admissions and reports out. It is not safe for
+// concurrent use.
+type Holder struct {
+	opt      HolderOptions
+	seq      uint64
+	term     uint64
+	accounts map[string]*holding
+}
+
+// holding is what the holder has of one account.
+type holding struct {
+	current   *slice
+	former    *slice // of the last owner, until its lease ends
+	refundCap int64
+	burst     int64
+	known     bool          // the owner has answered for this account
+	blocked   time.Duration // the owner has nothing before then
+	demand    float64       // tokens a second
+	asked     int64         // tokens asked for since the last report
+	since     time.Duration // the last report
+	queue     []*waiter
+}
+
+// waiter is a request that waits for tokens.
+type waiter struct {
+	account  string
+	tokens   int64
+	deadline time.Duration
+	result   chan outcome // takes one outcome without blocking
+}
+
+type outcome struct {
+	reservation *reservation
+	err         error
+}
+
+// NewHolder returns a holder without slices.
+func NewHolder(opt HolderOptions) *Holder {
+	return &Holder{opt: opt, accounts: map[string]*holding{}}
+}
+
+// Reserve admits a request at once, or refuses it, or returns a waiter for it.
+func (h *Holder) Reserve(now time.Duration, account string, tokens int64) (*reservation, *waiter, error) {
+	a := h.holding(now, account)
+	a.asked += tokens
+	if err := a.check(account, tokens); err != nil {
+		return nil, nil, err
+	}
+	if len(a.queue) == 0 {
+		if r := a.reserve(now, tokens); r != nil {
+			return r, nil, nil
+		}
+	}
+	deadline := now + h.opt.Queue
+	if a.blocked > deadline {
+		return nil, nil, limited(account, a.blocked-now)
+	}
+	if len(a.queue) >= h.opt.MaxQueue {
+		return nil, nil, limited(account, h.opt.Queue)
+	}
+	w := &waiter{account: account, tokens: tokens, deadline: deadline, result: make(chan outcome, 1)}
+	a.queue = append(a.queue, w)
+	return nil, w, nil
+}
+
+// check refuses what can't be admitted however long it waits.
+func (a *holding) check(account string, tokens int64) error {
+	switch {
+	case !a.known:
+		return nil
+	case a.burst == 0:
+		return errkind.New(errkind.PermissionDenied, "client account %s has no grant", account)
+	case tokens > a.burst:
+		return errkind.New(errkind.TooLarge, "%d tokens are more than the burst of client account %s (%d)", tokens, account, a.burst)
+	}
+	return nil
+}
+
+func limited(account string, after time.Duration) error {
+	return errkind.New(errkind.RateLimited, "client account %s is over its rate", account).WithRetryAfter(after)
+}
+
+func (h *Holder) holding(now time.Duration, account string) *holding {
+	a := h.accounts[account]
+	if a == nil {
+		a = &holding{current: &slice{term: h.term}, since: now}
+		h.accounts[account] = a
+	}
+	return a
+}
+
+// reserve takes tokens from the former owner's slice first, as that ends earlier.
+func (a *holding) reserve(now time.Duration, tokens int64) *reservation {
+	if a.former != nil {
+		if now >= a.former.end {
+			a.former = nil
+		} else if r := a.former.reserve(now, tokens, 0); r != nil {
+			return r
+		}
+	}
+	return a.current.reserve(now, tokens, a.refundCap)
+}
+
+// Settle ends a reservation with the tokens used.
+func (h *Holder) Settle(now time.Duration, r *reservation, used int64) { r.settle(now, used) }
+
+// Cancel takes a waiter out of its queue.
+func (h *Holder) Cancel(w *waiter) {
+	a := h.accounts[w.account]
+	if a == nil {
+		return
+	}
+	if i := slices.Index(a.queue, w); i >= 0 {
+		a.queue = slices.Delete(a.queue, i, i+1)
+	}
+}
+
+// Hungry reports whether waiting for the next regular report would cost requests.
+func (h *Holder) Hungry(now time.Duration, account string) bool {
+	a := h.accounts[account]
+	if a == nil || now < a.blocked {
+		return false
+	}
+	if len(a.queue) > 0 {
+		return true
+	}
+	low := float64(a.current.unspent()) < a.demand*h.opt.Horizon.Seconds()/lowShare
+	return low && now-a.since >= h.opt.Interval/lowShare
+}
+
+// lowShare: below this part of what the horizon asks for, a slice is filled up ahead of the next report.
+const lowShare = 4
+
+// Report builds the next message, or nil when no account is in use.
+func (h *Holder) Report(now time.Duration) *SyncRequest {
+	req := &SyncRequest{Holder: h.opt.Name, Term: h.term}
+	for _, name := range h.names() {
+		a := h.accounts[name]
+		a.current.expire(now)
+		a.measure(now)
+		if a.idle() {
+			delete(h.accounts, name)
+			continue
+		}
+		req.Entries = append(req.Entries, h.entry(now, name, a))
+	}
+	if len(req.Entries) == 0 {
+		return nil
+	}
+	h.seq++
+	req.Seq = h.seq
+	return req
+}
+
+// entry reports one account and gives back what demand does not ask for.
+func (h *Holder) entry(now time.Duration, name string, a *holding) SyncEntry {
+	target := int64(a.demand * h.opt.Horizon.Seconds())
+	waiting, need := int64(0), int64(0)
+	for _, w := range a.queue {
+		waiting += w.tokens
+	}
+	if len(a.queue) > 0 {
+		need = max(0, a.queue[0].tokens-a.current.unspent())
+	} else if spare := a.current.unspent() - 2*target; spare > 0 {
+		a.current.giveBack(now, a.current.unspent()-target)
+	}
+	a.current.trim(a.refundCap)
+	return SyncEntry{
+		Account: name, Gone: a.current.gone(), Returned: a.current.returned,
+		Want: max(0, target+waiting-a.current.unspent()), Need: need,
+	}
+}
+
+// Weights of the demand's estimate: it rises at once and falls slowly.
+const (
+	fall     = 0.8
+	noDemand = 1 // tokens a second
+)
+
+func (a *holding) measure(now time.Duration) {
+	elapsed := (now - a.since).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	// A report ahead of the regular one measures over a short time; weigh it so.
+	keep := fall
+	if elapsed < 1 {
+		keep = 1 - (1-fall)*elapsed
+	}
+	a.demand = a.demand*keep + float64(a.asked)/elapsed*(1-keep)
+	a.asked, a.since = 0, now
+	if a.demand < noDemand {
+		a.demand = 0
+	}
+}
+
+// idle says that nothing is left to report for the account: all is given back and
+// the owner knows.
+func (a *holding) idle() bool {
+	return a.demand == 0 && len(a.queue) == 0 && a.current.unspent() == 0 && a.current.held == 0 && a.current.reported == a.current.gone()
+}
+
+// Answer takes the owner's answer to a report sent at the given time, and serves or
+// refuses those who wait.
+func (h *Holder) Answer(now, sent time.Duration, req *SyncRequest, reply *SyncReply) {
+	if len(reply.Entries) != len(req.Entries) || reply.Term < h.term {
+		return
+	}
+	if reply.Term > h.term {
+		h.changeTerm(reply.Term)
+	}
+	for i, e := range req.Entries {
+		a := h.accounts[e.Account]
+		if a == nil {
+			continue
+		}
+		reported := e.Gone
+		if req.Term != reply.Term {
+			reported = 0
+		}
+		h.take(now, e.Account, a, reply.Entries[i], reported, sent+reply.Lease)
+	}
+}
+
+// changeTerm sets the slices of the former owner aside; they end with their leases.
+func (h *Holder) changeTerm(term uint64) {
+	h.term = term
+	for _, a := range h.accounts {
+		a.current.trim(0)
+		a.former = a.current
+		a.current = &slice{term: term}
+	}
+}
+
+func (h *Holder) take(now time.Duration, name string, a *holding, g SyncGrant, reported int64, end time.Duration) {
+	a.current.renew(g, reported, end)
+	a.current.reported = reported
+	a.known, a.burst, a.refundCap = true, g.Burst, g.RefundCap
+	a.blocked = 0
+	if g.RetryAfter > 0 {
+		a.blocked = now + g.RetryAfter
+	}
+	a.serve(now, name)
+}
+
+// serve admits those who wait in their order, and refuses those for whom waiting is
+// in vain.
+func (a *holding) serve(now time.Duration, name string) {
+	for len(a.queue) > 0 {
+		w := a.queue[0]
+		err := a.check(name, w.tokens)
+		if err == nil {
+			if r := a.reserve(now, w.tokens); r != nil {
+				a.pop(outcome{reservation: r})
+				continue
+			}
+			if a.blocked <= w.deadline && now < w.deadline {
+				return
+			}
+			err = limited(name, max(a.blocked-now, minWait))
+		}
+		a.pop(outcome{err: err})
+	}
+}
+
+func (a *holding) pop(o outcome) {
+	a.queue[0].result <- o
+	a.queue = a.queue[1:]
+}
+
+// NextRetry returns the earliest time at which the owner said to come back for
+// someone who waits, or 0.
+func (h *Holder) NextRetry() time.Duration {
+	next := time.Duration(0)
+	for _, a := range h.accounts {
+		if len(a.queue) > 0 && a.blocked > 0 && (next == 0 || a.blocked < next) {
+			next = a.blocked
+		}
+	}
+	return next
+}
+
+// GiveBackAll returns every unspent token, for a graceful stop.
+func (h *Holder) GiveBackAll(now time.Duration) {
+	for _, a := range h.accounts {
+		a.demand, a.asked = 0, 0
+		a.current.trim(0)
+		a.current.giveBack(now, a.current.unspent())
+	}
+}
+
+func (h *Holder) names() []string {
+	all := make([]string, 0, len(h.accounts))
+	for n := range h.accounts {
+		all = append(all, n)
+	}
+	sort.Strings(all)
+	return all
+}
--- /dev/null
+++ b/internal/grants/limiter.go
@@ -0,0 +1,174 @@
+package grants
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/peer"
+
+	"go.uber.org/zap"
+)
+
+// syncTimeout bounds one report; whoever waits asks again with the next one.
+const syncTimeout = time.Second
+
+// minGap is the least time between two reports.
+const minGap = 5 * time.Millisecond
+
+// Client is the Limiter of an entry VM: it holds slices and reports to the owner.
+type Client struct {
+	opt   HolderOptions
+	owner peer.Caller
+	log   *zap.Logger
+	start time.Time
+	kick  chan struct{}
+
+	mu     sync.Mutex
+	holder *Holder
+}
+
+// NewClient returns a limiter that reports to owner once Run is called.
+func NewClient(opt HolderOptions, owner peer.Caller, log *zap.Logger) *Client {
+	return &Client{
+		opt: opt, owner: owner, log: log, start: time.Now(),
+		kick: make(chan struct{}, 1), holder: NewHolder(opt),
+	}
+}
+
+// now is monotonic time since the start.
+func (c *Client) now() time.Duration { return time.Since(c.start) }
+
+// Reserve implements Limiter.
+func (c *Client) Reserve(ctx context.Context, account string, tokens int64) (Reservation, error) {
+	c.mu.Lock()
+	now := c.now()
+	r, w, err := c.holder.Reserve(now, account, tokens)
+	hungry := c.holder.Hungry(now, account)
+	c.mu.Unlock()
+	if hungry {
+		c.wake()
+	}
+	switch {
+	case err != nil:
+		return nil, err
+	case r != nil:
+		return &held{client: c, reservation: r}, nil
+	}
+	return c.wait(ctx, w)
+}
+
+// wait waits for a waiter's outcome, its deadline or the end of ctx.
+func (c *Client) wait(ctx context.Context, w *waiter) (Reservation, error) {
+	timer := time.NewTimer(w.deadline - c.now())
+	defer timer.Stop()
+	var err error
+	select {
+	case o := <-w.result:
+		return c.finish(o)
+	case <-ctx.Done():
+		err = errkind.Wrap(ctx.Err(), errkind.Canceled, "caller left while waiting for tokens").WithOutcome(errkind.NotRun)
+	case <-timer.C:
+		err = limited(w.account, c.opt.Queue)
+	}
+	c.mu.Lock()
+	c.holder.Cancel(w)
+	c.mu.Unlock()
+	select {
+	case o := <-w.result: // it came in the last moment
+		return c.finish(o)
+	default:
+		return nil, err
+	}
+}
+
+func (c *Client) finish(o outcome) (Reservation, error) {
+	if o.err != nil {
+		return nil, o.err
+	}
+	return &held{client: c, reservation: o.reservation}, nil
+}
+
+// held is an admitted request's reservation.
+type held struct {
+	client      *Client
+	reservation *reservation
+	once        sync.Once
+}
+
+// Settle implements Reservation.
+func (h *held) Settle(used int64) {
+	h.once.Do(func() {
+		h.client.mu.Lock()
+		defer h.client.mu.Unlock()
+		h.client.holder.Settle(h.client.now(), h.reservation, used)
+	})
+}
+
+func (c *Client) wake() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run reports until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	timer := time.NewTimer(c.opt.Interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.kick:
+		case <-timer.C:
+		}
+		c.sync(ctx)
+		timer.Reset(c.pause())
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(minGap):
+		}
+	}
+}
+
+// pause is the time until the next report that nobody asks for.
+func (c *Client) pause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if next := c.holder.NextRetry(); next > 0 {
+		return min(max(next-c.now(), minGap), c.opt.Interval)
+	}
+	return c.opt.Interval
+}
+
+// sync sends one report and takes the answer.
+func (c *Client) sync(ctx context.Context) {
+	c.mu.Lock()
+	sent := c.now()
+	req := c.holder.Report(sent)
+	c.mu.Unlock()
+	if req == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	var reply SyncReply
+	if err := c.owner.Call(ctx, "Grants.Sync", req, &reply); err != nil {
+		c.log.Debug("grant report failed", zap.Error(err))
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holder.Answer(c.now(), sent, req, &reply)
+}
+
+// Return gives all unspent tokens back, for a graceful stop.
+func (c *Client) Return(ctx context.Context) {
+	c.mu.Lock()
+	c.holder.GiveBackAll(c.now())
+	c.mu.Unlock()
+	c.sync(ctx)
+}
--- /dev/null
+++ b/internal/grants/module.go
@@ -0,0 +1,149 @@
+package grants
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/statemachine"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+// HolderSettings is the section [grants] of an entry VM.
+type HolderSettings struct {
+	Interval time.Duration `ini:"report_interval" default:"1s" doc:"time between two reports to the owner"`
+	Horizon  time.Duration `ini:"horizon" default:"2500ms" doc:"demand that a slice should last for; covers a change of the owner"`
+	Queue    time.Duration `ini:"queue_time" default:"300ms" doc:"how long a request may wait for tokens"`
+	MaxQueue int           `ini:"queue_length" default:"64" doc:"requests of one client account that may wait"`
+}
+
+// OwnerSettings is the section [grants] of a control VM.
+type OwnerSettings struct {
+	Lease time.Duration `ini:"lease" default:"5s" doc:"how long a slice may be used; a new owner waits for as long"`
+}
+
+// server offers receivers to peers.
+type server interface {
+	Register(name string, receiver any) error
+}
+
+// pool calls the control leader.
+type pool interface {
+	Leader() peer.Caller
+}
+
+// HolderModule is entry.grants.
+type HolderModule struct {
+	cfg    HolderSettings
+	client *Client
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// NewHolderModule returns the Limiter of an entry VM.
+func NewHolderModule(cfg HolderSettings) *HolderModule { return &HolderModule{cfg: cfg} }
+
+// Provision implements kernel.Module.
+func (m *HolderModule) Provision(k *kernel.Kernel) error {
+	if m.cfg.Interval <= 0 || m.cfg.Interval >= DefaultLease {
+		return errors.Newf("report_interval must be above 0 and below the lease")
+	}
+	p, err := kernel.Lookup[pool](k, "peer.pool")
+	if err != nil {
+		return err
+	}
+	opt := HolderOptions{
+		Name: uuid.NewString(), Interval: m.cfg.Interval, Horizon: m.cfg.Horizon,
+		Queue: m.cfg.Queue, MaxQueue: m.cfg.MaxQueue,
+	}
+	m.client = NewClient(opt, p.Leader(), k.Log.Named("grants"))
+	return nil
+}
+
+// Start implements kernel.Module.
+func (m *HolderModule) Start(ctx context.Context) error {
+	ctx, m.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	m.wg.Go(func() { m.client.Run(ctx) })
+	return nil
+}
+
+// Stop gives unspent tokens back.
+func (m *HolderModule) Stop(ctx context.Context) error {
+	if m.cancel == nil {
+		return nil
+	}
+	m.cancel()
+	m.wg.Wait()
+	m.client.Return(ctx)
+	return nil
+}
+
+// Reserve implements Limiter.
+func (m *HolderModule) Reserve(ctx context.Context, account string, tokens int64) (Reservation, error) {
+	return m.client.Reserve(ctx, account, tokens)
+}
+
+// OwnerModule is control.grants.
+type OwnerModule struct {
+	cfg     OwnerSettings
+	machine *Machine
+	service *Service
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// NewOwnerModule returns the owner's module; machine is the one in the replica's log.
+func NewOwnerModule(cfg OwnerSettings, machine *Machine) *OwnerModule {
+	return &OwnerModule{cfg: cfg, machine: machine}
+}
+
+// Provision implements kernel.Module.
+func (m *OwnerModule) Provision(k *kernel.Kernel) error {
+	if m.cfg.Lease <= 0 {
+		return errors.New("lease must be above 0")
+	}
+	proposer, err := kernel.Lookup[statemachine.Proposer](k, "control.consensus")
+	if err != nil {
+		return err
+	}
+	leads, err := kernel.Lookup[statemachine.Leadership](k, "control.consensus")
+	if err != nil {
+		return err
+	}
+	limits, err := kernel.Lookup[Limits](k, "control.state")
+	if err != nil {
+		return err
+	}
+	s, err := kernel.Lookup[server](k, "peer.server")
+	if err != nil {
+		return err
+	}
+	m.service = NewService(OwnerOptions{Lease: m.cfg.Lease}, limits, m.machine, proposer, leads, k.Log.Named("grants"))
+	return s.Register("Grants", &Endpoint{m.service})
+}
+
+// Start implements kernel.Module.
+func (m *OwnerModule) Start(ctx context.Context) error {
+	ctx, m.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	m.wg.Go(func() { m.service.Run(ctx) })
+	return nil
+}
+
+// Stop implements kernel.Module.
+func (m *OwnerModule) Stop(context.Context) error {
+	if m.cancel != nil {
+		m.cancel()
+		m.wg.Wait()
+	}
+	return nil
+}
+
+// Endpoint offers the owner's methods over net/rpc.
+type Endpoint struct{ service *Service }
+
+// Sync takes a holder's report.
+func (e *Endpoint) Sync(req *SyncRequest, reply *SyncReply) error { return e.service.Sync(req, reply) }
--- /dev/null
+++ b/internal/grants/owner.go
@@ -0,0 +1,269 @@
+package grants
+
+import (
+	"sort"
+	"time"
+)
+
+// OwnerOptions are the owner's settings.
+type OwnerOptions struct {
+	Lease time.Duration // how long a holder may use a slice
+}
+
+// Owner keeps the buckets of client accounts for one term. It is a plain state
+// machine: time and messages in, answers and promises out. It is not safe for
+// concurrent use.
+//
+// Invariant: for each account, level + outstanding slices + what a former owner may
+// have outstanding grows by the rate alone, up to the burst; and the level never
+// goes below, the outstanding slices never above what is promised in the log.
+type Owner struct {
+	term     uint64
+	opt      OwnerOptions
+	accounts map[string]*account
+	holders  map[string]*holderState
+}
+
+// holderState is the owner's record of one holder's run.
+type holderState struct {
+	seq    uint64
+	seen   time.Duration
+	slices map[string]*ownedSlice
+}
+
+// ownedSlice is what one holder has of one account.
+type ownedSlice struct {
+	granted  int64
+	gone     int64
+	returned int64
+	expires  time.Duration
+}
+
+func (s *ownedSlice) outstanding() int64 { return s.granted - s.gone }
+
+// account is the bucket of one client account.
+type account struct {
+	name        string
+	limit       Limit
+	bucket      bucket
+	outstanding int64 // over all holders
+	holders     int   // holders with a slice that is not used up
+	unknown     int64 // what a former owner may have outstanding
+	unknownEnd  time.Duration
+	promises    promises
+	largeUntil  time.Duration // a request of more than the usual slices waits
+}
+
+// NewOwner returns the owner for a term, without accounts.
+func NewOwner(term uint64, opt OwnerOptions) *Owner {
+	return &Owner{term: term, opt: opt, accounts: map[string]*account{}, holders: map[string]*holderState{}}
+}
+
+// Term returns the owner's term.
+func (o *Owner) Term() uint64 { return o.term }
+
+// SetLimit adds an account or changes its grant. For an account that is new to this
+// owner, promised is the last promise in the log, or nil if there never was one.
+func (o *Owner) SetLimit(now time.Duration, name string, limit Limit, promised *Promise) {
+	if a := o.accounts[name]; a != nil {
+		o.advance(now, a)
+		a.limit = limit
+		return
+	}
+	a := &account{name: name, limit: limit, bucket: bucket{level: limit.Burst, last: now}}
+	if promised != nil {
+		a.promises.committed = *promised
+		a.promises.any = true
+		a.unknown = promised.Cap
+		a.unknownEnd = now + OwnerLease(o.opt.Lease)
+		a.bucket.level = max(0, min(promised.Floor, limit.Burst-a.unknown))
+	}
+	o.accounts[name] = a
+}
+
+// RemoveLimit takes an account's grant away. Its bucket is kept, so that an account
+// that comes back finds no fresh burst.
+func (o *Owner) RemoveLimit(now time.Duration, name string) {
+	if o.accounts[name] != nil {
+		o.SetLimit(now, name, Limit{}, nil)
+	}
+}
+
+// Sync takes a holder's report and grants slices.
+func (o *Owner) Sync(now time.Duration, req *SyncRequest) *SyncReply {
+	reply := &SyncReply{Term: o.term, Lease: o.opt.Lease, Entries: make([]SyncGrant, len(req.Entries))}
+	h := o.holder(req.Holder)
+	late := req.Seq <= h.seq // repeated or overtaken: nothing is renewed or granted
+	h.seq = max(h.seq, req.Seq)
+	h.seen = now
+	for i, e := range req.Entries {
+		if req.Term != o.term {
+			e.Gone, e.Returned = 0, 0
+		}
+		a := o.accounts[e.Account]
+		if a == nil {
+			continue
+		}
+		o.advance(now, a)
+		reply.Entries[i] = o.syncOne(now, a, h, e, late)
+	}
+	return reply
+}
+
+func (o *Owner) holder(name string) *holderState {
+	h := o.holders[name]
+	if h == nil {
+		h = &holderState{slices: map[string]*ownedSlice{}}
+		o.holders[name] = h
+	}
+	return h
+}
+
+func (o *Owner) syncOne(now time.Duration, a *account, h *holderState, e SyncEntry, late bool) SyncGrant {
+	s := h.slices[a.name]
+	if s == nil {
+		// Nothing of an earlier record is outstanding, so its totals start from here.
+		s = &ownedSlice{granted: e.Gone, gone: e.Gone, returned: e.Returned}
+		h.slices[a.name] = s
+	}
+	o.expire(now, a, s)
+	a.report(s, e)
+	var retry time.Duration
+	if !late {
+		retry = o.grant(now, a, s, e)
+		s.expires = now + OwnerLease(o.opt.Lease)
+	}
+	return SyncGrant{
+		Granted: s.granted, Gone: s.gone, RefundCap: a.refundCap(now),
+		Burst: a.limit.Burst, RetryAfter: retry,
+	}
+}
+
+// report counts what the holder says is gone; what it returned goes back to the
+// bucket, unless the slice has run out before and was counted as spent.
+func (a *account) report(s *ownedSlice, e SyncEntry) {
+	gone := min(max(s.gone, e.Gone), s.granted)
+	freed := gone - s.gone
+	back := min(max(0, e.Returned-s.returned), freed)
+	before := s.outstanding()
+	s.gone, s.returned = gone, max(s.returned, e.Returned)
+	a.outstanding -= freed
+	a.bucket.level += back
+	a.countHolder(before, s.outstanding())
+}
+
+// grant hands out tokens and returns when a need that was not met can be.
+func (o *Owner) grant(now time.Duration, a *account, s *ownedSlice, e SyncEntry) time.Duration {
+	want := max(e.Want, e.Need)
+	if want <= 0 {
+		return 0
+	}
+	free := max(0, a.available())
+	if free < e.Need {
+		return o.refuse(now, a, e.Need, free)
+	}
+	// Ahead of need, one holder gets half of what is plentiful at most: the others
+	// must find some.
+	plenty := min(free, a.bucket.level-a.limit.Burst/reserveShare)
+	give := min(want, max(e.Need, plenty/2))
+	if give <= 0 {
+		return 0
+	}
+	before := s.outstanding()
+	s.granted += give
+	a.bucket.level -= give
+	a.outstanding += give
+	a.countHolder(before, s.outstanding())
+	return 0
+}
+
+// reserveShare of the burst is kept for requests that wait.
+const reserveShare = 4
+
+func (a *account) countHolder(before, after int64) {
+	switch {
+	case before == 0 && after > 0:
+		a.holders++
+	case before > 0 && after == 0:
+		a.holders--
+	}
+}
+
+// available is what may be granted under every promise that may be in force.
+func (a *account) available() int64 {
+	p := a.promises.strictest()
+	return min(a.bucket.level-p.Floor, p.Cap-a.outstanding-a.unknown)
+}
+
+// refuse returns when a need can be met. Where the level is there and only a promise
+// is in the way, the promise is changed.
+func (o *Owner) refuse(now time.Duration, a *account, need, free int64) time.Duration {
+	if a.bucket.level < need {
+		return wait(need-a.bucket.level, a.limit.Rate)
+	}
+	a.largeUntil = now + o.opt.Lease
+	if a.promises.strictest() == a.desired(now) {
+		return wait(need-free, a.limit.Rate)
+	}
+	return minWait
+}
+
+// refundCap is the most tokens that one holder may keep open for refunds.
+func (a *account) refundCap(now time.Duration) int64 {
+	if now < a.largeUntil {
+		return 0
+	}
+	return a.limit.Burst / 4 / int64(max(1, a.holders))
+}
+
+// advance ends what has run out and refills the bucket.
+func (o *Owner) advance(now time.Duration, a *account) {
+	if a.unknown > 0 && now >= a.unknownEnd {
+		a.unknown = 0
+	}
+	room := a.limit.Burst - a.bucket.level - a.outstanding - a.unknown
+	a.bucket.refill(now, a.limit.Rate, room)
+	if room < 0 { // the burst was lowered; what is promised as floor goes once that is changed
+		a.bucket.level = max(a.bucket.level+room, min(a.bucket.level, a.promises.strictest().Floor))
+	}
+}
+
+func (o *Owner) expire(now time.Duration, a *account, s *ownedSlice) {
+	if now < s.expires {
+		return
+	}
+	a.countHolder(s.outstanding(), 0)
+	a.outstanding -= s.outstanding()
+	s.gone = s.granted
+}
+
+// Tick ends leases that have run out and forgets holders that are gone for long.
+func (o *Owner) Tick(now time.Duration) {
+	for _, a := range o.accounts {
+		o.advance(now, a)
+	}
+	for name, h := range o.holders {
+		for of, s := range h.slices {
+			o.expire(now, o.accounts[of], s)
+			if s.outstanding() == 0 && now >= s.expires {
+				delete(h.slices, of)
+			}
+		}
+		if now-h.seen > forgetAfter*o.opt.Lease {
+			delete(o.holders, name)
+		}
+	}
+}
+
+// forgetAfter leases without a message, a holder's record is dropped.
+const forgetAfter = 20
+
+// names lists the accounts in order.
+func (o *Owner) names() []string {
+	all := make([]string, 0, len(o.accounts))
+	for n := range o.accounts {
+		all = append(all, n)
+	}
+	sort.Strings(all)
+	return all
+}
--- /dev/null
+++ b/internal/grants/service.go
@@ -0,0 +1,221 @@
+package grants
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/state"
+	"eelgrasshollow/internal/statemachine"
+
+	"go.uber.org/zap"
+)
+
+// Limits is where the owner reads the accounts' grants: the replicated state.
+type Limits interface {
+	View() *state.View
+	Changed() <-chan struct{}
+}
+
+// Timing of the owner's service.
+const (
+	tickEvery      = 50 * time.Millisecond
+	proposeTimeout = 2 * time.Second
+)
+
+// Service runs the owner while this replica leads.
+type Service struct {
+	opt      OwnerOptions
+	limits   Limits
+	machine  *Machine
+	proposer statemachine.Proposer
+	leads    statemachine.Leadership
+	log      *zap.Logger
+	start    time.Time
+	kick     chan struct{}
+
+	mu       sync.Mutex
+	owner    *Owner // nil while this replica does not serve
+	revision uint64
+}
+
+// NewService returns the owner's service; Run makes it work.
+func NewService(opt OwnerOptions, l Limits, m *Machine, p statemachine.Proposer, leads statemachine.Leadership, log *zap.Logger) *Service {
+	return &Service{
+		opt: opt, limits: l, machine: m, proposer: p, leads: leads, log: log,
+		start: time.Now(), kick: make(chan struct{}, 1),
+	}
+}
+
+func (s *Service) now() time.Duration { return time.Since(s.start) }
+
+// Sync is the net/rpc method that takes holders' reports.
+func (s *Service) Sync(req *SyncRequest, reply *SyncReply) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owner == nil {
+		return peer.EncodeError(errkind.New(errkind.NotLeader, "this replica does not own the grants"))
+	}
+	answer := s.owner.Sync(s.now(), req)
+	// A slice may only leave while the lease of leadership holds: a later owner waits
+	// for the slices' end from its own start on.
+	if term, ok := s.leads.Leading(); !ok || term != s.owner.Term() {
+		s.owner = nil
+		return peer.EncodeError(errkind.New(errkind.NotLeader, "this replica does not own the grants any more"))
+	}
+	*reply = *answer
+	s.kickIfRefused(answer)
+	return nil
+}
+
+// kickIfRefused has promises looked at right away when one may be in the way.
+func (s *Service) kickIfRefused(reply *SyncReply) {
+	for _, e := range reply.Entries {
+		if e.RetryAfter > 0 {
+			select {
+			case s.kick <- struct{}{}:
+			default:
+			}
+			return
+		}
+	}
+}
+
+// Run follows leadership until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.stopServing()
+			return
+		case <-ticker.C:
+		case <-s.kick:
+		}
+		s.step(ctx)
+	}
+}
+
+func (s *Service) step(ctx context.Context) {
+	term, ok := s.leads.Leading()
+	if !ok {
+		s.stopServing()
+		return
+	}
+	s.mu.Lock()
+	serving := s.owner != nil && s.owner.Term() == term
+	s.mu.Unlock()
+	if !serving {
+		s.takeOver(ctx, term)
+		return
+	}
+	s.follow()
+	s.promise(ctx)
+}
+
+func (s *Service) stopServing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owner = nil
+}
+
+// takeOver takes the term in the log, so that every promise of former owners is
+// applied here and none can follow, and starts an owner from them.
+func (s *Service) takeOver(ctx context.Context, term uint64) {
+	s.stopServing()
+	view := s.limits.View()
+	if view == nil || !s.propose(ctx, command{Term: term}) {
+		return
+	}
+	owner := NewOwner(term, s.opt)
+	now := s.now()
+	for _, c := range s.machine.Promises() {
+		owner.SetLimit(now, c.Account, Limit{}, &c.Promise)
+	}
+	changes := owner.adopt(now, view, s.machine)
+	if len(changes) > 0 {
+		if !s.propose(ctx, command{Term: term, Changes: changes}) {
+			return
+		}
+		owner.Committed(changes)
+	}
+	s.mu.Lock()
+	s.owner, s.revision = owner, view.Revision()
+	s.mu.Unlock()
+	s.log.Info("owning grants", zap.Uint64("term", term), zap.Int("accounts", len(changes)))
+}
+
+// adopt sets the view's grants and returns the promises to start with.
+func (o *Owner) adopt(now time.Duration, view *state.View, m *Machine) []Change {
+	o.follow(now, view, m)
+	return o.Promises(now)
+}
+
+// follow sets every grant of the view, and takes away those that are not in it.
+func (o *Owner) follow(now time.Duration, view *state.View, m *Machine) {
+	for _, a := range view.Configuration().GetClientAccounts() {
+		limit := Limit{Rate: a.GetRateTokens(), Burst: a.GetBurstTokens()}
+		var promised *Promise
+		if p, ok := m.Promised(a.GetName()); ok {
+			promised = &p
+		}
+		o.SetLimit(now, a.GetName(), limit, promised)
+	}
+	for _, name := range o.names() {
+		if _, ok := view.Account(name); !ok {
+			o.RemoveLimit(now, name)
+		}
+	}
+}
+
+// follow takes a newer configuration over.
+func (s *Service) follow() {
+	view := s.limits.View()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owner == nil {
+		return
+	}
+	if view != nil && view.Revision() != s.revision {
+		s.owner.follow(s.now(), view, s.machine)
+		s.revision = view.Revision()
+	}
+	s.owner.Tick(s.now())
+}
+
+// promise commits the promises that the owner wants.
+func (s *Service) promise(ctx context.Context) {
+	s.mu.Lock()
+	owner := s.owner
+	var changes []Change
+	if owner != nil {
+		changes = owner.Promises(s.now())
+	}
+	s.mu.Unlock()
+	if len(changes) == 0 || !s.propose(ctx, command{Term: owner.Term(), Changes: changes}) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owner.Committed(changes)
+}
+
+// propose puts a command in the log and reports whether it was applied.
+func (s *Service) propose(ctx context.Context, c command) bool {
+	data, err := c.encode()
+	if err != nil {
+		s.log.Error("promise not encoded", zap.Error(err))
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := s.proposer.Propose(ctx, Namespace, data)
+	if err != nil {
+		s.log.Warn("promise not committed", zap.Error(err))
+		return false
+	}
+	return len(result.Data) == 1 && result.Data[0] == applied[0]
+}
