--- a/internal/consensus/identity.go
+++ b/internal/consensus/identity.go
@@ -37,7 +37,7 @@
 	if v == storeKnown {
 		c.remember(m, w)
 	}
-	if m.Kind == MsgHello {
+	if m.Kind == MsgHello && (v != storeKnown || !c.underLeader()) {
 		c.send(Message{Kind: MsgHelloReply, To: m.From, For: m.Identity, Reject: v != storeKnown})
 	}
 	if v == storeReplaced || v == storeRolledBack {
@@ -48,6 +48,12 @@
 	return v == storeKnown
 }
 
+// underLeader reports whether another replica leads this one now. It knows best
+// which acknowledgements were given, so it alone recognises stores then.
+func (c *Core) underLeader() bool {
+	return c.role != Leader && c.leader != 0 && c.now.Before(c.heardLeader.Add(c.cfg.ElectionTimeout))
+}
+
 func (c *Core) remember(m Message, w Witness) {
 	if w.Store != m.Identity.Store || w.Boot != m.Identity.Boot {
 		w = Witness{Store: m.Identity.Store, Boot: m.Identity.Boot, Nonce: m.Identity.Nonce, Writes: w.Writes}
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -74,7 +74,8 @@
 	if !known || !m.Attested {
 		return
 	}
-	if at := sent.Add(-m.Age); at.After(c.attested) {
+	age := time.Duration(float64(m.Age) * (1 + DriftBound) / (1 - DriftBound))
+	if at := sent.Add(-age); at.After(c.attested) {
 		c.attested, c.attestedN = at, max(c.attestedN, m.Commit)
 	}
 	for n := range c.probes {
