--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,25 @@
+// Package examples holds settings files of the two deployments, checked by the
+// daemons' own loaders.
+package examples
+
+import (
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasshollow/internal/load"
+	"eelgrasshollow/internal/settings"
+)
+
+var deployments = []string{"litoral", "tatrametal"}
+
+func TestLoadSettings(t *testing.T) {
+	for _, d := range deployments {
+		var s load.Settings
+		assert.NilError(t, settings.Load(filepath.Join(d, "load.ini"), &s))
+		accounts, err := load.LoadAccounts(filepath.Join(d, s.Target.AccountsFile))
+		assert.NilError(t, err)
+		assert.Equal(t, len(accounts), 5)
+	}
+}
--- /dev/null
+++ b/internal/scenario/fleet_test.go
@@ -0,0 +1,367 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/gen/eelgrass/v1/eelgrassv1connect"
+)
+
+// shape says how many of each a fleet has.
+type shape struct{ control, entry, engine, plain, store int }
+
+// fleet is the processes of one scenario and the links between them.
+type fleet struct {
+	dir       string
+	bin       string
+	shape     shape
+	processes map[string]*process
+	addresses map[string]string // what a process serves, without a link
+	operators []string
+	mu        sync.Mutex
+	links     map[string]*link // "from>to"
+	keys      map[string]string
+	keyIDs    map[string]string
+	calls     map[string]*pending
+}
+
+const (
+	operatorToken = "scenario-operator-token"
+	model         = "menu"
+	weights       = "v1"
+	failureDomain = "abcd" // one letter each
+	setupTimeout  = 30 * time.Second
+)
+
+// accounts of every fleet; scenarios change them with ctl.
+var accounts = []*pb.ClientAccount{
+	{Name: "litoral", RateTokens: 1_000_000, BurstTokens: 2_000_000},
+	{Name: "tatra", RateTokens: 1_000_000, BurstTokens: 2_000_000},
+	{Name: "small", RateTokens: 1_000, BurstTokens: 4_000},
+}
+
+func newFleet(dir, bin string, s shape) *fleet {
+	return &fleet{dir: dir, bin: bin, shape: s, processes: map[string]*process{}, addresses: map[string]string{},
+		links: map[string]*link{}, keys: map[string]string{}, keyIDs: map[string]string{}, calls: map[string]*pending{}}
+}
+
+func domain(i int) string { return failureDomain[i%len(failureDomain) : i%len(failureDomain)+1] }
+
+func name(kind string, i int) string { return fmt.Sprintf("%s-%d", kind, i+1) }
+
+func names(kind string, n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = name(kind, i)
+	}
+	return list
+}
+
+// up starts everything and puts the configuration in force.
+func (f *fleet) up() error {
+	if err := f.writeSecrets(); err != nil {
+		return err
+	}
+	for _, prepare := range []func() error{f.prepareEndpoints, f.prepareControl, f.prepareEntries} {
+		if err := prepare(); err != nil {
+			return err
+		}
+	}
+	for _, p := range f.processes {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return f.configure()
+}
+
+func (f *fleet) down() {
+	for _, p := range f.processes {
+		p.end()
+	}
+	for _, l := range f.allLinks() {
+		l.close()
+	}
+}
+
+func (f *fleet) writeSecrets() error {
+	if err := f.write("hash-key", "scenario-hash-key-0123456789abcdef\n"); err != nil {
+		return err
+	}
+	if err := f.write("operator-token", operatorToken+"\n"); err != nil {
+		return err
+	}
+	return f.write("operators", "scenario "+operatorToken+"\n")
+}
+
+func (f *fleet) path(file string) string { return filepath.Join(f.dir, file) }
+
+func (f *fleet) write(file, text string) error {
+	return os.WriteFile(f.path(file), []byte(text), 0o600)
+}
+
+func (f *fleet) add(name, binary string, args ...string) {
+	f.processes[name] = &process{name: name, path: filepath.Join(f.bin, binary), args: args, log: f.path(name + ".log")}
+}
+
+// link returns the address under which from reaches to.
+func (f *fleet) link(from, to string) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := from + ">" + to
+	if k := f.links[key]; k != nil {
+		return k.address(), nil
+	}
+	k, err := newLink(f.addresses[to])
+	if err != nil {
+		return "", err
+	}
+	f.links[key] = k
+	return k.address(), nil
+}
+
+func (f *fleet) allLinks() map[string]*link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.links)
+}
+
+func (f *fleet) standin(name string, args ...string) {
+	f.addresses[name] = freeAddress()
+	f.add(name, "eelgrass-standin", append(args, "--listen", f.addresses[name])...)
+}
+
+func (f *fleet) prepareEndpoints() error {
+	for i := range f.shape.engine {
+		f.standin(name("engine", i), "engine", "--name", name("engine", i), "--model", model+"="+weights,
+			"--seed", fmt.Sprint(i+1), fmt.Sprintf("--checks-fencing=%t", checksFencing(i)))
+	}
+	for i := range f.shape.plain {
+		f.standin(name("plain", i), "plain", "--name", "ordering")
+	}
+	for i := range f.shape.store {
+		f.standin(name("store", i), "store")
+	}
+	return nil
+}
+
+// checksFencing: every third engine does not check fencing numbers.
+func checksFencing(i int) bool { return i%3 != 2 }
+
+func (f *fleet) prepareControl() error {
+	for _, n := range names("control", f.shape.control) {
+		f.addresses[n] = freeAddress()
+	}
+	for i, n := range names("control", f.shape.control) {
+		operator := freeAddress()
+		f.operators = append(f.operators, operator)
+		replicas := make([]string, f.shape.control)
+		for j, other := range names("control", f.shape.control) {
+			address := f.addresses[other]
+			if j != i {
+				linked, err := f.link(n, other)
+				if err != nil {
+					return err
+				}
+				address = linked
+			}
+			replicas[j] = fmt.Sprintf("%d=%s", j+1, address)
+		}
+		text := fmt.Sprintf(controlSettings, n, domain(i), f.path(n+".data"), f.addresses[n], operator, i+1,
+			strings.Join(replicas, ","), f.path("hash-key"), f.path("operators"))
+		if err := f.write(n+".ini", text); err != nil {
+			return err
+		}
+		f.add(n, "eelgrass-control", "--config", f.path(n+".ini"))
+	}
+	return nil
+}
+
+const controlSettings = `[log]
+level = debug
+[node]
+name = %s
+failure_domain = %s
+data_dir = %s
+peer_address = %s
+operator_address = %s
+[control]
+replica_id = %d
+replicas = %s
+[security]
+hash_key_file = %s
+operator_tokens_file = %s
+`
+
+func (f *fleet) prepareEntries() error {
+	for i, n := range names("entry", f.shape.entry) {
+		f.addresses[n] = freeAddress()
+		var control []string
+		for _, c := range names("control", f.shape.control) {
+			linked, err := f.link(n, c)
+			if err != nil {
+				return err
+			}
+			control = append(control, linked)
+		}
+		text := fmt.Sprintf(entrySettings, n, domain(i), f.addresses[n], freeAddress(), strings.Join(control, ","), f.path("hash-key"))
+		if err := f.write(n+".ini", text); err != nil {
+			return err
+		}
+		f.add(n, "eelgrass-entry", "--config", f.path(n+".ini"))
+	}
+	return nil
+}
+
+const entrySettings = `[log]
+level = debug
+[node]
+name = %s
+failure_domain = %s
+address = %s
+peer_address = %s
+[control]
+addresses = %s
+[security]
+hash_key_file = %s
+`
+
+// operator returns a client of one control replica.
+func (f *fleet) operator(i int) eelgrassv1connect.OperatorClient {
+	auth := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			r.Header().Set("Authorization", "Bearer "+operatorToken)
+			return next(ctx, r)
+		}
+	})
+	return eelgrassv1connect.NewOperatorClient(http.DefaultClient, "http://"+f.operators[i], connect.WithInterceptors(auth))
+}
+
+// configure carries the fleet's configuration out and waits until it is in force.
+func (f *fleet) configure() error {
+	mutations, err := f.mutations()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), setupTimeout)
+	defer cancel()
+	_, err = retry(ctx, f, func(c eelgrassv1connect.OperatorClient) (*connect.Response[pb.ChangeResponse], error) {
+		return c.Change(ctx, connect.NewRequest(&pb.ChangeRequest{Meta: &pb.ChangeMeta{OperationId: "scenario-setup"}, Mutations: mutations}))
+	})
+	if err != nil {
+		return errors.Wrap(err, "set up the configuration")
+	}
+	revision := uint64(0)
+	for _, a := range accounts {
+		key, err := retry(ctx, f, func(c eelgrassv1connect.OperatorClient) (*connect.Response[pb.IssueKeyResponse], error) {
+			return c.IssueKey(ctx, connect.NewRequest(&pb.IssueKeyRequest{Meta: &pb.ChangeMeta{OperationId: "scenario-key-" + a.GetName()}, ClientAccount: a.GetName()}))
+		})
+		if err != nil {
+			return errors.Wrap(err, "issue a key")
+		}
+		f.keys[a.GetName()], f.keyIDs[a.GetName()], revision = key.Msg.GetToken(), key.Msg.GetId(), key.Msg.GetRevision()
+	}
+	return f.waitInForce(ctx, revision)
+}
+
+// waitInForce waits until every entry VM serves and has the revision.
+func (f *fleet) waitInForce(ctx context.Context, revision uint64) error {
+	for {
+		_, err := retry(ctx, f, func(c eelgrassv1connect.OperatorClient) (*connect.Response[pb.WaitResponse], error) {
+			return c.Wait(ctx, connect.NewRequest(&pb.WaitRequest{Revision: revision, TimeoutMs: 1000}))
+		})
+		if err != nil {
+			return errors.Wrap(err, "wait until the configuration is in force")
+		}
+		if f.allServe() {
+			return nil
+		}
+	}
+}
+
+// allServe reports whether every entry VM names entries to its callers.
+func (f *fleet) allServe() bool {
+	for _, n := range names("entry", f.shape.entry) {
+		answer := f.call(callSpec{entry: n, kind: "entries", timeout: time.Second})
+		if answer.status != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+const retryPause = 50 * time.Millisecond
+
+// retry asks one replica after the other until one answers or ctx ends.
+func retry[T any](ctx context.Context, f *fleet, ask func(eelgrassv1connect.OperatorClient) (T, error)) (T, error) {
+	for i := 0; ; i++ {
+		answer, err := ask(f.operator(i % f.shape.control))
+		if err == nil || ctx.Err() != nil {
+			return answer, err
+		}
+		if code := connect.CodeOf(err); code == connect.CodeInvalidArgument || code == connect.CodeUnauthenticated || code == connect.CodeUnimplemented {
+			return answer, err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+func (f *fleet) mutations() ([]*pb.Mutation, error) {
+	var all []*pb.Mutation
+	for _, a := range accounts {
+		all = append(all, &pb.Mutation{Change: &pb.Mutation_PutClientAccount{PutClientAccount: a}})
+	}
+	all = append(all, &pb.Mutation{Change: &pb.Mutation_PutModel{PutModel: &pb.Model{Name: model, WeightsVersion: weights, MinEndpoints: 1}}})
+	for _, r := range []*pb.Route{
+		{Name: "chat", Kind: pb.RouteKind_ROUTE_KIND_MODEL, Model: model, Idempotent: true},
+		{Name: "orders", Kind: pb.RouteKind_ROUTE_KIND_PLAIN, PathPrefix: "/orders", Service: "ordering", CallTokens: 1},
+		{Name: "stock", Kind: pb.RouteKind_ROUTE_KIND_PLAIN, PathPrefix: "/stock", Service: "ordering", Idempotent: true, CallTokens: 1},
+		{Name: "hours", Kind: pb.RouteKind_ROUTE_KIND_PLAIN, PathPrefix: "/hours", Service: "ordering", Idempotent: true, Open: true},
+	} {
+		all = append(all, &pb.Mutation{Change: &pb.Mutation_PutRoute{PutRoute: r}})
+	}
+	endpoints, err := f.endpoints()
+	for _, e := range endpoints {
+		all = append(all, &pb.Mutation{Change: &pb.Mutation_PutEndpoint{PutEndpoint: e}})
+	}
+	return all, err
+}
+
+func (f *fleet) endpoints() ([]*pb.Endpoint, error) {
+	var all []*pb.Endpoint
+	add := func(kind string, n int, fill func(i int, e *pb.Endpoint)) error {
+		for i := range n {
+			address, err := f.link("fleet", name(kind, i))
+			if err != nil {
+				return err
+			}
+			e := &pb.Endpoint{Name: name(kind, i), Address: address, FailureDomain: domain(i)}
+			fill(i, e)
+			all = append(all, e)
+		}
+		return nil
+	}
+	err := add("engine", f.shape.engine, func(i int, e *pb.Endpoint) {
+		e.Role, e.Models, e.ChecksFencing = pb.EndpointRole_ENDPOINT_ROLE_ENGINE, []string{model}, checksFencing(i)
+	})
+	if err == nil {
+		err = add("plain", f.shape.plain, func(_ int, e *pb.Endpoint) {
+			e.Role, e.Service = pb.EndpointRole_ENDPOINT_ROLE_PLAIN, "ordering"
+		})
+	}
+	if err == nil {
+		err = add("store", f.shape.store, func(_ int, e *pb.Endpoint) { e.Role = pb.EndpointRole_ENDPOINT_ROLE_KEPT_CACHE })
+	}
+	return all, err
+}
--- /dev/null
+++ b/internal/scenario/registry_test.go
@@ -0,0 +1,23 @@
+package scenario
+
+import "sync"
+
+// registry holds the fleet of each running script.
+type registry struct {
+	mu     sync.Mutex
+	fleets map[string]*fleet
+}
+
+func newRegistry() *registry { return &registry{fleets: map[string]*fleet{}} }
+
+func (r *registry) get(script string) *fleet {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleets[script]
+}
+
+func (r *registry) set(script string, f *fleet) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleets[script] = f
+}
