--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,12 @@
 demo: build
 	@./scripts/demo.sh
 
+# make soak MINUTES=10 SEED=1
+MINUTES := 10
+SEED    := 1
+soak: build
+	@./scripts/soak.sh $(MINUTES) $(SEED)
+
 generate:
 	./proto/generate.sh
 
