--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -35,6 +35,8 @@
 	Asked     int64           // prompt and greatest output, in tokens
 	Gaps      []time.Duration // between tokens
 	retry     time.Duration
+	text      string // of a stream, so far
+	lastID    int
 }
 
 // Codes of what breaks without an answer of the system.
@@ -150,6 +152,9 @@
 	r.Header.Set("Authorization", "Bearer "+a.Key)
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(engineapi.HeaderRequestID, c.id+"-"+strconv.Itoa(attempt))
+	if c.last > 0 {
+		r.Header.Set(engineapi.HeaderLastEventID, strconv.Itoa(c.last))
+	}
 	if c.kind == Order {
 		r.Header.Set(engineapi.HeaderIdempotencyKey, c.id)
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -136,6 +136,9 @@
 			break
 		}
 		avoid = final.Last.Entry
+		if final.Last.lastID > c.last {
+			c.partial, c.last = final.Last.text, final.Last.lastID
+		}
 		if !wait(ctx, retryWait(final.Last, n)) {
 			break
 		}
--- a/internal/load/stream.go
+++ b/internal/load/stream.go
@@ -39,11 +39,16 @@
 	last   time.Duration
 	done   bool
 	failed bool
+	// resumed says that the stream goes on after lastID; one that begins anew at 1 is
+	// right as well.
+	resumed bool
 }
 
 func (s *sender) readStream(response *http.Response, c call, out *Attempt) {
-	r := streamReader{sender: s, out: out}
+	r := streamReader{sender: s, out: out, lastID: c.last, resumed: c.last > 0}
+	r.text.WriteString(c.partial)
 	err := r.read(response.Body)
+	out.text, out.lastID = r.text.String(), r.lastID
 	want := c.expected(s.settings)
 	switch {
 	case out.Violation != "":
@@ -103,6 +108,11 @@
 	if err != nil {
 		return // positions of another form are the server's own
 	}
+	if r.resumed && n == 1 {
+		r.text.Reset()
+		r.lastID = 0
+	}
+	r.resumed = false
 	if n != r.lastID+1 {
 		r.out.Violation = "stream positions are not one after the other"
 	}
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -30,6 +30,10 @@
 	user    string        // the request's own part
 	stream  bool
 	resend  bool // send it again although answered
+
+	// What an earlier attempt brought before its stream broke.
+	partial string
+	last    int // position of its last event
 }
 
 // workload makes calls from a seed; the same settings make the same calls.
