--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -49,6 +49,8 @@
 		"logged":   logged,
 		"sleep":    pauseScript,
 		"accounts": manyAccounts,
+		"load":     startLoad,
+		"finished": finished,
 	}
 }
 
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -34,6 +34,7 @@
 	keys      map[string]string
 	keyIDs    map[string]string
 	calls     map[string]*pending
+	loads     map[string]*loadRun
 }
 
 const (
@@ -53,7 +54,7 @@
 
 func newFleet(dir, bin string, s shape) *fleet {
 	return &fleet{dir: dir, bin: bin, shape: s, processes: map[string]*process{}, addresses: map[string]string{},
-		links: map[string]*link{}, keys: map[string]string{}, keyIDs: map[string]string{}, calls: map[string]*pending{}}
+		links: map[string]*link{}, keys: map[string]string{}, keyIDs: map[string]string{}, calls: map[string]*pending{}, loads: map[string]*loadRun{}}
 }
 
 func domain(i int) string { return failureDomain[i%len(failureDomain) : i%len(failureDomain)+1] }
