--- a/cmd/eelgrass-standin/main.go
+++ b/cmd/eelgrass-standin/main.go
@@ -50,6 +50,7 @@
 	f.StringVar(&c.Name, "name", "engine", "name in answers")
 	f.StringSliceVar(&models, "model", nil, "MODEL=WEIGHTS-VERSION loaded at the start; none serves any model")
 	f.IntVar(&c.Blocks, "blocks", 2000, "pieces of about 1,000 tokens that the prefix cache holds")
+	f.DurationVar(&c.Keep, "keep", 0, "blocks unused for so long are evicted; 0 keeps them while there is room")
 	f.IntVar(&c.Slots, "slots", 32, "requests in the running batch")
 	f.Float64Var(&c.PrefillRate, "prefill-rate", 100_000, "tokens of prompt computed a second")
 	f.DurationVar(&c.TokenTime, "token-time", 2*time.Millisecond, "time between tokens")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -21,6 +21,7 @@
 	Name          string
 	Models        map[string]string // model -> weights version loaded at the start; empty serves any
 	Blocks        int               // capacity of the prefix cache, in pieces
+	Keep          time.Duration     // blocks unused for so long are evicted; 0 keeps them
 	Slots         int               // requests in the running batch
 	PrefillRate   float64           // tokens a second
 	TokenTime     time.Duration     // between tokens of one stream, batch of one
@@ -115,7 +116,7 @@
 func (e *Engine) begin() {
 	e.incarnation = uuid.NewString()
 	e.crashed, e.crash = context.WithCancel(context.Background())
-	e.cache = newBlockCache(e.config.Blocks)
+	e.cache = newBlockCache(e.config.Blocks, e.config.Keep)
 	e.streams = map[string]*stream{}
 	e.streamOrder = nil
 	e.obeyed = engineapi.Order{}
@@ -179,17 +180,23 @@
 func (e *Engine) lookup(chain []prefix.Hash) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.cache.match(chain)
+	now := time.Now()
+	e.publishEvicted(e.cache.expire(now))
+	return e.cache.match(chain, now)
 }
 
 // store adds blocks to the cache and publishes what changed.
 func (e *Engine) store(salt string, chain []prefix.Hash) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	added, evicted := e.cache.add(salt, chain)
+	added, evicted := e.cache.add(salt, chain, time.Now())
 	if len(added) > 0 {
 		e.events.publish(e.lostEvent(), engineapi.EventStored, salt, hexHashes(added))
 	}
+	e.publishEvicted(evicted)
+}
+
+func (e *Engine) publishEvicted(evicted []*block) {
 	for _, b := range evicted {
 		e.events.publish(e.lostEvent(), engineapi.EventRemoved, b.salt, []string{hexHash(b.hash)})
 	}
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -20,6 +20,7 @@
 }
 
 func (e *Engine) loadLocked() engineapi.Load {
+	e.publishEvicted(e.cache.expire(time.Now()))
 	waiting, tokens := e.batch.waiting()
 	l := engineapi.Load{
 		Incarnation:  e.incarnation,
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -86,7 +86,7 @@
 		return
 	}
 	e.models[o.Model] = o.Version
-	e.cache = newBlockCache(e.config.Blocks)
+	e.cache = newBlockCache(e.config.Blocks, e.config.Keep)
 	e.events.publish(false, engineapi.EventCleared, "", nil)
 }
 
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -14,6 +14,7 @@
 
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/oracle"
+	"eelgrasshollow/internal/prefix"
 )
 
 func fastEngine() EngineConfig {
@@ -250,6 +251,17 @@
 	assert.Assert(t, p.Stats().SawSecret)
 }
 
+func TestBlocksExpireUnused(t *testing.T) {
+	c := newBlockCache(10, time.Second)
+	now := time.Now()
+	c.add("s", []prefix.Hash{1, 2}, now)
+	c.match([]prefix.Hash{1}, now.Add(900*time.Millisecond))
+	evicted := c.expire(now.Add(1500 * time.Millisecond))
+	assert.Equal(t, len(evicted), 1)
+	assert.Equal(t, evicted[0].hash, prefix.Hash(2))
+	assert.Equal(t, c.match([]prefix.Hash{1, 2}, now), 1)
+}
+
 func TestVMListLags(t *testing.T) {
 	v := NewVMs(time.Hour)
 	v.Set([]engineapi.VM{{Name: "a", State: engineapi.VMLive}})
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -116,7 +116,7 @@
   for i in $(seq "$controls"); do run "control-$i" eelgrass-control --config "$work/control-$i.ini"; done
   for i in $(seq "$entries"); do run "entry-$i" eelgrass-entry --config "$work/entry-$i.ini"; done
   for i in $(seq "$engines"); do
-    run "engine-$i" eelgrass-standin engine --listen "127.0.0.1:$((7300 + i))" --name "engine-$i" --model "$1=v1" --seed "$i" \
+    run "engine-$i" eelgrass-standin engine --listen "127.0.0.1:$((7300 + i))" --name "engine-$i" --model "$1=v1" --seed "$i" --keep 20s --event-loss 0.02 \
       "--checks-fencing=$( [ $((i % 3)) -eq 0 ] && echo false || echo true )"
   done
   for i in $(seq "$plains"); do
