--- /dev/null
+++ b/internal/engine/module.go
@@ -0,0 +1,41 @@
+package engine
+
+import (
+	"context"
+
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/kernel"
+)
+
+// Module is entry.engine: the client of the endpoints.
+type Module struct {
+	client *Client
+}
+
+// NewModule returns the module.
+func NewModule(s Settings) *Module { return &Module{client: New(s, nil)} }
+
+// Client returns the client.
+func (m *Module) Client() *Client { return m.client }
+
+// Provision needs nothing.
+func (m *Module) Provision(*kernel.Kernel) error { return nil }
+
+// Start does nothing.
+func (m *Module) Start(context.Context) error { return nil }
+
+// Stop closes unused connections.
+func (m *Module) Stop(context.Context) error {
+	m.client.Close()
+	return nil
+}
+
+// Load reads an endpoint's load report; see Client.Load.
+func (m *Module) Load(ctx context.Context, address string) (engineapi.Load, error) {
+	return m.client.Load(ctx, address)
+}
+
+// Events reads an endpoint's cache events; see Client.Events.
+func (m *Module) Events(ctx context.Context, address string, after uint64, handle func(engineapi.Event) error) error {
+	return m.client.Events(ctx, address, after, handle)
+}
