--- a/internal/oracle/answer.go
+++ b/internal/oracle/answer.go
@@ -1,5 +1,3 @@
-// Package oracle holds the checks that need no knowledge of how the system works:
-// what a caller must get, and what the whole trace of a run must never show.
 package oracle
 
 import (
