Read the fake log's down flag without a race

Cause: the race detector saw the test set the flag while the service read it. Change: atomic flag in the test's fake. Conclusion: the fault was in the fake, not in the service.

--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,12 +47,12 @@
 	index   uint64
 	delay   time.Duration
 	lose    bool // the command is applied and the answer lost
-	down    bool
+	down    atomic.Bool
 }
 
 func (f *fakeLog) Propose(ctx context.Context, _ string, command []byte) (statemachine.Result, error) {
 	time.Sleep(f.delay)
-	if f.down {
+	if f.down.Load() {
 		return statemachine.Result{}, errkind.New(errkind.NoQuorum, "down")
 	}
 	f.mu.Lock()
@@ -223,9 +224,9 @@
 		c, _, err := b.client.Claim(t.Context(), request("1"))
 		assert.NilError(t, err)
 		assert.NilError(t, c.Begin())
-		b.log.down = true
+		b.log.down.Store(true)
 		assert.Equal(t, kindOf(c.Complete(t.Context(), Answer{Status: 200})), errkind.Timeout)
-		b.log.down = false
+		b.log.down.Store(false)
 		assert.NilError(t, b.client.Wait(t.Context()))
 		_, a, err := b.client.Claim(t.Context(), request("1"))
 		assert.NilError(t, err)
