--- a/internal/reference/reference.go
+++ b/internal/reference/reference.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 
+	"eelgrasshollow/internal/controld"
 	"eelgrasshollow/internal/load"
 	"eelgrasshollow/internal/settings"
 )
@@ -39,6 +40,7 @@
 
 func daemons() []daemon {
 	return []daemon{
+		{"eelgrass-control", controld.Settings{}},
 		{"eelgrass-load", load.Settings{}},
 	}
 }
