--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,177 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/errkind"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+func testSettings() Settings {
+	return Settings{
+		ConnectTimeout: time.Second, FirstByte: 200 * time.Millisecond, Silence: 200 * time.Millisecond, Acknowledge: time.Second,
+		Idle: time.Second, PlainAnswer: 300 * time.Millisecond, MaxEvent: 1 << 10, MaxAnswer: 1 << 10, MaxHeader: 4 << 10,
+		IdleConnections: 4, RequireEcho: true,
+	}
+}
+
+// endpoint serves handle with the request's ID echoed.
+func endpoint(t *testing.T, handle http.HandlerFunc) (*Client, Call) {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
+		_, _ = io.Copy(io.Discard, r.Body)
+		handle(w, r)
+	}))
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return New(testSettings(), nil), Call{Address: s.Listener.Addr().String(), ID: "id-1", Method: "POST", Path: "/x", Body: []byte("{}")}
+}
+
+func begun() error { return nil }
+
+func TestBeginComesBeforeTheFirstByte(t *testing.T) {
+	var calls atomic.Int32
+	c, call := endpoint(t, func(http.ResponseWriter, *http.Request) { calls.Add(1) })
+	refusal := errkind.New(errkind.Stale, "claim has run out")
+	_, err := c.DoOnce(t.Context(), call, func() error { return refusal })
+	assert.Equal(t, errkind.Of(err), refusal)
+	assert.Equal(t, calls.Load(), int32(0))
+	_, err = c.DoOnce(t.Context(), call, begun)
+	assert.NilError(t, err)
+	assert.Equal(t, calls.Load(), int32(1))
+}
+
+func TestCallThatMayRunOnceIsNeverSentAgain(t *testing.T) {
+	var calls atomic.Int32
+	c, call := endpoint(t, func(http.ResponseWriter, *http.Request) {
+		calls.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	call.Header = http.Header{engineapi.HeaderIdempotencyKey: {"k"}}
+	call.Body = nil
+	_, err := c.DoOnce(t.Context(), call, begun)
+	assert.Equal(t, errkind.Of(err).Outcome, errkind.Unknown)
+	assert.Equal(t, calls.Load(), int32(1))
+}
+
+func TestUnreachableEndpointIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	c := New(testSettings(), nil)
+	call := Call{Address: address, ID: "i", Method: "GET", Path: "/"}
+	_, err = c.Do(t.Context(), call, time.Second)
+	assert.Equal(t, errkind.Of(err).Outcome, errkind.NotRun)
+	_, err = c.DoOnce(t.Context(), call, begun)
+	assert.Equal(t, errkind.Of(err).Outcome, errkind.NotRun)
+}
+
+func TestSilenceIsGivenUpOnEveryKindOfCall(t *testing.T) {
+	release := make(chan struct{})
+	c, call := endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/begun" {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = w.Write([]byte("data: 1\n\n"))
+			_ = http.NewResponseController(w).Flush()
+		}
+		<-release
+	})
+	t.Cleanup(func() { close(release) })
+	silent := func(err error) {
+		t.Helper()
+		assert.Assert(t, errors.Is(err, errSilent), "%v", err)
+		assert.Equal(t, errkind.Of(err).Kind, errkind.EndpointFailed)
+	}
+	_, err := c.Do(t.Context(), call, 100*time.Millisecond)
+	silent(err)
+	_, err = c.DoOnce(t.Context(), call, begun)
+	silent(err)
+	_, err = c.Stream(t.Context(), call)
+	silent(err)
+	call.Path = "/begun"
+	s, err := c.Stream(t.Context(), call)
+	assert.NilError(t, err)
+	defer s.Close()
+	_, err = s.Next()
+	assert.NilError(t, err)
+	s.Await()
+	_, err = s.Next()
+	silent(err)
+}
+
+func TestAnswerOfAnotherRequestIsRefused(t *testing.T) {
+	c, call := endpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(engineapi.HeaderRequestID, "another")
+		w.Header().Set("Content-Type", "text/event-stream")
+	})
+	_, err := c.Do(t.Context(), call, time.Second)
+	assert.Assert(t, errkind.Is(err, errkind.EndpointFailed))
+	_, err = c.DoOnce(t.Context(), call, begun)
+	assert.Assert(t, errkind.Is(err, errkind.EndpointFailed))
+	_, err = c.Stream(t.Context(), call)
+	assert.Assert(t, errkind.Is(err, errkind.EndpointFailed))
+}
+
+func TestCallerLeavingEndsTheCallAtTheEndpoint(t *testing.T) {
+	left := make(chan struct{})
+	c, call := endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte("data: 1\n\n"))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		close(left)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	s, err := c.Stream(ctx, call)
+	assert.NilError(t, err)
+	defer s.Close()
+	_, err = s.Next()
+	assert.NilError(t, err)
+	cancel()
+	<-left
+	_, err = s.Next()
+	assert.Assert(t, errkind.Is(err, errkind.Canceled), "%v", err)
+}
+
+func TestEventsAreBoundedAndWhole(t *testing.T) {
+	r := NewEventReader(strings.NewReader(": note\r\n\r\nid: 3\r\nevent: e\r\ndata: a\r\ndata:b\r\n\r\ndata: "+strings.Repeat("x", 2000)+"\n\n"), 1000)
+	e, err := r.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, fmt.Sprint(e.ID, e.Type, string(e.Data)), "3ea\nb")
+	_, err = r.Next()
+	assert.Assert(t, errkind.Is(err, errkind.StreamBroken))
+	_, err = NewEventReader(strings.NewReader("data: cut"), 1000).Next()
+	assert.Equal(t, err, io.ErrUnexpectedEOF)
+}
+
+func FuzzEvents(f *testing.F) {
+	for _, seed := range []string{"id: 1\ndata: {}\n\n", "data: a\ndata: b\n\n", ":\n\n", "data: [DONE]\n\n", "id: 99999999999999999999\r\ndata\r\n\r\n", "\xff\x00\n\ndata:", strings.Repeat("data: x\n", 100)} {
+		f.Add([]byte(seed))
+	}
+	const limit = 256
+	f.Fuzz(func(t *testing.T, input []byte) {
+		r := NewEventReader(strings.NewReader(string(input)), limit)
+		for {
+			e, err := r.Next()
+			if err != nil {
+				return
+			}
+			if len(e.Data) > limit || e.ID < 0 {
+				t.Fatalf("event out of bounds: %d bytes, ID %d", len(e.Data), e.ID)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/fuzz_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"encoding/json"
+	"testing"
+
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/errkind"
+
+	"gotest.tools/v3/assert"
+)
+
+// FuzzDecodeCompletion checks that a body is refused, or that what an engine reads
+// from it is what was checked.
+func FuzzDecodeCompletion(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"quote","messages":[{"role":"user","content":"a"}],"stream":true,"max_tokens":4}`,
+		`{"model":"quote","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}]}`,
+		`{"model":"a","MODEL":"b","model":"c","messages":[{}],"n":2,"best_of":3}`,
+		`{"model":"q","messages":[{}],"cache_salt":"x"}`, `{"model":"q","prompt":["a","b"]}`, `[]`, `{}`, `null`, "{\"model\":\"\xff\"}",
+		`{"model":"q","messages":[{}],"max_tokens":-1}`, ` {"model":"q","prompt":"p" } `,
+	} {
+		f.Add([]byte(seed), true)
+		f.Add([]byte(seed), false)
+	}
+	s := Settings{DefaultOutput: 16, MaxOutput: 1000}
+	extra := engineapi.Extra{CacheSalt: "salt", Priority: 7, WeightsVersion: "v1"}
+	f.Fuzz(func(t *testing.T, body []byte, chat bool) {
+		c, err := decodeCompletion(body, chat, s)
+		if err != nil {
+			assert.Equal(t, errkind.Of(err).Outcome, errkind.NotRun)
+			return
+		}
+		sent, err := c.bodyFor(extra)
+		assert.NilError(t, err)
+		var read struct {
+			Model     string `json:"model"`
+			MaxTokens int    `json:"max_tokens"`
+			Stream    bool   `json:"stream"`
+			engineapi.Extra
+		}
+		assert.NilError(t, json.Unmarshal(sent, &read))
+		assert.Equal(t, read.Model, c.model)
+		assert.Equal(t, read.MaxTokens, c.perPick)
+		assert.Equal(t, read.Stream, c.stream)
+		assert.Equal(t, read.Extra, extra)
+	})
+}
