--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -22,6 +22,7 @@
 	"eelgrasshollow/internal/settings"
 	"eelgrasshollow/internal/standin"
 	"eelgrasshollow/internal/state"
+	"eelgrasshollow/internal/watch"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -243,7 +244,7 @@
 	b.front = NewFront(entrySettings, Deps{
 		Directory: b.directory, Limiter: b.limiter, Journal: b.journal, Router: b.router,
 		Engine: engine.New(engineSettings, nil), Hasher: hasher, Log: zap.New(core),
-		Fleet: selfOnly{VM{Name: "e1", Address: "127.0.0.1:7001", FailureDomain: "a"}},
+		Fleet: selfOnly{watch.VM{Name: "e1", Address: "127.0.0.1:7001", FailureDomain: "a"}},
 	})
 	b.server = httptest.NewUnstartedServer(nil)
 	b.server.Config = b.front.Server(zap.New(core))
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -46,7 +46,7 @@
 	Router    routing.Router
 	Engine    *engine.Client
 	Hasher    keys.Hasher
-	Fleet     Fleet
+	Fleet     watch.Fleet
 	Log       *zap.Logger
 }
 
@@ -59,7 +59,7 @@
 	router    routing.Router
 	engine    *engine.Client
 	hasher    keys.Hasher
-	fleet     Fleet
+	fleet     watch.Fleet
 	log       *zap.Logger
 	metrics   *metrics
 	budget    *retryBudget
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -1,29 +1,15 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/watch"
 )
 
-// VM is an entry VM as the lookup knows it.
-type VM struct {
-	Name, Address, FailureDomain string
-	Leaving                      bool
-}
-
-// Fleet is what is known of the entry VMs.
-type Fleet interface {
-	// VMs lists the entry VMs that were heard of within their liveness bound.
-	VMs() []VM
-	// Leave announces that this VM is leaving.
-	Leave(ctx context.Context) error
-}
-
 type entriesBody struct {
 	Entries []entryBody `json:"entries"`
 	KeepMS  int64       `json:"keep_ms"`
@@ -55,8 +41,8 @@
 
 // spread drops leaving VMs and orders the rest at random, so that each run of as many
 // VMs as there are failure domains names every domain that still has one.
-func spread(vms []VM) []VM {
-	byDomain := map[string][]VM{}
+func spread(vms []watch.VM) []watch.VM {
+	byDomain := map[string][]watch.VM{}
 	var domains []string
 	for _, vm := range vms {
 		if vm.Leaving {
@@ -71,7 +57,7 @@
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	}
 	rand.Shuffle(len(domains), func(i, j int) { domains[i], domains[j] = domains[j], domains[i] })
-	var out []VM
+	var out []watch.VM
 	for round := 0; ; round++ {
 		before := len(out)
 		for _, d := range domains {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -26,7 +26,7 @@
 type Config struct {
 	Settings Settings
 	TLS      tlsconf.Settings
-	Self     VM
+	Self     watch.VM
 	Hasher   keys.Hasher
 }
 
@@ -63,7 +63,7 @@
 		return err
 	}
 	d.Engine = module.Client()
-	if fleet, err := kernel.Lookup[Fleet](k, "entry.directory"); err == nil {
+	if fleet, err := kernel.Lookup[watch.Fleet](k, "entry.directory"); err == nil {
 		d.Fleet = fleet
 	}
 	m.front = NewFront(m.config.Settings, d)
@@ -176,10 +176,10 @@
 }
 
 // selfOnly is the fleet as far as a VM knows it by itself.
-type selfOnly struct{ self VM }
+type selfOnly struct{ self watch.VM }
 
 // VMs names this VM.
-func (s selfOnly) VMs() []VM { return []VM{s.self} }
+func (s selfOnly) VMs() []watch.VM { return []watch.VM{s.self} }
 
 // Leave has nobody to tell.
 func (selfOnly) Leave(context.Context) error { return nil }
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -13,6 +13,7 @@
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/standin"
+	"eelgrasshollow/internal/watch"
 
 	"gotest.tools/v3/assert"
 )
@@ -106,7 +107,7 @@
 }
 
 func TestLookupSpreadsOverFailureDomains(t *testing.T) {
-	vms := []VM{{Name: "a1", FailureDomain: "a"}, {Name: "a2", FailureDomain: "a"}, {Name: "b1", FailureDomain: "b"}, {Name: "c1", FailureDomain: "c", Leaving: true}, {Name: "d1", FailureDomain: "d"}}
+	vms := []watch.VM{{Name: "a1", FailureDomain: "a"}, {Name: "a2", FailureDomain: "a"}, {Name: "b1", FailureDomain: "b"}, {Name: "c1", FailureDomain: "c", Leaving: true}, {Name: "d1", FailureDomain: "d"}}
 	firsts := map[string]bool{}
 	for range 200 {
 		list := spread(vms)
--- /dev/null
+++ b/internal/entryd/entryd.go
@@ -0,0 +1,125 @@
+// Package entryd joins the modules of an entry VM's daemon.
+package entryd
+
+import (
+	"context"
+	"os"
+	"strings"
+	"time"
+
+	"eelgrasshollow/internal/engine"
+	"eelgrasshollow/internal/entry"
+	"eelgrasshollow/internal/grants"
+	"eelgrasshollow/internal/journal"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/logging"
+	"eelgrasshollow/internal/membership"
+	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/routing"
+	"eelgrasshollow/internal/tlsconf"
+	"eelgrasshollow/internal/watch"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// Settings is the whole settings file of eelgrass-entry.
+type Settings struct {
+	Log      logging.Settings       `ini:"log"`
+	Node     Node                   `ini:"node"`
+	Control  Control                `ini:"control"`
+	Security Security               `ini:"security"`
+	Entry    entry.Settings         `ini:"entry"`
+	Engine   engine.Settings        `ini:"engine"`
+	Watch    watch.Settings         `ini:"watch"`
+	Routing  routing.Settings       `ini:"routing"`
+	Grants   grants.HolderSettings  `ini:"grants"`
+	Journal  journal.ClientSettings `ini:"journal"`
+	TLS      tlsconf.Settings       `ini:"tls"`
+	PeerTLS  tlsconf.Settings       `ini:"peer_tls"`
+}
+
+// Node is the [node] section: who and where this VM is.
+type Node struct {
+	Name          string `ini:"name" doc:"Name of this VM, its own in the fleet."`
+	FailureDomain string `ini:"failure_domain" doc:"Failure domain that this VM is in."`
+	Address       string `ini:"address" doc:"IP and port that callers connect to."`
+	PeerAddress   string `ini:"peer_address" doc:"IP and port that other VMs connect to."`
+}
+
+// Control is the [control] section.
+type Control struct {
+	Addresses []string `ini:"addresses" doc:"Peer addresses of the control replicas."`
+}
+
+// Security is the [security] section.
+type Security struct {
+	HashKeyFile string `ini:"hash_key_file" doc:"File with the fleet's key for hashing callers' keys."`
+}
+
+// stopMargin is the time for stopping beyond the waits of the front's own drain.
+const stopMargin = 5 * time.Second
+
+// grace is the time that a stop may take.
+func (s Settings) grace() time.Duration {
+	return s.Entry.LookupKeep + s.Entry.StreamGrace + s.Entry.Write + stopMargin
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func Run(ctx context.Context, s Settings) error {
+	log, err := logging.New(s.Log, "eelgrass-entry", s.Node.Name)
+	if err != nil {
+		return err
+	}
+	k := kernel.New(log)
+	if err := register(k, s, log); err != nil {
+		return err
+	}
+	return k.Run(ctx, s.grace())
+}
+
+func register(k *kernel.Kernel, s Settings, log *zap.Logger) error {
+	hashKey, err := os.ReadFile(s.Security.HashKeyFile)
+	if err != nil {
+		return errors.Wrap(err, "read hash key")
+	}
+	if err := registerPeers(k, s, log); err != nil {
+		return err
+	}
+	k.Register(watch.ClientName, newDirectory(s, log), peer.PoolName)
+	k.Register("entry.grants", grants.NewHolderModule(s.Grants), peer.PoolName)
+	k.Register("entry.journal", journal.NewClientModule(s.Journal), peer.PoolName)
+	k.Register("entry.engine", engine.NewModule(s.Engine))
+	k.Register("entry.routing", routing.NewModule(s.Routing), watch.ClientName, "entry.engine", peer.ServerName, peer.PoolName)
+	front := entry.NewModule(entry.Config{
+		Settings: s.Entry, TLS: s.TLS, Hasher: keys.NewHasher(strings.TrimSpace(string(hashKey))),
+		Self: watch.VM{Name: s.Node.Name, Address: s.Node.Address, FailureDomain: s.Node.FailureDomain},
+	})
+	k.Register("entry.http", front, entry.Needs()...)
+	return nil
+}
+
+func registerPeers(k *kernel.Kernel, s Settings, log *zap.Logger) error {
+	if !s.PeerTLS.Enabled() {
+		k.Register(peer.ServerName, peer.NewServerModule(log, s.Node.PeerAddress, nil))
+		k.Register(peer.PoolName, peer.NewPoolModule(peer.Options{}, s.Control.Addresses))
+		return nil
+	}
+	files, err := tlsconf.New(s.PeerTLS)
+	if err != nil {
+		return err
+	}
+	k.Register(peer.ServerName, peer.NewServerModule(log, s.Node.PeerAddress, files.Server()))
+	k.Register(peer.PoolName, peer.NewPoolModule(peer.Options{TLS: files.Client()}, s.Control.Addresses))
+	return nil
+}
+
+func newDirectory(s Settings, log *zap.Logger) *watch.Client {
+	return watch.NewClient(watch.ClientConfig{
+		Control: s.Control.Addresses, Freshness: s.Watch.Freshness, Hold: s.Watch.Hold, Log: log.Named("watch"),
+		VM: membership.VM{
+			Name: s.Node.Name, Address: s.Node.Address, PeerAddress: s.Node.PeerAddress, FailureDomain: s.Node.FailureDomain,
+		},
+	})
+}
