--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -59,6 +59,7 @@
 echo "refused, not run"
 
 say "Planned stops"
-for name in $(printf '%s\n' "${!pids[@]}" | grep entry | sort) $(printf '%s\n' "${!pids[@]}" | grep control | sort); do stop "$name"; done
+stop $(printf '%s\n' "${!pids[@]}" | grep entry)
+stop $(printf '%s\n' "${!pids[@]}" | grep control)
 echo "entry and control VMs stopped cleanly"
 say "The demo did all that it should"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -36,11 +36,13 @@
   start "$name"
 }
 
-stop() { # name: a planned stop must end cleanly
-  local pid=${pids[$1]}
-  kill -TERM "$pid"
-  wait "$pid" || fail "$1 did not stop cleanly"
-  unset "pids[$1]"
+stop() { # names: a planned stop of all of them, each of which must end cleanly
+  local name
+  for name in "$@"; do kill -TERM "${pids[$name]}"; done
+  for name in "$@"; do
+    wait "${pids[$name]}" || fail "$name did not stop cleanly"
+    unset "pids[$name]"
+  done
 }
 
 crash() { # name: no warning
