Measure the routing policy in virtual time against baselines

Change: policybench (fake endpoint, both workloads, faults), digests between entry VMs, cache events into the index.

--- a/internal/cacheindex/match.go
+++ b/internal/cacheindex/match.go
@@ -18,7 +18,8 @@
 }
 
 // Find fills into, indexed by Endpoint, with what each endpoint holds of the chain,
-// and returns it.
+// and returns it. A piece stands for all above it, as engines evict the deepest first:
+// so peers need to tell of one piece only.
 func (x *Index) Find(chain []prefix.Hash, now time.Time, into []Match) []Match {
 	into = into[:0]
 	for range x.endpoints {
@@ -28,16 +29,16 @@
 	for i, h := range chain {
 		n, ok := x.byHash[h]
 		if !ok {
-			break
+			continue
 		}
 		for _, held := range x.entries[n].holders {
 			state := &x.endpoints[held.endpoint]
 			m := &into[held.endpoint]
-			if held.generation != state.generation || m.RawDepth != i {
+			if held.generation != state.generation {
 				continue
 			}
 			m.RawDepth, m.Age = i+1, age(at, held.at)
-			if m.Depth == i && m.Age <= state.lifetime {
+			if m.Age <= state.lifetime {
 				m.Depth = i + 1
 			}
 		}
--- /dev/null
+++ b/internal/digest/digest_test.go
@@ -0,0 +1,43 @@
+package digest
+
+import (
+	"testing"
+
+	"eelgrasshollow/internal/prefix"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func drawDigest(t *rapid.T) *Digest {
+	d := &Digest{From: rapid.StringN(0, 20, 40).Draw(t, "from")}
+	for range rapid.IntRange(0, 30).Draw(t, "loads") {
+		d.Loads = append(d.Loads, Load{EndpointID(rapid.Uint32().Draw(t, "e")), rapid.Uint16().Draw(t, "n"), rapid.Uint32().Draw(t, "p")})
+	}
+	for range rapid.IntRange(0, 30).Draw(t, "placements") {
+		d.Placements = append(d.Placements, Placement{EndpointID(rapid.Uint32().Draw(t, "e")), prefix.Hash(rapid.Uint64().Draw(t, "h"))})
+	}
+	return d
+}
+
+func TestRoundTripAndBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := drawDigest(t)
+		b := d.Encode()
+		assert.Equal(t, len(b), d.Size())
+		back, err := Decode(b)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, back, d)
+		bytes := rapid.IntRange(headerBytes+40, 600).Draw(t, "bytes")
+		d.Bound(bytes)
+		assert.Assert(t, len(d.Encode()) <= bytes)
+	})
+}
+
+func TestDecodeRefusesTornInput(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := drawDigest(t).Encode()
+		_, err := Decode(b[:rapid.IntRange(0, len(b)-1).Draw(t, "cut")])
+		assert.Assert(t, err != nil)
+	})
+}
--- /dev/null
+++ b/internal/policybench/report.go
@@ -0,0 +1,77 @@
+package policybench
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Config says what to run.
+type Config struct {
+	Seeds     []uint64
+	VMs       []int
+	Scenarios []Scenario
+	Variants  []Variant
+	Workloads []Workload
+	Parallel  int
+}
+
+// DefaultConfig is the whole table.
+func DefaultConfig() Config {
+	return Config{
+		Seeds: []uint64{1, 2, 3}, VMs: []int{1, 9}, Scenarios: Scenarios(), Variants: Variants(),
+		Workloads: []Workload{Litoral(), Tatrametal()}, Parallel: 3,
+	}
+}
+
+// Table runs every combination.
+func Table(c Config) ([]Row, error) {
+	var rows []Row
+	var mu sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(c.Parallel)
+	for _, w := range c.Workloads {
+		for _, vms := range c.VMs {
+			for _, s := range c.Scenarios {
+				for _, v := range c.Variants {
+					mu.Lock()
+					at := len(rows)
+					rows = append(rows, Row{})
+					mu.Unlock()
+					g.Go(func() error {
+						row := pooled(w, s, v, vms, c.Seeds)
+						mu.Lock()
+						defer mu.Unlock()
+						rows[at] = row
+						return nil
+					})
+				}
+			}
+		}
+	}
+	err := g.Wait()
+	return rows, err
+}
+
+func pooled(w Workload, s Scenario, v Variant, vms int, seeds []uint64) Row {
+	all := newMeasures()
+	for _, seed := range seeds {
+		all.add(Run(w, s, v, vms, seed))
+	}
+	return all.row(w, s, v, vms, len(seeds))
+}
+
+// Print writes the table in Markdown.
+func Print(w io.Writer, rows []Row) {
+	_, _ = fmt.Fprintln(w, "| workload | VMs | scenario | policy | hit rate | p50 TTFT ms | p99 TTFT ms | wasted share | worst account in time | worst account p99 ms | refused in rate | requests | digest B/s per VM |")
+	_, _ = fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(w, "| %s | %d | %s | %s | %.3f | %d | %d | %.4f | %.3f | %d | %d | %d | %.0f |\n",
+			r.Workload, r.VMs, r.Scenario, r.Variant, r.HitRate, millis(r.P50), millis(r.P99), r.WastedShare, r.WorstInTime, millis(r.WorstP99), r.Refused, r.Requests, r.DigestPerSecond)
+	}
+}
+
+func millis(d time.Duration) int64 { return d.Milliseconds() }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrasshollow/internal/cacheindex"
+	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/errkind"
 )
 
@@ -34,6 +35,8 @@
 	unused     []cacheindex.Endpoint
 	stores     []Store
 	retries    budget
+	peers      map[string]peerView
+	fresh      []digest.Placement
 	matches    []cacheindex.Match
 	candidates []Candidate
 	out        []float64
@@ -45,13 +48,11 @@
 		policy: policy, limits: limits, vms: 1,
 		index:   cacheindex.New(limits.TrackedPrefixes, now),
 		byName:  map[string]*State{},
+		peers:   map[string]peerView{},
 		retries: budget{share: limits.RetryShare, burst: limits.RetryBurst, left: limits.RetryBurst},
 	}
 }
 
-// SetVMs tells how many entry VMs route to these endpoints, this one included.
-func (c *Core) SetVMs(n int) { c.vms = max(n, 1) }
-
 // SetFleet replaces the endpoints. Requests that wait for one that is gone or leaving
 // are placed anew.
 func (c *Core) SetFleet(now time.Time, fleet []Endpoint) {
@@ -117,7 +118,7 @@
 
 // place chooses an endpoint and queues the request there.
 func (c *Core) place(now time.Time, p *Pending) {
-	best := c.decide(now, p)
+	best, level := c.decide(now, p)
 	if best == nil {
 		c.refuse(p, errkind.New(errkind.NoEndpoint, "no endpoint can serve the request now").WithRetryAfter(time.Second))
 		return
@@ -126,7 +127,7 @@
 	if !c.admit(now, p, s) {
 		return
 	}
-	p.state, p.match, p.missed = s, best.Match, best.Missed
+	p.state, p.match, p.missed, p.level = s, best.Match, best.Missed, level
 	p.Decision = Decision{
 		Endpoint: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
 		CachedTokens: max(p.Request.PromptTokens-best.Missed, 0),
@@ -189,6 +190,7 @@
 	s.InFlight++
 	s.PendingTokens += p.missed
 	c.index.Touch(s.index, p.Request.Chain, now)
+	c.remember(s, p.Request.Chain, p.level)
 	p.settled()
 }
 
@@ -227,6 +229,7 @@
 
 // Tick refuses, at once, what has waited for longer than the bound.
 func (c *Core) Tick(now time.Time) {
+	c.sumPeers(now)
 	for _, s := range c.byName {
 		if s.queue.Len() == 0 {
 			continue
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -4,13 +4,14 @@
 	"slices"
 	"time"
 
+	"eelgrasshollow/internal/cacheindex"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
 )
 
-// decide filters and scores the endpoints; nil when none is left. The candidate is
-// valid until the next call.
-func (c *Core) decide(now time.Time, p *Pending) *Candidate {
+// decide filters and scores the endpoints; nil when none is left. It returns the depth
+// of the chain's shared level too. The candidate is valid until the next call.
+func (c *Core) decide(now time.Time, p *Pending) (*Candidate, int) {
 	r := &p.Request
 	group := c.byModel[r.Model]
 	if r.Service != "" {
@@ -28,10 +29,10 @@
 		}
 	}
 	if len(c.candidates) == 0 {
-		return nil
+		return nil, 0
 	}
 	c.score(&k)
-	return &c.candidates[c.policy.Picker.Pick(&k, c.candidates)]
+	return &c.candidates[c.policy.Picker.Pick(&k, c.candidates)], k.Level.Depth
 }
 
 func (c *Core) keep(k *Case, s *State) bool {
@@ -47,6 +48,9 @@
 	k := Candidate{State: s, Missed: r.PromptTokens}
 	if len(r.Chain) > 0 {
 		k.Match = c.matches[s.index]
+		if c.policy.Truth != nil {
+			k.Match = cacheindex.Match{Depth: c.policy.Truth.Cached(s.Name, r.Chain)}
+		}
 		k.Missed -= cachedTokens(k.Match.Depth, r.PromptTokens)
 	}
 	return k
@@ -90,7 +94,8 @@
 		return
 	}
 	if p.Decision.Incarnation == r.Incarnation {
-		c.index.Learn(s.index, p.match, r.CachedTokens/prefix.PieceTokens)
+		cached := r.CachedTokens / prefix.PieceTokens
+		c.index.Learn(s.index, p.match, cached)
 	}
 	c.index.Stored(s.index, p.Request.Chain, now)
 }
--- /dev/null
+++ b/internal/routing/events.go
@@ -0,0 +1,47 @@
+package routing
+
+import (
+	"time"
+
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/prefix"
+)
+
+// eventLag is how old a cache event may be when it arrives: what was sent to the
+// endpoint later than that stands.
+const eventLag = time.Second
+
+// CacheEvent is a decoded cache event of an endpoint.
+type CacheEvent struct {
+	Incarnation string
+	Seq         uint64
+	Kind        string
+	Hashes      []prefix.Hash
+}
+
+// Event corrects the index by a cache event. Events of an ended incarnation, and ones
+// that are not newer than the last, are ignored.
+func (c *Core) Event(now time.Time, name string, e CacheEvent) {
+	s := c.byName[name]
+	if s == nil || !c.Incarnation(s, e.Incarnation) || e.Seq <= s.eventSeq {
+		return
+	}
+	s.eventSeq = e.Seq
+	switch e.Kind {
+	case engineapi.EventStored:
+		c.index.Stored(s.index, e.Hashes, now.Add(-eventLag))
+	case engineapi.EventRemoved:
+		c.index.Remove(s.index, e.Hashes, now.Add(-eventLag))
+	case engineapi.EventCleared:
+		c.index.Forget(s.index)
+	}
+}
+
+// Report takes in an endpoint's lagging load report.
+func (c *Core) Report(now time.Time, name string, l engineapi.Load) {
+	s := c.byName[name]
+	if s == nil || !c.Incarnation(s, l.Incarnation) {
+		return
+	}
+	s.Load, s.LoadAt = l, now.Add(-time.Duration(l.AgeMS)*time.Millisecond)
+}
--- a/internal/routing/pending.go
+++ b/internal/routing/pending.go
@@ -18,6 +18,7 @@
 	state     *State
 	match     cacheindex.Match
 	missed    int
+	level     int // depth of the last fork in the chain
 	work      int // uncached tokens ahead at the endpoint when it was sent, own included
 	submitted time.Time
 	sent      time.Time
--- a/internal/routing/plugin.go
+++ b/internal/routing/plugin.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrasshollow/internal/cacheindex"
+	"eelgrasshollow/internal/prefix"
 )
 
 // Candidate is an endpoint under consideration for a request.
@@ -58,6 +59,16 @@
 	Filters []Filter
 	Scorers []Scorer
 	Picker  Picker
+	// Truth, when set, replaces the index: the oracle baseline.
+	Truth Truth
+}
+
+// Truth sees every cache.
+type Truth interface {
+	// Cached is the number of leading pieces that the endpoint holds now.
+	Cached(endpoint string, chain []prefix.Hash) int
+	// Pending is the uncached prompt tokens before a newcomer's at the endpoint.
+	Pending(endpoint string) int
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -11,6 +11,29 @@
 	}
 }
 
+// Oracle is the same policy over caches and queues as they are.
+func Oracle(t Truth) Policy {
+	return Policy{
+		Filters: []Filter{available{}},
+		Scorers: []Scorer{truthScorer{t}, prefillScorer{weight: 2}},
+		Picker:  leastPicker{}, Truth: t,
+	}
+}
+
+// truthScorer predicts the wait from the endpoint's real backlog.
+type truthScorer struct{ truth Truth }
+
+// Name names the scorer.
+func (truthScorer) Name() string { return "queue" }
+
+// Score predicts the wait at each candidate.
+func (t truthScorer) Score(c *Case, candidates []Candidate, out []float64) {
+	for i := range candidates {
+		s := candidates[i].State
+		out[i] = float64(t.truth.Pending(s.Name))*milliseconds(s.PrefillPerToken) + admissionWait(c, s)
+	}
+}
+
 // LeastLoad is a baseline: the endpoint with the fewest requests.
 func LeastLoad() Policy {
 	return Policy{Filters: []Filter{available{}}, Scorers: []Scorer{loadScorer{}}, Picker: firstPicker{}}
