Share runs of endpoints in digests and test doubtful entries

Change: digests name the run by hash and the receiver adopts it; entries up to twice the lifetime count by half; homes are chosen below what is already held.

--- a/internal/cacheindex/match.go
+++ b/internal/cacheindex/match.go
@@ -70,30 +70,15 @@
 	}
 }
 
-// Level is the place in a chain where siblings part.
-type Level struct {
-	Depth int     // pieces up to and including the last known fork; 0 when none
-	Rate  float64 // touches per second of the piece after the fork
-}
-
-// Level finds the deepest piece of the chain with more than one continuation.
-func (x *Index) Level(chain []prefix.Hash, now time.Time) Level {
-	at := x.ticks(now)
-	var l Level
+// Forks appends to into the depths at which the chain is known to have siblings:
+// pieces with more than one continuation.
+func (x *Index) Forks(chain []prefix.Hash, into []int) []int {
 	for i, h := range chain {
-		n, ok := x.byHash[h]
-		if !ok {
-			break
-		}
-		en := &x.entries[n]
-		if i == l.Depth {
-			l.Rate = en.rateNow(at)
-		}
-		if en.forked && i+1 < len(chain) {
-			l.Depth, l.Rate = i+1, 0
+		if n, ok := x.byHash[h]; ok && x.entries[n].forked && i+1 < len(chain) {
+			into = append(into, i+1)
 		}
 	}
-	return l
+	return into
 }
 
 // Rate returns the touches per second of a prefix.
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -12,26 +12,47 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// EndpointID is the short name of an endpoint's run between entry VMs.
+// EndpointID is the short name of an endpoint between entry VMs.
 type EndpointID uint32
 
-// Identify hashes an endpoint's name and incarnation, so that what is told about a
-// dead run never matches its successor.
-func Identify(name, incarnation string) EndpointID {
-	return EndpointID(xxhash.Sum64String(name + "\x00" + incarnation))
+// Run is the short name of an endpoint's incarnation; 0 is none.
+type Run uint32
+
+// Identify hashes an endpoint's name.
+func Identify(name string) EndpointID { return EndpointID(xxhash.Sum64String(name)) }
+
+// RunOf hashes an incarnation.
+func RunOf(incarnation string) Run {
+	if incarnation == "" {
+		return 0
+	}
+	return Run(xxhash.Sum64String(incarnation) | 1)
+}
+
+// At names one run of one endpoint, so that what is told about a dead run never
+// matches its successor.
+type At uint32
+
+// Of names a run of an endpoint.
+func Of(e EndpointID, r Run) At {
+	var b [8]byte
+	binary.LittleEndian.PutUint32(b[:], uint32(e))
+	binary.LittleEndian.PutUint32(b[4:], uint32(r))
+	return At(xxhash.Sum64(b[:]))
 }
 
 // Load is one VM's work at an endpoint.
 type Load struct {
 	Endpoint EndpointID
+	Run      Run
 	InFlight uint16
 	Pending  uint32 // uncached prompt tokens without a first token
 }
 
 // Placement says that a prefix was sent to an endpoint.
 type Placement struct {
-	Endpoint EndpointID
-	Prefix   prefix.Hash
+	At     At
+	Prefix prefix.Hash
 }
 
 // Digest is one VM's message.
@@ -42,7 +63,7 @@
 }
 
 const (
-	loadBytes      = 4 + 2 + 4
+	loadBytes      = 4 + 4 + 2 + 4
 	placementBytes = 4 + 8
 	headerBytes    = 2 + 2 + 2
 )
@@ -71,12 +92,13 @@
 	b = binary.LittleEndian.AppendUint16(b, uint16(len(d.Loads)))
 	for _, l := range d.Loads {
 		b = binary.LittleEndian.AppendUint32(b, uint32(l.Endpoint))
+		b = binary.LittleEndian.AppendUint32(b, uint32(l.Run))
 		b = binary.LittleEndian.AppendUint16(b, l.InFlight)
 		b = binary.LittleEndian.AppendUint32(b, l.Pending)
 	}
 	b = binary.LittleEndian.AppendUint16(b, uint16(len(d.Placements)))
 	for _, p := range d.Placements {
-		b = binary.LittleEndian.AppendUint32(b, uint32(p.Endpoint))
+		b = binary.LittleEndian.AppendUint32(b, uint32(p.At))
 		b = binary.LittleEndian.AppendUint64(b, uint64(p.Prefix))
 	}
 	return b
@@ -87,10 +109,10 @@
 	r := reader{rest: b}
 	d := &Digest{From: string(r.take(int(r.short())))}
 	for n := r.short(); n > 0 && !r.bad; n-- {
-		d.Loads = append(d.Loads, Load{EndpointID(r.word()), r.short(), r.word()})
+		d.Loads = append(d.Loads, Load{EndpointID(r.word()), Run(r.word()), r.short(), r.word()})
 	}
 	for n := r.short(); n > 0 && !r.bad; n-- {
-		d.Placements = append(d.Placements, Placement{EndpointID(r.word()), prefix.Hash(r.long())})
+		d.Placements = append(d.Placements, Placement{At(r.word()), prefix.Hash(r.long())})
 	}
 	if r.bad || len(r.rest) > 0 {
 		return nil, errkind.New(errkind.InvalidRequest, "malformed digest")
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -12,10 +12,10 @@
 func drawDigest(t *rapid.T) *Digest {
 	d := &Digest{From: rapid.StringN(0, 20, 40).Draw(t, "from")}
 	for range rapid.IntRange(0, 30).Draw(t, "loads") {
-		d.Loads = append(d.Loads, Load{EndpointID(rapid.Uint32().Draw(t, "e")), rapid.Uint16().Draw(t, "n"), rapid.Uint32().Draw(t, "p")})
+		d.Loads = append(d.Loads, Load{EndpointID(rapid.Uint32().Draw(t, "e")), Run(rapid.Uint32().Draw(t, "r")), rapid.Uint16().Draw(t, "n"), rapid.Uint32().Draw(t, "p")})
 	}
 	for range rapid.IntRange(0, 30).Draw(t, "placements") {
-		d.Placements = append(d.Placements, Placement{EndpointID(rapid.Uint32().Draw(t, "e")), prefix.Hash(rapid.Uint64().Draw(t, "h"))})
+		d.Placements = append(d.Placements, Placement{At(rapid.Uint32().Draw(t, "e")), prefix.Hash(rapid.Uint64().Draw(t, "h"))})
 	}
 	return d
 }
--- a/internal/policybench/engine.go
+++ b/internal/policybench/engine.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"eelgrasshollow/internal/engineapi"
@@ -58,7 +59,8 @@
 	rng      *rand.Rand
 	fleet    *fleet
 	down     bool
-	run      int // incarnation
+	run      int    // incarnation
+	coming   []*job // sent and not yet looked up in the cache
 	waiting  []*job
 	running  []*job
 	blocks   map[prefix.Hash]*list.Element
@@ -135,6 +137,7 @@
 // schedule looks the prompt up in the cache.
 func (e *engine) schedule(j *job) {
 	j.scheduled = true
+	e.coming = slices.DeleteFunc(e.coming, func(o *job) bool { return o == j })
 	for j.done < len(j.chain) {
 		el, ok := e.blocks[j.chain[j.done]]
 		if !ok {
@@ -224,7 +227,7 @@
 	for h := range e.blocks {
 		e.fleet.drop(h)
 	}
-	e.down, e.busy, e.running, e.waiting = true, false, nil, nil
+	e.down, e.busy, e.running, e.waiting, e.coming = true, false, nil, nil, nil
 	e.run++
 	e.eventSeq = 0
 	e.blocks, e.recent = map[prefix.Hash]*list.Element{}, list.New()
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -40,24 +40,39 @@
 		{Name: "round-robin", Policy: func(*bench) routing.Policy { return routing.RoundRobin() }},
 		{Name: "least-load", Policy: func(*bench) routing.Policy { return routing.LeastLoad() }, Digests: true},
 		{Name: "whole-prefix", Policy: func(*bench) routing.Policy { return routing.WholePrefix() }},
-		{Name: "ours", Policy: func(*bench) routing.Policy { return routing.Ours() }, Digests: true},
-		{Name: "ours+events", Policy: func(*bench) routing.Policy { return routing.Ours() }, Digests: true, Events: true},
-		{Name: "oracle", Policy: func(b *bench) routing.Policy { return routing.Oracle(truth{b.fleet}) }},
+		{Name: "ours", Policy: func(*bench) routing.Policy { return routing.Ours(routing.DefaultTuning()) }, Digests: true},
+		{Name: "ours+events", Policy: func(*bench) routing.Policy { return routing.Ours(routing.DefaultTuning()) }, Digests: true, Events: true},
+		{Name: "oracle", Policy: func(b *bench) routing.Policy { return routing.Oracle(truth{b.fleet}, routing.DefaultTuning()) }},
 	}
 }
 
 // truth sees the fake endpoints' caches.
 type truth struct{ fleet *fleet }
 
-// Cached counts the leading pieces held now.
+// Cached counts the leading pieces held now, or being computed for others.
 func (t truth) Cached(endpoint string, chain []prefix.Hash) int {
 	e := t.fleet.byName[endpoint]
+	depth := len(chain)
 	for i, h := range chain {
 		if _, ok := e.blocks[h]; !ok {
-			return i
+			depth = i
+			break
 		}
 	}
-	return len(chain)
+	for _, list := range [][]*job{e.coming, e.running} {
+		for _, j := range list {
+			depth = max(depth, common(j.chain, chain))
+		}
+	}
+	return depth
+}
+
+func common(a, b []prefix.Hash) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
 }
 
 // Pending is the real backlog.
@@ -246,6 +261,7 @@
 			b.ended(t, p, failed)
 		})
 	}
+	e.coming = append(e.coming, j)
 	b.loop.after(hop, func() {
 		incarnation = e.incarnation()
 		e.submit(j)
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -40,6 +40,7 @@
 	matches    []cacheindex.Match
 	candidates []Candidate
 	out        []float64
+	forks      []int
 }
 
 // NewCore returns a core without endpoints.
@@ -68,7 +69,7 @@
 		} else {
 			delete(old, e.Name)
 		}
-		s.Endpoint = e
+		s.Endpoint, s.id = e, digest.Identify(e.Name)
 		c.byName[e.Name] = s
 		for _, m := range e.Models {
 			c.byModel[m] = append(c.byModel[m], s)
@@ -118,7 +119,7 @@
 
 // place chooses an endpoint and queues the request there.
 func (c *Core) place(now time.Time, p *Pending) {
-	best, level := c.decide(now, p)
+	best := c.decide(now, p)
 	if best == nil {
 		c.refuse(p, errkind.New(errkind.NoEndpoint, "no endpoint can serve the request now").WithRetryAfter(time.Second))
 		return
@@ -127,7 +128,7 @@
 	if !c.admit(now, p, s) {
 		return
 	}
-	p.state, p.match, p.missed, p.level = s, best.Match, best.Missed, level
+	p.state, p.match, p.missed = s, best.Match, best.Missed
 	p.Decision = Decision{
 		Endpoint: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
 		CachedTokens: max(p.Request.PromptTokens-best.Missed, 0),
@@ -185,12 +186,12 @@
 
 func (c *Core) send(now time.Time, p *Pending) {
 	s := p.state
-	p.phase, p.sent = sent, now
+	p.phase, p.sent, p.run = sent, now, s.run
 	p.work = s.PendingTokens + s.PeerPending + p.missed
 	s.InFlight++
 	s.PendingTokens += p.missed
 	c.index.Touch(s.index, p.Request.Chain, now)
-	c.remember(s, p.Request.Chain, p.level)
+	c.remember(s, p.Request.Chain)
 	p.settled()
 }
 
@@ -229,7 +230,7 @@
 
 // Tick refuses, at once, what has waited for longer than the bound.
 func (c *Core) Tick(now time.Time) {
-	c.sumPeers(now)
+	c.forgetSilent(now)
 	for _, s := range c.byName {
 		if s.queue.Len() == 0 {
 			continue
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -22,7 +22,7 @@
 }
 
 func newCore(n, concurrent int) *Core {
-	c := NewCore(Ours(), DefaultLimits(), epoch)
+	c := NewCore(Ours(DefaultTuning()), DefaultLimits(), epoch)
 	c.SetFleet(epoch, engines(n, concurrent))
 	return c
 }
@@ -75,7 +75,7 @@
 	limits := DefaultLimits()
 	limits.QueuePerEndpoint = 8
 	limits.LongestWait = time.Hour
-	c := NewCore(Ours(), limits, epoch)
+	c := NewCore(Ours(DefaultTuning()), limits, epoch)
 	c.SetFleet(epoch, engines(1, 1))
 	var flood []*Pending
 	for range 9 {
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -5,13 +5,18 @@
 	"time"
 
 	"eelgrasshollow/internal/cacheindex"
+	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
 )
 
-// decide filters and scores the endpoints; nil when none is left. It returns the depth
-// of the chain's shared level too. The candidate is valid until the next call.
-func (c *Core) decide(now time.Time, p *Pending) (*Candidate, int) {
+// doubtfulAges is up to how many lifetimes an entry counts by half, so that the
+// lifetime is put to the test and can grow again.
+const doubtfulAges = 2
+
+// decide filters and scores the endpoints; nil when none is left. The candidate is
+// valid until the next call.
+func (c *Core) decide(now time.Time, p *Pending) *Candidate {
 	r := &p.Request
 	group := c.byModel[r.Model]
 	if r.Service != "" {
@@ -20,7 +25,6 @@
 	k := Case{Now: now, Request: r, VMs: c.vms, Stores: c.stores}
 	if len(r.Chain) > 0 {
 		c.matches = c.index.Find(r.Chain, now, c.matches)
-		k.Level = c.index.Level(r.Chain, now)
 	}
 	c.candidates = c.candidates[:0]
 	for _, s := range group {
@@ -29,10 +33,16 @@
 		}
 	}
 	if len(c.candidates) == 0 {
-		return nil, 0
+		return nil
+	}
+	for i := range c.candidates {
+		k.Held = max(k.Held, c.candidates[i].Match.Depth)
+	}
+	if len(r.Chain) > 0 {
+		k.Rate = c.index.Rate(levelKey(r.Chain, k.Held), now)
 	}
 	c.score(&k)
-	return &c.candidates[c.policy.Picker.Pick(&k, c.candidates)], k.Level.Depth
+	return &c.candidates[c.policy.Picker.Pick(&k, c.candidates)]
 }
 
 func (c *Core) keep(k *Case, s *State) bool {
@@ -52,6 +62,9 @@
 			k.Match = cacheindex.Match{Depth: c.policy.Truth.Cached(s.Name, r.Chain)}
 		}
 		k.Missed -= cachedTokens(k.Match.Depth, r.PromptTokens)
+		if k.Match.Age < doubtfulAges*c.index.Lifetime(s.index) {
+			k.Missed -= (cachedTokens(k.Match.RawDepth, r.PromptTokens) - cachedTokens(k.Match.Depth, r.PromptTokens)) / 2
+		}
 	}
 	return k
 }
@@ -82,7 +95,7 @@
 // learn takes an answer into the index and the endpoint's measures.
 func (c *Core) learn(now time.Time, p *Pending, r Result) {
 	s := p.state
-	present := r.Incarnation != "" && c.Incarnation(s, r.Incarnation)
+	present := c.Incarnation(s, r.Incarnation)
 	if r.Err != nil {
 		c.learnFailure(now, s, r)
 		return
@@ -93,7 +106,7 @@
 	if len(p.Request.Chain) == 0 || !present || s.gone {
 		return
 	}
-	if p.Decision.Incarnation == r.Incarnation {
+	if p.run == s.run {
 		cached := r.CachedTokens / prefix.PieceTokens
 		c.index.Learn(s.index, p.match, cached)
 	}
@@ -112,16 +125,24 @@
 // reports whether the given one is it. A new run has an empty cache; one that was
 // seen to have ended never comes back.
 func (c *Core) Incarnation(s *State, incarnation string) bool {
+	if incarnation == "" || !c.adopt(s, digest.RunOf(incarnation)) {
+		return false
+	}
+	s.Incarnation = incarnation
+	return true
+}
+
+func (c *Core) adopt(s *State, run digest.Run) bool {
 	switch {
-	case s.Incarnation == incarnation:
+	case s.run == run:
 		return true
-	case slices.Contains(s.ended[:], incarnation):
+	case slices.Contains(s.ended[:], run):
 		return false
-	case s.Incarnation != "":
+	case s.run != 0:
 		c.index.Forget(s.index)
 		copy(s.ended[1:], s.ended[:])
-		s.ended[0] = s.Incarnation
+		s.ended[0] = s.run
 	}
-	s.Incarnation, s.eventSeq = incarnation, 0
+	s.Incarnation, s.run, s.eventSeq, s.told = "", run, 0, false
 	return true
 }
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrasshollow/internal/cacheindex"
+	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/engineapi"
 )
 
@@ -55,7 +56,10 @@
 	downUntil time.Time
 	gone      bool
 	eventSeq  uint64
-	ended     [endedRuns]string // incarnations that are over, newest first
+	id        digest.EndpointID
+	run       digest.Run            // of the present incarnation; known from peers before Incarnation is
+	ended     [endedRuns]digest.Run // runs that are over, newest first
+	told      bool                  // the peers have heard of the last change
 }
 
 // limit is the number of own requests that may run there now: what the peers leave,
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -52,7 +52,7 @@
 }
 
 // NewModule returns the module entry.routing with the entry VMs' policy.
-func NewModule(s Settings) *Module { return &Module{settings: s, policy: Ours()} }
+func NewModule(s Settings) *Module { return &Module{settings: s, policy: Ours(DefaultTuning())} }
 
 // Provision looks up the directory.
 func (m *Module) Provision(k *kernel.Kernel) error {
--- a/internal/routing/pending.go
+++ b/internal/routing/pending.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrasshollow/internal/cacheindex"
+	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
 )
@@ -18,8 +19,8 @@
 	state     *State
 	match     cacheindex.Match
 	missed    int
-	level     int // depth of the last fork in the chain
-	work      int // uncached tokens ahead at the endpoint when it was sent, own included
+	run       digest.Run // of the endpoint, as far as known when it was sent
+	work      int        // uncached tokens ahead at the endpoint when it was sent, own included
 	submitted time.Time
 	sent      time.Time
 	phase     phase
--- a/internal/routing/plugin.go
+++ b/internal/routing/plugin.go
@@ -25,8 +25,9 @@
 type Case struct {
 	Now     time.Time
 	Request *Request
-	Level   cacheindex.Level
-	VMs     int // entry VMs that route to the same endpoints
+	Held    int     // pieces that the best candidate holds
+	Rate    float64 // requests per second of the first piece beyond, at this VM
+	VMs     int     // entry VMs that route to the same endpoints
 	Stores  []Store
 }
 
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -2,22 +2,34 @@
 
 import "sync/atomic"
 
+// Tuning weighs the scorers of our policy.
+type Tuning struct {
+	// Prefill is the weight of uncached work against waiting; above 1, because work
+	// that is repeated also delays others and evicts what they use.
+	Prefill float64
+	// Home is the weight with which unknown work is drawn to its level's homes.
+	Home float64
+	// PerCopyRate is how many requests per second one copy of a shared level takes.
+	PerCopyRate float64
+}
+
+// DefaultTuning is the entry VMs' tuning.
+func DefaultTuning() Tuning { return Tuning{Prefill: 2.5, Home: 1, PerCopyRate: 20} }
+
 // Ours is the policy of the entry VMs.
-func Ours() Policy {
+func Ours(t Tuning) Policy {
 	return Policy{
 		Filters: []Filter{available{}},
-		Scorers: []Scorer{queueScorer{}, prefillScorer{weight: 2}, homeScorer{weight: 1, perCopyRate: 20}},
+		Scorers: []Scorer{queueScorer{}, prefillScorer{t.Prefill}, homeScorer{t.Home, t.PerCopyRate}},
 		Picker:  leastPicker{},
 	}
 }
 
 // Oracle is the same policy over caches and queues as they are.
-func Oracle(t Truth) Policy {
-	return Policy{
-		Filters: []Filter{available{}},
-		Scorers: []Scorer{truthScorer{t}, prefillScorer{weight: 2}},
-		Picker:  leastPicker{}, Truth: t,
-	}
+func Oracle(truth Truth, t Tuning) Policy {
+	p := Ours(t)
+	p.Scorers[0], p.Truth = truthScorer{truth}, truth
+	return p
 }
 
 // truthScorer predicts the wait from the endpoint's real backlog.
--- a/internal/routing/score_home.go
+++ b/internal/routing/score_home.go
@@ -24,8 +24,8 @@
 	if len(c.Request.Chain) == 0 {
 		return
 	}
-	key := levelKey(c.Request.Chain, c.Level.Depth)
-	copies := 1 + int(c.Level.Rate*float64(c.VMs)/h.perCopyRate)
+	key := levelKey(c.Request.Chain, c.Held)
+	copies := 1 + int(c.Rate*float64(c.VMs)/h.perCopyRate)
 	for i := range candidates {
 		mine := rendezvous(key, candidates[i].State.Name)
 		above := 0
@@ -41,9 +41,9 @@
 	}
 }
 
-// levelKey is the first piece after the last fork: siblings below it share it.
-func levelKey(chain []prefix.Hash, depth int) prefix.Hash {
-	return chain[min(depth, len(chain)-1)]
+// levelKey is the first piece that nobody is known to hold: siblings share it.
+func levelKey(chain []prefix.Hash, held int) prefix.Hash {
+	return chain[min(held, len(chain)-1)]
 }
 
 // rendezvous weighs a key at an endpoint; the highest weight is the first home.
--- a/internal/routing/score_prefill.go
+++ b/internal/routing/score_prefill.go
@@ -2,8 +2,6 @@
 
 // prefillScorer predicts the time to compute what the endpoint has not cached.
 type prefillScorer struct {
-	// weight is above 1 because work that is repeated also delays the requests that
-	// come after and evicts what others use.
 	weight float64
 }
 
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -1,6 +1,9 @@
 package routing
 
 import (
+	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -19,16 +22,18 @@
 	loads map[digest.EndpointID]digest.Load
 }
 
-// remember notes for the next digest where a request's prefix went: the level that it
-// shares with siblings, and its whole chain.
-func (c *Core) remember(s *State, chain []prefix.Hash, level int) {
-	if len(chain) == 0 || s.Incarnation == "" {
+// remember notes for the next digest where a request's prefix went: the whole chain
+// and the levels that it shares with siblings.
+func (c *Core) remember(s *State, chain []prefix.Hash) {
+	if len(chain) == 0 || s.run == 0 {
 		return
 	}
-	id := digest.Identify(s.Name, s.Incarnation)
-	c.note(digest.Placement{Endpoint: id, Prefix: chain[len(chain)-1]})
-	if level > 0 && level < len(chain) {
-		c.note(digest.Placement{Endpoint: id, Prefix: chain[level-1]})
+	s.told = false
+	at := digest.Of(s.id, s.run)
+	c.note(digest.Placement{At: at, Prefix: chain[len(chain)-1]})
+	c.forks = c.index.Forks(chain, c.forks[:0])
+	for _, depth := range c.forks {
+		c.note(digest.Placement{At: at, Prefix: chain[depth-1]})
 	}
 }
 
@@ -47,13 +52,17 @@
 	d := &digest.Digest{From: from, Placements: c.fresh}
 	c.fresh = nil
 	for _, s := range c.byName {
-		if s.InFlight > 0 {
-			d.Loads = append(d.Loads, digest.Load{
-				Endpoint: digest.Identify(s.Name, s.Incarnation), InFlight: uint16(min(s.InFlight, 1<<16-1)), Pending: uint32(max(s.PendingTokens, 0)),
-			})
+		if s.InFlight == 0 && s.told {
+			continue
 		}
+		s.told = true
+		d.Loads = append(d.Loads, digest.Load{
+			Endpoint: s.id, Run: s.run, InFlight: uint16(min(s.InFlight, math.MaxUint16)), Pending: uint32(max(s.PendingTokens, 0)),
+		})
 	}
-	slices.SortFunc(d.Loads, func(a, b digest.Load) int { return int(b.Pending) - int(a.Pending) })
+	slices.SortFunc(d.Loads, func(a, b digest.Load) int {
+		return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
 	d.Bound(bytes)
 	return d
 }
@@ -65,38 +74,40 @@
 		v.loads[l.Endpoint] = l
 	}
 	c.peers[d.From] = v
-	ids := c.identities()
+	at := make(map[digest.At]*State, len(c.byName))
+	for _, s := range c.byName {
+		if l, ok := v.loads[s.id]; ok && l.Run != 0 {
+			c.adopt(s, l.Run)
+		}
+		at[digest.Of(s.id, s.run)] = s
+	}
 	for _, p := range d.Placements {
-		if s := ids[p.Endpoint]; s != nil {
+		if s := at[p.At]; s != nil {
 			c.index.Stored(s.index, []prefix.Hash{p.Prefix}, now)
 		}
 	}
-	c.sumPeers(now)
+	c.sumPeers()
 }
 
-func (c *Core) identities() map[digest.EndpointID]*State {
-	ids := make(map[digest.EndpointID]*State, len(c.byName))
-	for _, s := range c.byName {
-		ids[digest.Identify(s.Name, s.Incarnation)] = s
+// forgetSilent forgets peers whose digests have stopped.
+func (c *Core) forgetSilent(now time.Time) {
+	before := len(c.peers)
+	maps.DeleteFunc(c.peers, func(_ string, v peerView) bool { return now.Sub(v.heard) > peerSilence })
+	if len(c.peers) != before {
+		c.sumPeers()
 	}
-	return ids
 }
 
-// sumPeers adds the peers' loads up and forgets silent peers.
-func (c *Core) sumPeers(now time.Time) {
-	for name, v := range c.peers {
-		if now.Sub(v.heard) > peerSilence {
-			delete(c.peers, name)
-		}
-	}
+// sumPeers adds the peers' loads up.
+func (c *Core) sumPeers() {
 	c.vms = len(c.peers) + 1
 	for _, s := range c.byName {
 		s.PeerInFlight, s.PeerPending = 0, 0
-		id := digest.Identify(s.Name, s.Incarnation)
 		for _, v := range c.peers {
-			l := v.loads[id]
-			s.PeerInFlight += int(l.InFlight)
-			s.PeerPending += int(l.Pending)
+			if l, ok := v.loads[s.id]; ok && l.Run == s.run {
+				s.PeerInFlight += int(l.InFlight)
+				s.PeerPending += int(l.Pending)
+			}
 		}
 	}
 }
