--- a/internal/policybench/engine.go
+++ b/internal/policybench/engine.go
@@ -34,6 +34,7 @@
 type job struct {
 	chain     []prefix.Hash
 	prompt    int
+	expected  int // tokens to compute, as it looked when it was sent
 	output    int
 	priority  int
 	scheduled bool
@@ -260,15 +261,13 @@
 	hashes      []prefix.Hash
 }
 
+// pending is the uncached work before a newcomer's.
 func (e *engine) pending() int {
 	n := 0
-	for _, j := range e.waiting {
-		n += j.prompt
+	for _, j := range e.coming {
+		n += j.expected
 	}
 	for _, j := range e.running {
-		if !j.scheduled {
-			n += j.prompt
-		}
 		n += j.left
 	}
 	return n
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -16,7 +16,7 @@
 	warmUp       = 10 * time.Second
 	hop          = 1500 * time.Microsecond
 	tickEvery    = 20 * time.Millisecond
-	digestEvery  = 250 * time.Millisecond
+	digestEvery  = 100 * time.Millisecond
 	digestBytes  = 1024
 	lookupKept   = 10 * time.Second // how long callers keep the address of an entry VM
 	fleetLag     = 4 * time.Second  // of the list of live endpoints
@@ -261,6 +261,7 @@
 			b.ended(t, p, failed)
 		})
 	}
+	j.expected = max(j.prompt-truth{b.fleet}.Cached(e.name, j.chain)*prefix.PieceTokens, 1)
 	e.coming = append(e.coming, j)
 	b.loop.after(hop, func() {
 		incarnation = e.incarnation()
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -59,7 +59,8 @@
 	if len(r.Chain) > 0 {
 		k.Match = c.matches[s.index]
 		if c.policy.Truth != nil {
-			k.Match = cacheindex.Match{Depth: c.policy.Truth.Cached(s.Name, r.Chain)}
+			depth := c.policy.Truth.Cached(s.Name, r.Chain)
+			k.Match = cacheindex.Match{Depth: depth, RawDepth: depth}
 		}
 		k.Missed -= cachedTokens(k.Match.Depth, r.PromptTokens)
 		if k.Match.Age < doubtfulAges*c.index.Lifetime(s.index) {
