--- a/internal/policybench/engine.go
+++ b/internal/policybench/engine.go
@@ -68,7 +68,6 @@
 	recent   *list.List // of *block, most recent first
 	busy     bool
 	eventSeq uint64
-	report   engineapi.Load
 }
 
 func (e *engine) incarnation() string { return fmt.Sprintf("%s-%d", e.name, e.run) }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -33,7 +33,7 @@
 	byModel    map[string][]*State
 	byService  map[string][]*State
 	unused     []cacheindex.Endpoint
-	stores     []Store
+	stores     []*storeState
 	retries    budget
 	peers      map[string]peerView
 	fresh      []digest.Placement
@@ -93,14 +93,18 @@
 }
 
 func (c *Core) newState() *State {
-	s := &State{PrefillPerToken: initialPrefillPerToken, Service: initialService}
-	if last := len(c.unused) - 1; last >= 0 {
-		s.index = c.unused[last]
-		c.unused = c.unused[:last]
-	} else {
-		s.index = c.index.Add()
+	return &State{PrefillPerToken: initialPrefillPerToken, Service: initialService, index: c.number()}
+}
+
+// number takes a number in the index, a freed one first.
+func (c *Core) number() cacheindex.Endpoint {
+	last := len(c.unused) - 1
+	if last < 0 {
+		return c.index.Add()
 	}
-	return s
+	n := c.unused[last]
+	c.unused = c.unused[:last]
+	return n
 }
 
 // Submit decides on a request's endpoint. settled is called once, when the request
@@ -128,7 +132,7 @@
 	if !c.admit(now, p, s) {
 		return
 	}
-	p.state, p.match, p.missed = s, best.Match, best.Missed
+	p.state, p.match, p.missed = s, best.Match, best.Missed-best.Import
 	p.Decision = Decision{
 		Endpoint: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
 		CachedTokens: max(p.Request.PromptTokens-best.Missed, 0),
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -22,9 +22,10 @@
 	if r.Service != "" {
 		group = c.byService[r.Service]
 	}
-	k := Case{Now: now, Request: r, VMs: c.vms, Stores: c.stores}
+	k := Case{Now: now, Request: r, VMs: c.vms}
 	if len(r.Chain) > 0 {
 		c.matches = c.index.Find(r.Chain, now, c.matches)
+		k.Kept = c.kept()
 	}
 	c.candidates = c.candidates[:0]
 	for _, s := range group {
--- a/internal/routing/plugin.go
+++ b/internal/routing/plugin.go
@@ -13,8 +13,9 @@
 	Match cacheindex.Match
 	// Missed are the prompt tokens that the endpoint would have to compute.
 	Missed int
-	// ImportFrom is the store that makes the score of an import the better one.
+	// ImportFrom is the store to import from, when that is cheaper than computing.
 	ImportFrom string
+	Import     int     // tokens to import
 	Total      float64 // predicted milliseconds
 	parts      [maxScorers]float64
 }
@@ -28,14 +29,7 @@
 	Held    int     // pieces that the best candidate holds
 	Rate    float64 // requests per second of the first piece beyond, at this VM
 	VMs     int     // entry VMs that route to the same endpoints
-	Stores  []Store
-}
-
-// Store is a kept-cache store that can be imported from.
-type Store struct {
-	Address string
-	// Holds reports how many leading pieces of a chain the store keeps.
-	Holds func(r *Request) int
+	Kept    Kept    // what the kept-cache stores hold
 }
 
 // Filter drops endpoints that may not get a request.
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -1,6 +1,9 @@
 package routing
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Tuning weighs the scorers of our policy.
 type Tuning struct {
@@ -16,12 +19,21 @@
 // DefaultTuning is the entry VMs' tuning.
 func DefaultTuning() Tuning { return Tuning{Prefill: 2.5, Home: 1, PerCopyRate: 20} }
 
+// Cost of an import from the kept-cache store.
+const (
+	importFixed    = 5 * time.Millisecond
+	importPerToken = 10 * time.Microsecond
+)
+
 // Ours is the policy of the entry VMs.
 func Ours(t Tuning) Policy {
 	return Policy{
 		Filters: []Filter{available{}},
-		Scorers: []Scorer{queueScorer{}, prefillScorer{t.Prefill}, homeScorer{t.Home, t.PerCopyRate}},
-		Picker:  leastPicker{},
+		Scorers: []Scorer{
+			queueScorer{}, prefillScorer{t.Prefill}, homeScorer{t.Home, t.PerCopyRate},
+			importScorer{fixed: importFixed, perToken: importPerToken, prefill: t.Prefill},
+		},
+		Picker: leastPicker{},
 	}
 }
 
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"eelgrasshollow/internal/cacheindex"
 	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/prefix"
 )
@@ -81,7 +82,14 @@
 		}
 		at[digest.Of(s.id, s.run)] = s
 	}
+	kept := make(map[digest.At]cacheindex.Endpoint, len(c.stores))
+	for _, s := range c.stores {
+		kept[s.at] = s.index
+	}
 	for _, p := range d.Placements {
+		if store, ok := kept[p.At]; ok {
+			c.index.Stored(store, []prefix.Hash{p.Prefix}, now)
+		}
 		if s := at[p.At]; s != nil {
 			c.index.Stored(s.index, []prefix.Hash{p.Prefix}, now)
 		}
