Exchange digests between entry VMs and read each endpoint from one VM

Cause: entry VMs knew nothing of each other, and a restarted one began empty. Change: net/rpc service Digest (Give, Recall); one owner per endpoint by rendezvous reads load and events and shares runs, loaded weights and evictions; a VM that meets a peer first recalls at most 16 KiB.

--- a/internal/cacheindex/match.go
+++ b/internal/cacheindex/match.go
@@ -81,6 +81,25 @@
 	return into
 }
 
+// Recent hands out the prefixes that others should know of, the most recently used
+// first: forks and the ends of chains, with each believed holder. It stops when more
+// returns false.
+func (x *Index) Recent(now time.Time, more func(Endpoint, prefix.Hash) bool) {
+	at := x.ticks(now)
+	for n := x.newest; n != nowhere; n = x.entries[n].older {
+		en := &x.entries[n]
+		if en.child != 0 && !en.forked {
+			continue
+		}
+		for _, h := range en.holders {
+			state := &x.endpoints[h.endpoint]
+			if h.generation == state.generation && age(at, h.at) <= state.lifetime && !more(h.endpoint, en.hash) {
+				return
+			}
+		}
+	}
+}
+
 // Rate returns the touches per second of a prefix.
 func (x *Index) Rate(h prefix.Hash, now time.Time) float64 {
 	n, ok := x.byHash[h]
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -55,33 +55,55 @@
 	Prefix prefix.Hash
 }
 
+// Weights names a model in one weights version.
+type Weights uint32
+
+// WeightsOf hashes a model and its version.
+func WeightsOf(model, version string) Weights {
+	return Weights(xxhash.Sum64String(model + "\x00" + version))
+}
+
+// Loaded says which weights a run of an endpoint has loaded.
+type Loaded struct {
+	At      At
+	Weights Weights
+}
+
 // Digest is one VM's message.
 type Digest struct {
 	From       string
 	Loads      []Load
+	Loaded     []Loaded
 	Placements []Placement
+	Gone       []Placement // evicted
 }
 
 const (
 	loadBytes      = 4 + 4 + 2 + 4
+	loadedBytes    = 4 + 4
 	placementBytes = 4 + 8
-	headerBytes    = 2 + 2 + 2
+	headerBytes    = 2 + 2 + 2 + 2 + 2
 )
 
 // Size is the encoded length.
 func (d *Digest) Size() int {
-	return headerBytes + len(d.From) + len(d.Loads)*loadBytes + len(d.Placements)*placementBytes
+	placements := len(d.Placements) + len(d.Gone)
+	return headerBytes + len(d.From) + len(d.Loads)*loadBytes + len(d.Loaded)*loadedBytes + placements*placementBytes
 }
 
-// Bound drops the oldest placements, then loads, until the digest fits.
+// Bound drops evictions, then the oldest placements, then loads and weights from the
+// end, until the digest fits.
 func (d *Digest) Bound(bytes int) {
-	for d.Size() > bytes && len(d.Placements) > 0 {
-		over := (d.Size() - bytes + placementBytes - 1) / placementBytes
-		d.Placements = d.Placements[min(over, len(d.Placements)):]
-	}
-	for d.Size() > bytes && len(d.Loads) > 0 {
-		d.Loads = d.Loads[:len(d.Loads)-1]
-	}
+	d.Gone = d.Gone[d.excess(bytes, len(d.Gone), placementBytes):]
+	d.Placements = d.Placements[d.excess(bytes, len(d.Placements), placementBytes):]
+	d.Loads = d.Loads[:len(d.Loads)-d.excess(bytes, len(d.Loads), loadBytes)]
+	d.Loaded = d.Loaded[:len(d.Loaded)-d.excess(bytes, len(d.Loaded), loadedBytes)]
+}
+
+// excess is how many of n items of a size must go for the digest to fit.
+func (d *Digest) excess(bytes, n, size int) int {
+	over := max(d.Size()-bytes, 0)
+	return min((over+size-1)/size, n)
 }
 
 // Encode writes the digest.
@@ -96,8 +118,17 @@
 		b = binary.LittleEndian.AppendUint16(b, l.InFlight)
 		b = binary.LittleEndian.AppendUint32(b, l.Pending)
 	}
-	b = binary.LittleEndian.AppendUint16(b, uint16(len(d.Placements)))
-	for _, p := range d.Placements {
+	b = binary.LittleEndian.AppendUint16(b, uint16(len(d.Loaded)))
+	for _, l := range d.Loaded {
+		b = binary.LittleEndian.AppendUint32(b, uint32(l.At))
+		b = binary.LittleEndian.AppendUint32(b, uint32(l.Weights))
+	}
+	return appendPlacements(appendPlacements(b, d.Placements), d.Gone)
+}
+
+func appendPlacements(b []byte, all []Placement) []byte {
+	b = binary.LittleEndian.AppendUint16(b, uint16(len(all)))
+	for _, p := range all {
 		b = binary.LittleEndian.AppendUint32(b, uint32(p.At))
 		b = binary.LittleEndian.AppendUint64(b, uint64(p.Prefix))
 	}
@@ -112,8 +143,9 @@
 		d.Loads = append(d.Loads, Load{EndpointID(r.word()), Run(r.word()), r.short(), r.word()})
 	}
 	for n := r.short(); n > 0 && !r.bad; n-- {
-		d.Placements = append(d.Placements, Placement{At(r.word()), prefix.Hash(r.long())})
+		d.Loaded = append(d.Loaded, Loaded{At(r.word()), Weights(r.word())})
 	}
+	d.Placements, d.Gone = r.placements(), r.placements()
 	if r.bad || len(r.rest) > 0 {
 		return nil, errkind.New(errkind.InvalidRequest, "malformed digest")
 	}
@@ -137,6 +169,14 @@
 	return b
 }
 
+func (r *reader) placements() []Placement {
+	var all []Placement
+	for n := r.short(); n > 0 && !r.bad; n-- {
+		all = append(all, Placement{At(r.word()), prefix.Hash(r.long())})
+	}
+	return all
+}
+
 func (r *reader) short() uint16 { return binary.LittleEndian.Uint16(r.take(2)) }
 func (r *reader) word() uint32  { return binary.LittleEndian.Uint32(r.take(4)) }
 func (r *reader) long() uint64  { return binary.LittleEndian.Uint64(r.take(8)) }
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -17,6 +17,12 @@
 	for range rapid.IntRange(0, 30).Draw(t, "placements") {
 		d.Placements = append(d.Placements, Placement{At(rapid.Uint32().Draw(t, "e")), prefix.Hash(rapid.Uint64().Draw(t, "h"))})
 	}
+	for range rapid.IntRange(0, 30).Draw(t, "gone") {
+		d.Gone = append(d.Gone, Placement{At(rapid.Uint32().Draw(t, "e")), prefix.Hash(rapid.Uint64().Draw(t, "h"))})
+	}
+	for range rapid.IntRange(0, 30).Draw(t, "loaded") {
+		d.Loaded = append(d.Loaded, Loaded{At(rapid.Uint32().Draw(t, "e")), Weights(rapid.Uint32().Draw(t, "w"))})
+	}
 	return d
 }
 
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -18,6 +18,7 @@
 	tickEvery    = 20 * time.Millisecond
 	digestEvery  = 100 * time.Millisecond
 	digestBytes  = 1024
+	recallBytes  = 16 << 10
 	lookupKept   = 10 * time.Second // how long callers keep the address of an entry VM
 	fleetLag     = 4 * time.Second  // of the list of live endpoints
 	engineDown   = 3 * time.Second
@@ -176,9 +177,21 @@
 	}
 }
 
-// restartVM replaces an entry VM by one that knows nothing. Its requests in flight
-// are left to their engines: callers resume them elsewhere.
-func (b *bench) restartVM(i int) { b.startVM(i) }
+// restartVM replaces an entry VM by one that knows nothing but what its peers tell it.
+// Its requests in flight are left to their engines: callers resume them elsewhere.
+func (b *bench) restartVM(i int) {
+	b.startVM(i)
+	if !b.variant.Digests {
+		return
+	}
+	b.loop.after(2*hop, func() {
+		for j, peer := range b.cores {
+			if j != i {
+				b.cores[i].Absorb(b.loop.time(), peer.Recall(b.loop.time(), fmt.Sprint(j), recallBytes))
+			}
+		}
+	})
+}
 
 func (b *bench) tick() {
 	for _, c := range b.cores {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -36,7 +36,8 @@
 	stores     []*storeState
 	retries    budget
 	peers      map[string]peerView
-	fresh      []digest.Placement
+	fresh      []digest.Placement // for the next digest
+	gone       []digest.Placement
 	matches    []cacheindex.Match
 	candidates []Candidate
 	out        []float64
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -1,8 +1,10 @@
 package routing
 
 import (
+	"maps"
 	"time"
 
+	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/prefix"
 )
@@ -11,6 +13,9 @@
 // endpoint later than that stands.
 const eventLag = time.Second
 
+// goneEvictions bounds the evictions kept for the next digest.
+const goneEvictions = 64
+
 // CacheEvent is a decoded cache event of an endpoint.
 type CacheEvent struct {
 	Incarnation string
@@ -32,6 +37,7 @@
 		c.index.Stored(s.index, e.Hashes, now.Add(-eventLag))
 	case engineapi.EventRemoved:
 		c.index.Remove(s.index, e.Hashes, now.Add(-eventLag))
+		c.noteGone(s, e.Hashes)
 	case engineapi.EventCleared:
 		c.index.Forget(s.index)
 	}
@@ -43,5 +49,17 @@
 	if s == nil || !c.Incarnation(s, l.Incarnation) {
 		return
 	}
-	s.Load, s.LoadAt = l, now.Add(-time.Duration(l.AgeMS)*time.Millisecond)
+	s.told = s.told && maps.Equal(s.Load.Versions, l.Versions) && now.Sub(s.LoadAt) < weightsKept/4
+	s.Load, s.LoadAt = l, now
+}
+
+// noteGone keeps evictions for the next digest, the newest of them.
+func (c *Core) noteGone(s *State, hashes []prefix.Hash) {
+	at := digest.Of(s.id, s.run)
+	for _, h := range hashes {
+		c.gone = append(c.gone, digest.Placement{At: at, Prefix: h})
+	}
+	if over := len(c.gone) - goneEvictions; over > 0 {
+		c.gone = c.gone[over:]
+	}
 }
--- /dev/null
+++ b/internal/routing/exchange.go
@@ -0,0 +1,158 @@
+package routing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"eelgrasshollow/internal/digest"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/peer"
+
+	"go.uber.org/zap"
+)
+
+// DigestService is the net/rpc name of the exchange between entry VMs.
+const DigestService = "Digest"
+
+const (
+	digestTimeout = 500 * time.Millisecond
+	recallBytes   = 16 << 10
+)
+
+// DigestArgs carries an encoded digest.
+type DigestArgs struct{ Body []byte }
+
+// DigestReply is empty.
+type DigestReply struct{}
+
+// RecallArgs asks for what a peer knows, for a VM that has just started.
+type RecallArgs struct{ Bytes int }
+
+// RecallReply carries an encoded digest.
+type RecallReply struct{ Body []byte }
+
+// receiver is the net/rpc side.
+type receiver struct{ module *Module }
+
+// Give takes in a peer's digest.
+func (r receiver) Give(args DigestArgs, _ *DigestReply) error {
+	d, err := digest.Decode(args.Body)
+	if err != nil {
+		return peer.EncodeError(err)
+	}
+	r.module.mu.Lock()
+	defer r.module.mu.Unlock()
+	r.module.core.Absorb(time.Now(), d)
+	return nil
+}
+
+// Recall answers with what this VM knows, the most recently used first.
+func (r receiver) Recall(args RecallArgs, reply *RecallReply) error {
+	if args.Bytes <= 0 {
+		return peer.EncodeError(errkind.New(errkind.InvalidRequest, "recall of %d bytes", args.Bytes))
+	}
+	r.module.mu.Lock()
+	defer r.module.mu.Unlock()
+	reply.Body = r.module.core.Recall(time.Now(), r.module.self(), min(args.Bytes, recallBytes)).Encode()
+	return nil
+}
+
+// caller makes net/rpc calls to peers; the module peer.pool implements it.
+type caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// exchange sends digests to the other entry VMs.
+type exchange struct {
+	module *Module
+	pool   caller
+
+	mu    sync.Mutex
+	busy  map[string]bool // peers whose last call still runs
+	known map[string]bool // peers that were asked to recall
+}
+
+func newExchange(m *Module, pool caller) *exchange {
+	return &exchange{module: m, pool: pool, busy: map[string]bool{}, known: map[string]bool{}}
+}
+
+func (x *exchange) run(ctx context.Context) error {
+	ticker := time.NewTicker(x.module.settings.DigestEvery)
+	defer ticker.Stop()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			x.round(ctx, &calls)
+		}
+	}
+}
+
+// round tells every peer; one that has not answered yet is passed over.
+func (x *exchange) round(ctx context.Context, calls *sync.WaitGroup) {
+	m := x.module
+	m.mu.Lock()
+	body := m.core.Digest(m.self(), m.settings.DigestBytes).Encode()
+	m.mu.Unlock()
+	for _, address := range m.peers() {
+		if !x.take(address) {
+			continue
+		}
+		calls.Go(func() {
+			defer x.release(address)
+			x.tell(ctx, address, body)
+		})
+	}
+}
+
+func (x *exchange) tell(ctx context.Context, address string, body []byte) {
+	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
+	defer cancel()
+	if err := x.pool.Call(ctx, address, DigestService+".Give", DigestArgs{Body: body}, &DigestReply{}); err != nil {
+		x.module.log.Debug("digest not delivered", zap.String("peer", address), zap.Error(err))
+		return
+	}
+	x.recall(ctx, address)
+}
+
+// recall asks a peer that is met for the first time for what it knows.
+func (x *exchange) recall(ctx context.Context, address string) {
+	x.mu.Lock()
+	met := x.known[address]
+	x.known[address] = true
+	x.mu.Unlock()
+	if met {
+		return
+	}
+	var reply RecallReply
+	if err := x.pool.Call(ctx, address, DigestService+".Recall", RecallArgs{Bytes: recallBytes}, &reply); err != nil {
+		return
+	}
+	d, err := digest.Decode(reply.Body)
+	if err != nil {
+		return
+	}
+	x.module.mu.Lock()
+	defer x.module.mu.Unlock()
+	x.module.core.Absorb(time.Now(), d)
+}
+
+func (x *exchange) take(address string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.busy[address] {
+		return false
+	}
+	x.busy[address] = true
+	return true
+}
+
+func (x *exchange) release(address string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.busy, address)
+}
--- /dev/null
+++ b/internal/routing/exchange_test.go
@@ -0,0 +1,152 @@
+package routing
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/state"
+	"eelgrasshollow/internal/watch"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+type idle struct{}
+
+func (idle) Provision(*kernel.Kernel) error { return nil }
+func (idle) Start(context.Context) error    { return nil }
+func (idle) Stop(context.Context) error     { return nil }
+
+// vmNet joins the digest services of VMs in memory.
+type vmNet struct{ sync.Map }
+
+type vmServer struct {
+	idle
+	net     *vmNet
+	address string
+}
+
+func (s *vmServer) Address() string { return s.address }
+func (s *vmServer) Register(_ string, r any) error {
+	s.net.Store(s.address, r)
+	return nil
+}
+
+type vmPool struct {
+	idle
+	net *vmNet
+}
+
+func (p *vmPool) Call(_ context.Context, address, method string, args, reply any) error {
+	registered, ok := p.net.Load(address)
+	if !ok {
+		return errkind.New(errkind.NoQuorum, "down")
+	}
+	r := registered.(receiver)
+	if strings.HasSuffix(method, ".Give") {
+		return r.Give(args.(DigestArgs), reply.(*DigestReply))
+	}
+	return r.Recall(args.(RecallArgs), reply.(*RecallReply))
+}
+
+type vmDirectory struct {
+	fixedDirectory
+	vms []watch.VM
+}
+
+func (d *vmDirectory) VMs() []watch.VM             { return d.vms }
+func (d *vmDirectory) Leave(context.Context) error { return nil }
+
+// reportSource answers for every engine as one run.
+type reportSource struct {
+	idle
+	mu    sync.Mutex
+	reads map[string]int
+	run   string
+}
+
+func (s *reportSource) Load(_ context.Context, address string) (engineapi.Load, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads[address]++
+	return engineapi.Load{Incarnation: s.run, Versions: map[string]string{"m": "v1"}}, nil
+}
+
+func (s *reportSource) Events(ctx context.Context, _ string, _ uint64, _ func(engineapi.Event) error) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+var twoVMs = []watch.VM{{Name: "a", PeerAddress: "a:1"}, {Name: "b", PeerAddress: "b:1"}}
+
+func startVM(t *testing.T, net *vmNet, address string, source *reportSource) *Module {
+	var endpoints []*pb.Endpoint
+	for _, e := range engines(9, 8) {
+		endpoints = append(endpoints, &pb.Endpoint{Name: e.Name, Address: e.Address, Models: e.Models, Role: pb.EndpointRole_ENDPOINT_ROLE_ENGINE, MaxConcurrent: 8})
+	}
+	k := kernel.New(zap.NewNop())
+	view := state.NewView(&pb.Configuration{Revision: 1, Endpoints: endpoints})
+	k.Register("entry.directory", &vmDirectory{fixedDirectory{view}, twoVMs})
+	k.Register(peer.ServerName, &vmServer{net: net, address: address})
+	k.Register(peer.PoolName, &vmPool{net: net})
+	k.Register("entry.engine", source)
+	m := NewModule(Settings{QueuePerEndpoint: 8, LongestWait: time.Second, TrackedPrefixes: 1000, DigestEvery: 100 * time.Millisecond, DigestBytes: 1024, LoadEvery: 500 * time.Millisecond})
+	k.Register(ModuleName, m, "entry.directory", peer.ServerName, peer.PoolName, "entry.engine")
+	assert.NilError(t, k.Start(t.Context()))
+	t.Cleanup(func() { assert.NilError(t, k.Stop(context.Background())) })
+	return m
+}
+
+func newSource() *reportSource { return &reportSource{reads: map[string]int{}, run: "i1"} }
+
+func TestPeersLearnPlacementsAndOneReadsEachEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, sourceA, sourceB := &vmNet{}, newSource(), newSource()
+		a, b := startVM(t, net, "a:1", sourceA), startVM(t, net, "b:1", sourceB)
+		time.Sleep(2 * time.Second)
+		r := ask("acct", "v1")
+		first, err := a.Pick(t.Context(), r)
+		assert.NilError(t, err)
+		time.Sleep(300 * time.Millisecond)
+		second, err := b.Pick(t.Context(), r)
+		assert.NilError(t, err)
+		assert.Equal(t, second.Decision().Endpoint, first.Decision().Endpoint)
+		assert.Equal(t, second.Decision().CachedTokens, 9000)
+		sourceA.mu.Lock()
+		sourceB.mu.Lock()
+		defer sourceA.mu.Unlock()
+		defer sourceB.mu.Unlock()
+		for address := range sourceA.reads {
+			assert.Equal(t, sourceB.reads[address], 0, "%s is read by both", address)
+		}
+		assert.Equal(t, len(sourceA.reads)+len(sourceB.reads), 9)
+	})
+}
+
+func TestRestartedVMRecallsFromItsPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := &vmNet{}
+		a := startVM(t, net, "a:1", newSource())
+		time.Sleep(2 * time.Second)
+		r := ask("acct", "v1")
+		first, err := a.Pick(t.Context(), r)
+		assert.NilError(t, err)
+		first.Done(Result{Incarnation: "i1", PromptTokens: r.PromptTokens})
+		time.Sleep(time.Second)
+		b := startVM(t, net, "b:1", newSource())
+		time.Sleep(200 * time.Millisecond)
+		second, err := b.Pick(t.Context(), r)
+		assert.NilError(t, err)
+		assert.Equal(t, second.Decision().Endpoint, first.Decision().Endpoint)
+		assert.Equal(t, second.Decision().CachedTokens, 9000)
+	})
+}
--- a/internal/routing/filter_available.go
+++ b/internal/routing/filter_available.go
@@ -14,14 +14,5 @@
 	if s.Leaving || s.gone || c.Now.Before(s.downUntil) {
 		return false
 	}
-	return !slices.Contains(c.Request.Exclude, s.Name) && runsVersion(c.Request, s)
-}
-
-// runsVersion is true when nothing is known: the engine itself refuses other weights.
-func runsVersion(r *Request, s *State) bool {
-	if r.Model == "" || r.Version == "" {
-		return true
-	}
-	loaded, known := s.Load.Versions[r.Model]
-	return !known || loaded == r.Version
+	return !slices.Contains(c.Request.Exclude, s.Name) && s.runs(c.Request.Model, c.Request.Version, c.Now)
 }
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -8,6 +8,7 @@
 	pb "eelgrasshollow/gen/eelgrass/v1"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/peer"
 	"eelgrasshollow/internal/state"
 	"eelgrasshollow/internal/watch"
 
@@ -25,6 +26,9 @@
 	QueuePerEndpoint int           `ini:"queue_per_endpoint" default:"64" min:"1" max:"10000" doc:"Requests that may wait for a place at one endpoint."`
 	LongestWait      time.Duration `ini:"longest_wait" default:"5s" min:"10ms" max:"1m" doc:"Longest wait for a place before a request is refused as not run."`
 	TrackedPrefixes  int           `ini:"tracked_prefixes" default:"100000" min:"1000" max:"10000000" doc:"Prefixes whose whereabouts are kept in memory."`
+	DigestEvery      time.Duration `ini:"digest_every" default:"100ms" min:"10ms" max:"10s" doc:"Time between two digests to the other entry VMs."`
+	DigestBytes      int           `ini:"digest_bytes" default:"1024" min:"128" max:"65536" doc:"Greatest size of a digest."`
+	LoadEvery        time.Duration `ini:"load_every" default:"500ms" min:"50ms" max:"1m" doc:"Time between two reads of an endpoint's load report."`
 	RetryShare       float64       `ini:"retry_share" default:"0.1" min:"0" max:"1" doc:"Second tries allowed per first try."`
 }
 
@@ -41,6 +45,10 @@
 	policy    Policy
 	log       *zap.Logger
 	directory watch.Directory
+	fleet     watch.Fleet // nil when the directory does not know the entry VMs
+	server    addressed   // nil without peers
+	pool      caller
+	source    Source // nil without reports
 
 	mu       sync.Mutex
 	core     *Core
@@ -62,7 +70,50 @@
 	}
 	m.directory, m.log = directory, k.Log.Named("routing")
 	m.core = NewCore(m.policy, m.settings.limits(), time.Now())
-	return nil
+	m.fleet, _ = kernel.Lookup[watch.Fleet](k, "entry.directory")
+	m.source, _ = kernel.Lookup[Source](k, "entry.engine")
+	return m.provisionPeers(k)
+}
+
+// addressed is the module peer.server.
+type addressed interface {
+	Register(name string, receiver any) error
+	Address() string
+}
+
+// provisionPeers offers the digest service where the daemon has peers at all.
+func (m *Module) provisionPeers(k *kernel.Kernel) error {
+	server, err := kernel.Lookup[addressed](k, peer.ServerName)
+	if err != nil {
+		return nil
+	}
+	if m.pool, err = kernel.Lookup[caller](k, peer.PoolName); err != nil {
+		return err
+	}
+	m.server = server
+	return server.Register(DigestService, receiver{m})
+}
+
+// self names this VM among the entry VMs, by its peer address.
+func (m *Module) self() string {
+	if m.server == nil {
+		return ""
+	}
+	return m.server.Address()
+}
+
+// peers lists the peer addresses of the other entry VMs.
+func (m *Module) peers() []string {
+	if m.fleet == nil || m.server == nil {
+		return nil
+	}
+	var all []string
+	for _, vm := range m.fleet.VMs() {
+		if vm.PeerAddress != "" && vm.PeerAddress != m.self() {
+			all = append(all, vm.PeerAddress)
+		}
+	}
+	return all
 }
 
 // Start follows the directory.
@@ -72,6 +123,13 @@
 	m.group, ctx = errgroup.WithContext(ctx)
 	m.group.Go(func() error { return m.follow(ctx) })
 	m.group.Go(func() error { return m.tick(ctx) })
+	if m.server != nil {
+		m.group.Go(func() error { return newExchange(m, m.pool).run(ctx) })
+	}
+	if m.source != nil {
+		r := &readers{module: m, source: m.source, stop: map[string]context.CancelFunc{}}
+		m.group.Go(func() error { return r.run(ctx) })
+	}
 	return nil
 }
 
@@ -118,6 +176,18 @@
 	}
 	m.known, m.revision = true, v.Revision()
 	m.core.SetFleet(now, Fleet(v))
+	m.core.SetStores(Stores(v))
+}
+
+// Stores lists the kept-cache stores of a view.
+func Stores(v *state.View) []Store {
+	var stores []Store
+	for _, e := range v.Configuration().GetEndpoints() {
+		if e.GetRole() == pb.EndpointRole_ENDPOINT_ROLE_KEPT_CACHE && !e.GetLeaving() {
+			stores = append(stores, Store{Name: e.GetName(), Address: e.GetAddress()})
+		}
+	}
+	return stores
 }
 
 // Fleet lists the endpoints of a view that requests go to.
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -17,7 +17,7 @@
 }
 
 // DefaultTuning is the entry VMs' tuning.
-func DefaultTuning() Tuning { return Tuning{Prefill: 2.5, Home: 1, PerCopyRate: 20} }
+func DefaultTuning() Tuning { return Tuning{Prefill: 3, Home: 1, PerCopyRate: 20} }
 
 // Cost of an import from the kept-cache store.
 const (
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -50,16 +50,17 @@
 
 // Digest returns what the peers should know, within bytes, and starts the next one.
 func (c *Core) Digest(from string, bytes int) *digest.Digest {
-	d := &digest.Digest{From: from, Placements: c.fresh}
-	c.fresh = nil
+	d := &digest.Digest{From: from, Placements: c.fresh, Gone: c.gone}
+	c.fresh, c.gone = nil, nil
 	for _, s := range c.byName {
 		if s.InFlight == 0 && s.told {
 			continue
 		}
+		if !s.told {
+			d.Loaded = append(d.Loaded, s.weights()...)
+		}
 		s.told = true
-		d.Loads = append(d.Loads, digest.Load{
-			Endpoint: s.id, Run: s.run, InFlight: uint16(min(s.InFlight, math.MaxUint16)), Pending: uint32(max(s.PendingTokens, 0)),
-		})
+		d.Loads = append(d.Loads, c.load(s))
 	}
 	slices.SortFunc(d.Loads, func(a, b digest.Load) int {
 		return cmp.Or(cmp.Compare(b.Pending, a.Pending), cmp.Compare(a.Endpoint, b.Endpoint))
@@ -68,6 +69,37 @@
 	return d
 }
 
+// Recall returns what a VM that has just started should know, within bytes: the most
+// recently used levels and whole chains.
+func (c *Core) Recall(now time.Time, from string, bytes int) *digest.Digest {
+	d := &digest.Digest{From: from}
+	at := make(map[cacheindex.Endpoint]digest.At, len(c.byName))
+	for _, s := range c.byName {
+		if s.run != 0 {
+			at[s.index] = digest.Of(s.id, s.run)
+			d.Loads = append(d.Loads, c.load(s))
+			d.Loaded = append(d.Loaded, s.weights()...)
+		}
+	}
+	for _, s := range c.stores {
+		at[s.index] = s.at
+	}
+	c.index.Recent(now, func(e cacheindex.Endpoint, h prefix.Hash) bool {
+		if id, ok := at[e]; ok {
+			d.Placements = append(d.Placements, digest.Placement{At: id, Prefix: h})
+		}
+		return d.Size() < bytes
+	})
+	d.Bound(bytes)
+	return d
+}
+
+func (c *Core) load(s *State) digest.Load {
+	return digest.Load{
+		Endpoint: s.id, Run: s.run, InFlight: uint16(min(s.InFlight, math.MaxUint16)), Pending: uint32(max(s.PendingTokens, 0)),
+	}
+}
+
 // Absorb takes in a peer's digest.
 func (c *Core) Absorb(now time.Time, d *digest.Digest) {
 	v := peerView{heard: now, loads: make(map[digest.EndpointID]digest.Load, len(d.Loads))}
@@ -86,6 +118,16 @@
 	for _, s := range c.stores {
 		kept[s.at] = s.index
 	}
+	for _, l := range d.Loaded {
+		if s := at[l.At]; s != nil {
+			s.hearWeights(l.Weights, now)
+		}
+	}
+	for _, p := range d.Gone {
+		if s := at[p.At]; s != nil {
+			c.index.Remove(s.index, []prefix.Hash{p.Prefix}, now.Add(-eventLag))
+		}
+	}
 	for _, p := range d.Placements {
 		if store, ok := kept[p.At]; ok {
 			c.index.Stored(store, []prefix.Hash{p.Prefix}, now)
--- a/internal/watch/api.go
+++ b/internal/watch/api.go
@@ -2,7 +2,11 @@
 // with an attested age.
 package watch
 
-import "eelgrasshollow/internal/state"
+import (
+	"context"
+
+	"eelgrasshollow/internal/state"
+)
 
 // Directory is the configuration in force on this VM.
 type Directory interface {
@@ -15,3 +19,18 @@
 	// Changed returns a channel that is closed at the next change of view or freshness.
 	Changed() <-chan struct{}
 }
+
+// VM is an entry VM as callers may be told of it.
+type VM struct {
+	Name, Address, PeerAddress, FailureDomain string
+	Leaving                                   bool
+}
+
+// Fleet is what is known of the entry VMs.
+type Fleet interface {
+	// VMs lists the entry VMs with a live session, as of the last answer of a control
+	// replica; leaving ones are marked.
+	VMs() []VM
+	// Leave announces this VM as leaving; it may be called again.
+	Leave(ctx context.Context) error
+}
