--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrasshollow/internal/cacheindex"
+	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/errkind"
 )
 
@@ -32,11 +33,15 @@
 	byModel    map[string][]*State
 	byService  map[string][]*State
 	unused     []cacheindex.Endpoint
-	stores     []Store
+	stores     []*storeState
 	retries    budget
+	peers      map[string]peerView
+	fresh      []digest.Placement // for the next digest
+	gone       []digest.Placement
 	matches    []cacheindex.Match
 	candidates []Candidate
 	out        []float64
+	forks      []int
 }
 
 // NewCore returns a core without endpoints.
@@ -45,13 +50,11 @@
 		policy: policy, limits: limits, vms: 1,
 		index:   cacheindex.New(limits.TrackedPrefixes, now),
 		byName:  map[string]*State{},
+		peers:   map[string]peerView{},
 		retries: budget{share: limits.RetryShare, burst: limits.RetryBurst, left: limits.RetryBurst},
 	}
 }
 
-// SetVMs tells how many entry VMs route to these endpoints, this one included.
-func (c *Core) SetVMs(n int) { c.vms = max(n, 1) }
-
 // SetFleet replaces the endpoints. Requests that wait for one that is gone or leaving
 // are placed anew.
 func (c *Core) SetFleet(now time.Time, fleet []Endpoint) {
@@ -67,7 +70,7 @@
 		} else {
 			delete(old, e.Name)
 		}
-		s.Endpoint = e
+		s.Endpoint, s.id = e, digest.Identify(e.Name)
 		c.byName[e.Name] = s
 		for _, m := range e.Models {
 			c.byModel[m] = append(c.byModel[m], s)
@@ -91,14 +94,18 @@
 }
 
 func (c *Core) newState() *State {
-	s := &State{PrefillPerToken: initialPrefillPerToken, Service: initialService}
-	if last := len(c.unused) - 1; last >= 0 {
-		s.index = c.unused[last]
-		c.unused = c.unused[:last]
-	} else {
-		s.index = c.index.Add()
+	return &State{PrefillPerToken: initialPrefillPerToken, Service: initialService, index: c.number()}
+}
+
+// number takes a number in the index, a freed one first.
+func (c *Core) number() cacheindex.Endpoint {
+	last := len(c.unused) - 1
+	if last < 0 {
+		return c.index.Add()
 	}
-	return s
+	n := c.unused[last]
+	c.unused = c.unused[:last]
+	return n
 }
 
 // Submit decides on a request's endpoint. settled is called once, when the request
@@ -126,7 +133,7 @@
 	if !c.admit(now, p, s) {
 		return
 	}
-	p.state, p.match, p.missed = s, best.Match, best.Missed
+	p.state, p.match, p.missed = s, best.Match, best.Missed-best.Import
 	p.Decision = Decision{
 		Endpoint: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
 		CachedTokens: max(p.Request.PromptTokens-best.Missed, 0),
@@ -184,11 +191,12 @@
 
 func (c *Core) send(now time.Time, p *Pending) {
 	s := p.state
-	p.phase, p.sent = sent, now
+	p.phase, p.sent, p.run = sent, now, s.run
 	p.work = s.PendingTokens + s.PeerPending + p.missed
 	s.InFlight++
 	s.PendingTokens += p.missed
 	c.index.Touch(s.index, p.Request.Chain, now)
+	c.remember(s, p.Request.Chain)
 	p.settled()
 }
 
@@ -227,6 +235,7 @@
 
 // Tick refuses, at once, what has waited for longer than the bound.
 func (c *Core) Tick(now time.Time) {
+	c.forgetSilent(now)
 	for _, s := range c.byName {
 		if s.queue.Len() == 0 {
 			continue
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -1,13 +1,60 @@
 package routing
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Tuning weighs the scorers of our policy.
+type Tuning struct {
+	// Prefill is the weight of uncached work against waiting; above 1, because work
+	// that is repeated also delays others and evicts what they use.
+	Prefill float64
+	// Home is the weight with which unknown work is drawn to its level's homes.
+	Home float64
+	// PerCopyRate is how many requests per second one copy of a shared level takes.
+	PerCopyRate float64
+}
+
+// DefaultTuning is the entry VMs' tuning.
+func DefaultTuning() Tuning { return Tuning{Prefill: 3, Home: 1, PerCopyRate: 20} }
+
+// Cost of an import from the kept-cache store.
+const (
+	importFixed    = 5 * time.Millisecond
+	importPerToken = 10 * time.Microsecond
+)
 
 // Ours is the policy of the entry VMs.
-func Ours() Policy {
+func Ours(t Tuning) Policy {
 	return Policy{
 		Filters: []Filter{available{}},
-		Scorers: []Scorer{queueScorer{}, prefillScorer{weight: 2}, homeScorer{weight: 1, perCopyRate: 20}},
-		Picker:  leastPicker{},
+		Scorers: []Scorer{
+			queueScorer{}, prefillScorer{t.Prefill}, homeScorer{t.Home, t.PerCopyRate},
+			importScorer{fixed: importFixed, perToken: importPerToken, prefill: t.Prefill},
+		},
+		Picker: leastPicker{},
+	}
+}
+
+// Oracle is the same policy over caches and queues as they are.
+func Oracle(truth Truth, t Tuning) Policy {
+	p := Ours(t)
+	p.Scorers[0], p.Truth = truthScorer{truth}, truth
+	return p
+}
+
+// truthScorer predicts the wait from the endpoint's real backlog.
+type truthScorer struct{ truth Truth }
+
+// Name names the scorer.
+func (truthScorer) Name() string { return "queue" }
+
+// Score predicts the wait at each candidate.
+func (t truthScorer) Score(c *Case, candidates []Candidate, out []float64) {
+	for i := range candidates {
+		s := candidates[i].State
+		out[i] = float64(t.truth.Pending(s.Name))*milliseconds(s.PrefillPerToken) + admissionWait(c, s)
 	}
 }
 
