--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -7,6 +7,8 @@
 
 	"eelgrasshollow/internal/consensus"
 	"eelgrasshollow/internal/control"
+	"eelgrasshollow/internal/grants"
+	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/keys"
 	"eelgrasshollow/internal/logging"
@@ -105,4 +107,9 @@
 // addServices registers the services that run on the leader. Each adds its machine
 // to p.mux and its module to p.kernel, with consensus.ModuleName among its needs.
 func (p *parts) addServices() {
+	bucket := grants.NewMachine()
+	p.mux.Add(grants.Namespace, bucket)
+	p.kernel.Register("control.grants", grants.NewOwnerModule(p.settings.Grants, bucket), consensus.ModuleName, state.ModuleName, peer.ServerName)
+	p.mux.Add(journal.Namespace, journal.NewMachine())
+	p.kernel.Register("control.journal", journal.NewOwnerModule(p.settings.Journal), consensus.ModuleName, peer.ServerName)
 }
--- a/internal/controld/settings.go
+++ b/internal/controld/settings.go
@@ -5,16 +5,20 @@
 	"time"
 
 	"eelgrasshollow/internal/consensus"
+	"eelgrasshollow/internal/grants"
+	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/logging"
 	"eelgrasshollow/internal/settings"
 )
 
 // Settings of eelgrass-control.
 type Settings struct {
-	Log      logging.Settings `ini:"log"`
-	Node     Node             `ini:"node"`
-	Control  Control          `ini:"control"`
-	Security Security         `ini:"security"`
+	Log      logging.Settings      `ini:"log"`
+	Node     Node                  `ini:"node"`
+	Control  Control               `ini:"control"`
+	Security Security              `ini:"security"`
+	Grants   grants.OwnerSettings  `ini:"grants"`
+	Journal  journal.OwnerSettings `ini:"journal"`
 }
 
 // Node is the [node] section.
