Place models, adapters and versions by fenced orders

Cause: nothing loaded weights; a change of version had no plan. Change: a planner (need from demand, at most two loads, drain before change, never below need, stalls and says so without a spare), a leader-only sender with (term, sequence), read-back and a successor's wait; entry VMs split requests over old and new weights in proportion while a change is rolled out.

--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -99,6 +99,9 @@
 	OrderSetRole       = "set-role"
 )
 
+// RoleDrain is the role of an engine that gets no new work, so that it can be changed.
+const RoleDrain = "drain"
+
 // Order tells an engine to change. (Term, Sequence) is the fencing number, compared
 // term first; an engine that checks refuses a number not above the last obeyed.
 type Order struct {
--- /dev/null
+++ b/internal/placement/module.go
@@ -0,0 +1,202 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/state"
+	"eelgrasshollow/internal/statemachine"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// ModuleName is the module's name in the kernel.
+const ModuleName = "control.placement"
+
+const readsAtOnce = 16
+
+// Settings is the [placement] section of eelgrass-control.
+type Settings struct {
+	Every         time.Duration `ini:"every" default:"500ms" min:"50ms" max:"1m" doc:"Time between two looks at the endpoints."`
+	CallTimeout   time.Duration `ini:"call_timeout" default:"1s" min:"50ms" max:"30s" doc:"Longest call to an endpoint."`
+	SuccessorWait time.Duration `ini:"successor_wait" default:"10s" min:"1s" max:"5m" doc:"Wait of a new leader before its first order to an endpoint that checks no fencing numbers. Longer than the leader lease and call_timeout together."`
+	MaxLoads      int           `ini:"max_loads" default:"2" min:"1" max:"2" doc:"Weight loads at a time over the fleet."`
+	PerEndpoint   float64       `ini:"requests_per_endpoint" default:"8" min:"1" max:"10000" doc:"Requests at a time that one endpoint of a model serves well."`
+	DrainTimeout  time.Duration `ini:"drain_timeout" default:"30s" min:"1s" max:"1h" doc:"Longest wait for an endpoint to run dry before it is changed."`
+}
+
+func (s Settings) config() Config {
+	c := DefaultConfig()
+	c.MaxLoads, c.PerEndpoint, c.DrainTimeout = s.MaxLoads, s.PerEndpoint, s.DrainTimeout
+	return c
+}
+
+// viewer is the module control.state.
+type viewer interface{ View() *state.View }
+
+// Module runs the planner on the control leader.
+type Module struct {
+	settings Settings
+	client   Client
+	log      *zap.Logger
+	state    viewer
+	planner  *Planner
+	fence    fence
+	blocked  map[string]bool
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// NewModule returns the module control.placement.
+func NewModule(s Settings) *Module { return &Module{settings: s, client: newHTTPClient()} }
+
+// Provision looks up the configuration and who leads.
+func (m *Module) Provision(k *kernel.Kernel) error {
+	leadership, err := kernel.Lookup[statemachine.Leadership](k, "control.consensus")
+	if err != nil {
+		return err
+	}
+	m.fence = fence{leadership: leadership, wait: m.settings.SuccessorWait}
+	m.log = k.Log.Named("placement")
+	m.state, err = kernel.Lookup[viewer](k, "control.state")
+	return err
+}
+
+// Start begins to look at the fleet.
+func (m *Module) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.done.Go(func() { m.run(ctx) })
+	return nil
+}
+
+// Stop ends the work; an order under way is given up.
+func (m *Module) Stop(context.Context) error {
+	m.cancel()
+	m.done.Wait()
+	return nil
+}
+
+func (m *Module) run(ctx context.Context) {
+	ticker := time.NewTicker(m.settings.Every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.step(ctx)
+		}
+	}
+}
+
+// step plans once where this replica leads. A new leader knows of no earlier plan: it
+// reads the endpoints.
+func (m *Module) step(ctx context.Context) {
+	changed, ok := m.fence.leading(time.Now())
+	view := m.state.View()
+	if !ok || view == nil {
+		return
+	}
+	if changed || m.planner == nil {
+		m.planner, m.blocked = NewPlanner(m.settings.config()), map[string]bool{}
+	}
+	world, checks := m.look(ctx, view)
+	for _, a := range m.planner.Step(time.Now(), world) {
+		m.send(ctx, a, checks[a.Endpoint])
+	}
+	m.reportBlocked()
+}
+
+// look reads every engine's report.
+func (m *Module) look(ctx context.Context, view *state.View) (World, map[string]bool) {
+	w, checks := World{}, map[string]bool{}
+	for _, model := range view.Models() {
+		w.Models = append(w.Models, Model{
+			Name: model.GetName(), Version: model.GetWeightsVersion(), Adapters: model.GetAdapters(), MinEndpoints: int(model.GetMinEndpoints()),
+		})
+	}
+	for _, e := range view.Configuration().GetEndpoints() {
+		switch e.GetRole() {
+		case pb.EndpointRole_ENDPOINT_ROLE_WEIGHT_STORE:
+			w.Store = e.GetAddress()
+		case pb.EndpointRole_ENDPOINT_ROLE_ENGINE:
+			w.Endpoints = append(w.Endpoints, Endpoint{Name: e.GetName(), Address: e.GetAddress(), Models: e.GetModels(), Leaving: e.GetLeaving()})
+			checks[e.GetName()] = e.GetChecksFencing()
+		}
+	}
+	var group errgroup.Group
+	group.SetLimit(readsAtOnce)
+	for i := range w.Endpoints {
+		group.Go(func() error { m.read(ctx, &w.Endpoints[i]); return nil })
+	}
+	_ = group.Wait() // an endpoint that cannot be read stays unseen
+	return w, checks
+}
+
+func (m *Module) read(ctx context.Context, e *Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, m.settings.CallTimeout)
+	defer cancel()
+	load, err := m.client.Load(ctx, e.Address)
+	if err != nil {
+		return
+	}
+	e.Load, e.SeenAt = load, time.Now()
+}
+
+// send gives an order under a fencing number, after a read-back in each new term.
+func (m *Module) send(ctx context.Context, a Action, checks bool) {
+	ctx, cancel := context.WithTimeout(ctx, m.settings.CallTimeout)
+	defer cancel()
+	if !m.fence.read[a.Endpoint] && !m.readBack(ctx, a) {
+		m.planner.Failed(a.Endpoint)
+		return
+	}
+	number, ok := m.fence.next(time.Now(), checks)
+	if !ok {
+		m.planner.Failed(a.Endpoint)
+		return
+	}
+	a.Order.Term, a.Order.Sequence = number.Term, number.Sequence
+	err := m.client.Order(ctx, a.Address, a.Order)
+	if err != nil {
+		m.planner.Failed(a.Endpoint)
+	}
+	m.report(a, err)
+}
+
+func (m *Module) readBack(ctx context.Context, a Action) bool {
+	last, err := m.client.LastOrder(ctx, a.Address)
+	if err != nil {
+		return false
+	}
+	if m.fence.readBack(a.Endpoint, Number{Term: last.Term, Sequence: last.Sequence}) {
+		return true
+	}
+	m.log.Warn("endpoint has obeyed a later leader", zap.String("endpoint", a.Endpoint), zap.Uint64("term", last.Term))
+	return false
+}
+
+func (m *Module) report(a Action, err error) {
+	m.log.Info("placement decision", zap.String("endpoint", a.Endpoint), zap.String("order", a.Order.Op),
+		zap.String("model", a.Order.Model), zap.String("version", a.Order.Version), zap.String("adapter", a.Order.Adapter),
+		zap.String("role", a.Order.Role), zap.Uint64("term", a.Order.Term), zap.Uint64("sequence", a.Order.Sequence),
+		zap.String("reason", a.Reason), zap.Error(err))
+}
+
+// reportBlocked logs a model whose roll waits, once.
+func (m *Module) reportBlocked() {
+	now := map[string]bool{}
+	for _, model := range m.planner.Blocked() {
+		now[model] = true
+		if !m.blocked[model] {
+			m.log.Warn("placement waits: no endpoint of the model can be spared", zap.String("model", model))
+		}
+	}
+	m.blocked = now
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -42,15 +42,17 @@
 	candidates []Candidate
 	out        []float64
 	forks      []int
+	wanted     map[string]string // version by model
+	previous   map[string]string
 }
 
 // NewCore returns a core without endpoints.
 func NewCore(policy Policy, limits Limits, now time.Time) *Core {
 	return &Core{
 		policy: policy, limits: limits, vms: 1,
-		index:   cacheindex.New(limits.TrackedPrefixes, now),
-		byName:  map[string]*State{},
-		peers:   map[string]peerView{},
+		index:  cacheindex.New(limits.TrackedPrefixes, now),
+		byName: map[string]*State{},
+		peers:  map[string]peerView{}, previous: map[string]string{},
 		retries: budget{share: limits.RetryShare, burst: limits.RetryBurst, left: limits.RetryBurst},
 	}
 }
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -57,10 +57,11 @@
 	gone      bool
 	eventSeq  uint64
 	id        digest.EndpointID
-	run       digest.Run                   // of the present incarnation; known from peers before Incarnation is
-	ended     [endedRuns]digest.Run        // runs that are over, newest first
-	heard     map[digest.Weights]time.Time // weights that peers say it has loaded
-	told      bool                         // the peers have heard of the last change
+	run       digest.Run            // of the present incarnation; known from peers before Incarnation is
+	ended     [endedRuns]digest.Run // runs that are over, newest first
+	heard     []digest.Weights      // what peers say it serves
+	heardAt   time.Time
+	told      bool // the peers have heard of the last change
 }
 
 // limit is the number of own requests that may run there now: what the peers leave,
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -49,7 +49,7 @@
 	if s == nil || !c.Incarnation(s, l.Incarnation) {
 		return
 	}
-	s.told = s.told && maps.Equal(s.Load.Versions, l.Versions) && now.Sub(s.LoadAt) < weightsKept/4
+	s.told = s.told && s.Load.Role == l.Role && maps.Equal(s.Load.Versions, l.Versions) && now.Sub(s.LoadAt) < weightsKept/4
 	s.Load, s.LoadAt = l, now
 }
 
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -177,6 +177,11 @@
 	m.known, m.revision = true, v.Revision()
 	m.core.SetFleet(now, Fleet(v))
 	m.core.SetStores(Stores(v))
+	wanted := map[string]string{}
+	for _, model := range v.Models() {
+		wanted[model.GetName()] = model.GetWeightsVersion()
+	}
+	m.core.SetVersions(wanted)
 }
 
 // Stores lists the kept-cache stores of a view.
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -118,11 +118,15 @@
 	for _, s := range c.stores {
 		kept[s.at] = s.index
 	}
+	told := map[*State][]digest.Weights{}
 	for _, l := range d.Loaded {
 		if s := at[l.At]; s != nil {
-			s.hearWeights(l.Weights, now)
+			told[s] = append(told[s], l.Weights)
 		}
 	}
+	for s, weights := range told {
+		s.hearWeights(weights, now)
+	}
 	for _, p := range d.Gone {
 		if s := at[p.At]; s != nil {
 			c.index.Remove(s.index, []prefix.Hash{p.Prefix}, now.Add(-eventLag))
--- /dev/null
+++ b/internal/routing/versions.go
@@ -0,0 +1,60 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+// Versioner tells which weights version a request should run on while new weights
+// are being rolled out. The Module implements it.
+type Versioner interface {
+	// Serving returns the version to run: wanted, or the one before it while endpoints
+	// still run that. Requests are split by key in proportion to the endpoints, so that
+	// a rolling change loses no capacity; siblings with one key stay together.
+	Serving(model, wanted string, key uint64) string
+}
+
+// Serving implements Versioner.
+func (m *Module) Serving(model, wanted string, key uint64) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Serving(time.Now(), model, wanted, key)
+}
+
+// SetVersions tells the wanted version of every model; the one wanted before is
+// remembered.
+func (c *Core) SetVersions(wanted map[string]string) {
+	for model, version := range wanted {
+		if old := c.wanted[model]; old != "" && old != version {
+			c.previous[model] = old
+		}
+	}
+	c.wanted = wanted
+}
+
+// Serving implements Versioner over what is known of the endpoints.
+func (c *Core) Serving(now time.Time, model, wanted string, key uint64) string {
+	before := c.previous[model]
+	if before == "" || before == wanted {
+		return wanted
+	}
+	newer, older := 0, 0
+	for _, s := range c.byModel[model] {
+		if s.Leaving || now.Before(s.downUntil) || s.draining() {
+			continue
+		}
+		switch {
+		case s.confirmed(model, wanted, now):
+			newer++
+		case s.confirmed(model, before, now):
+			older++
+		}
+	}
+	if older == 0 {
+		return wanted
+	}
+	if float64(key) < math.MaxUint64*float64(newer)/float64(newer+older) {
+		return wanted
+	}
+	return before
+}
