Leave a control replica that does not answer

Cause: a leader client whose replica takes connections and drops them, or is paused, asked it again and again, as only refusals moved it on: after a planned stop of a follower behind a forwarder every request was refused as over its rate for as long as the replica was away (scenario planned-stop). Change: after no answer the next call asks another replica.

--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -76,6 +76,10 @@
 	for _, f := range figures() {
 		fmt.Fprintf(t, "%s\t%.4g\n", f.name, f.of(r))
 	}
+	for _, a := range r.Accounts {
+		fmt.Fprintf(t, "account %s\trequests=%d answered=%d refused=%d refused-inside-rate=%d tokens=%d share-of-grant=%.3f\n",
+			a.Name, a.Requests, a.OK, a.Refused, a.RefusedInRate, a.Tokens, a.ShareOfGrant)
+	}
 	for code, n := range r.Codes {
 		fmt.Fprintf(t, "attempts without an answer: %s\t%d\n", code, n)
 	}
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -40,7 +40,13 @@
 		for range l.addresses {
 			at := l.current()
 			err = l.pool.Call(ctx, l.addresses[at], method, args, reply)
-			if err == nil || !elsewhere(err) || ctx.Err() != nil {
+			if err == nil {
+				return nil
+			}
+			if silent(err) {
+				l.advance(at) // the call may have run; the next one asks another replica
+			}
+			if !elsewhere(err) || ctx.Err() != nil {
 				return err
 			}
 			l.advance(at)
@@ -53,6 +59,10 @@
 	}
 }
 
+// silent reports that no answer came: the replica is paused, cut off, or behind
+// something that takes connections and drops them.
+func silent(err error) bool { return errkind.Is(err, errkind.Timeout) }
+
 func elsewhere(err error) bool {
 	e := errkind.Of(err)
 	return e.Outcome == errkind.NotRun && (e.Kind == errkind.NotLeader || e.Kind == errkind.NoQuorum)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -90,3 +90,19 @@
 		b.Close()
 	})
 }
+
+// A replica that takes connections and never answers must not hold the client for good.
+func TestLeaderClientLeavesASilentReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leader := newEcho(t, errkind.Internal)
+		p := NewPool(Options{Dial: pipes(map[string]*Server{"b": leader})})
+		l := NewLeaderClient(p, []string{"a", "b"})
+		var out string
+		err := l.Call(t.Context(), "Echo.Say", "x", &out)
+		assert.Equal(t, errkind.Of(err).Kind, errkind.Timeout)
+		assert.NilError(t, l.Call(t.Context(), "Echo.Say", "y", &out))
+		assert.Equal(t, out, "y")
+		p.Close()
+		leader.Close()
+	})
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -15,6 +15,7 @@
 
 var (
 	binaries string
+	scripts  = flag.String("scenario-files", filepath.Join("..", "..", "scenarios"), "directory of the scenarios")
 	keepDir  = flag.String("scenario-dir", "", "keep the scenarios' logs and settings in this directory")
 )
 
@@ -42,7 +43,7 @@
 
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir:                 filepath.Join("..", "..", "scenarios"),
+		Dir:                 *scripts,
 		WorkdirRoot:         *keepDir,
 		Cmds:                commands(),
 		RequireExplicitExec: true,
