--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,272 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"eelgrasshollow/internal/engine"
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/routing"
+	"eelgrasshollow/internal/standin"
+	"eelgrasshollow/internal/state"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// quietFront is a front that logs nowhere, before endpoints reached by dial.
+func quietFront(b *testing.B, dial engine.Dial, address string) (*Front, string) {
+	b.Helper()
+	s, e := defaults(b)
+	e.FirstByte, e.Silence, s.Write = time.Hour, time.Hour, time.Hour
+	hasher, token := keys.NewHasher(testHashKey), keys.New()
+	view := state.NewView(testConfiguration(hasher, token))
+	return NewFront(s, Deps{
+		Directory: &fakeDirectory{view: view, changed: make(chan struct{})}, Limiter: &fakeLimiter{}, Journal: &fakeJournal{},
+		Router: oneEndpoint{address}, Engine: engine.New(e, dial), Hasher: hasher, Log: zap.NewNop(),
+	}), token.Text()
+}
+
+// oneEndpoint routes everything to one address.
+type oneEndpoint struct{ address string }
+
+func (o oneEndpoint) Pick(context.Context, routing.Request) (routing.Ticket, error) { return o, nil }
+func (o oneEndpoint) Decision() routing.Decision {
+	return routing.Decision{Endpoint: "engine", Address: o.address}
+}
+func (oneEndpoint) Started()            {}
+func (oneEndpoint) Done(routing.Result) {}
+
+// serveOn serves a handler on a loopback address until the benchmark ends.
+func serveOn(b *testing.B, s *http.Server) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+// times are what a caller saw of one stream.
+type times struct{ first, perToken time.Duration }
+
+func timeStream(b *testing.B, address, token, body string) times {
+	b.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	assert.NilError(b, err)
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+token)
+	start := time.Now()
+	answer, err := http.DefaultClient.Do(r)
+	assert.NilError(b, err)
+	defer func() { _ = answer.Body.Close() }()
+	events := engine.NewEventReader(answer.Body, 1<<20)
+	var first, last time.Time
+	n := 0
+	for {
+		_, err := events.Next()
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(b, err)
+		last = time.Now()
+		if n++; n == 1 {
+			first = last
+		}
+	}
+	assert.Assert(b, n > 2)
+	return times{first.Sub(start), last.Sub(first) / time.Duration(n-1)}
+}
+
+func quantile(list []time.Duration, q float64) float64 {
+	slices.Sort(list)
+	return float64(list[int(q*float64(len(list)-1))].Microseconds())
+}
+
+// BenchmarkAddedLatency alternates streams through the front and straight to the
+// stand-in, and reports the differences of the quantiles in microseconds.
+func BenchmarkAddedLatency(b *testing.B) {
+	for _, promptBytes := range []int{4 << 10, 400 << 10} {
+		b.Run(fmt.Sprintf("prompt=%dKiB", promptBytes>>10), func(b *testing.B) {
+			e := standin.NewEngine(standin.EngineConfig{Blocks: 1000, Slots: 64, PrefillRate: 1e9, TokenTime: time.Millisecond})
+			direct := serveOn(b, &http.Server{Handler: e.Handler()})
+			front, token := quietFront(b, nil, direct)
+			routed := serveOn(b, front.Server(zap.NewNop()))
+			body := fmt.Sprintf(`{"model":"quote","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"%s"}]}`, strings.Repeat("pasta al huevo, ", promptBytes/16))
+			var firsts, steps [2][]time.Duration
+			for b.Loop() {
+				for i, address := range []string{direct, routed} {
+					t := timeStream(b, address, token, body)
+					firsts[i], steps[i] = append(firsts[i], t.first), append(steps[i], t.perToken)
+				}
+			}
+			for _, q := range []struct {
+				name string
+				at   float64
+			}{{"p50", .5}, {"p99", .99}} {
+				b.ReportMetric(quantile(firsts[0], q.at), "direct-first-"+q.name+"-us")
+				b.ReportMetric(quantile(firsts[1], q.at)-quantile(firsts[0], q.at), "added-first-"+q.name+"-us")
+				b.ReportMetric(quantile(steps[1], q.at)-quantile(steps[0], q.at), "added-token-"+q.name+"-us")
+			}
+		})
+	}
+}
+
+// pipeEngine answers requests over net.Pipe with prepared bytes.
+type pipeEngine struct {
+	answer func(id string) []byte
+	hold   bool // keep the connection open and quiet after the answer
+	conns  sync.Map
+}
+
+func (p *pipeEngine) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p.conns.Store(far, true)
+	go p.serve(far)
+	return near, nil
+}
+
+func (p *pipeEngine) serve(conn net.Conn) {
+	r := bufio.NewReaderSize(conn, 512)
+	for {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if _, err := conn.Write(p.answer(request.Header.Get(engineapi.HeaderRequestID))); err != nil || p.hold {
+			return
+		}
+	}
+}
+
+func (p *pipeEngine) close() {
+	p.conns.Range(func(c, _ any) bool { _ = c.(net.Conn).Close(); return true })
+}
+
+const wholeAnswer = `{"id":"cmpl","object":"chat.completion","model":"quote","choices":[{"index":0,"message":{"role":"assistant","content":"fideos"},"finish_reason":"stop"}],"usage":{"prompt_tokens":100,"completion_tokens":1,"total_tokens":101}}`
+
+// BenchmarkRequests reports requests a second of processor time, with the front, its
+// HTTP server and client, the caller's side and the prepared engine all counted.
+func BenchmarkRequests(b *testing.B) {
+	p := &pipeEngine{answer: func(id string) []byte {
+		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(wholeAnswer), wholeAnswer)
+	}}
+	defer p.close()
+	front, token := quietFront(b, p.dial, "engine:1")
+	routed := serveOn(b, front.Server(zap.NewNop()))
+	body := fmt.Sprintf(chatBody, false, 16)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	before := processorTime(b)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r, _ := http.NewRequest(http.MethodPost, "http://"+routed+"/v1/chat/completions", strings.NewReader(body))
+			r.Header.Set("Content-Type", "application/json")
+			r.Header.Set("Authorization", "Bearer "+token)
+			answer, err := client.Do(r)
+			if err != nil || answer.StatusCode != http.StatusOK {
+				b.Errorf("request failed: %v", err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+		}
+	})
+	b.ReportMetric(float64(b.N)/(processorTime(b)-before).Seconds(), "requests/core-s")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// pipeListener accepts connections handed to it.
+type pipeListener struct{ conns chan net.Conn }
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	conn, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+func (pipeListener) Close() error   { return nil }
+func (pipeListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+const idleStreams = 10_000
+
+// BenchmarkIdleStreams opens 10,000 streams that have begun and are quiet, in process
+// over net.Pipe, and reports bytes (heap and stacks) and goroutines for each. The
+// caller's and engine's ends are in the bytes; they have no goroutines by then.
+func BenchmarkIdleStreams(b *testing.B) {
+	event := `data: {"id":"c","object":"chat.completion.chunk","model":"quote","choices":[{"index":0,"delta":{"content":"a"},"finish_reason":null}]}`
+	p := &pipeEngine{hold: true, answer: func(id string) []byte {
+		chunk := "id: 1\n" + event + "\n\n"
+		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", id, len(chunk), chunk)
+	}}
+	for b.Loop() {
+		front, token := quietFront(b, p.dial, "engine:1")
+		l := pipeListener{make(chan net.Conn)}
+		server := front.Server(zap.NewNop())
+		go func() { _ = server.Serve(l) }()
+		memory, goroutines := usage()
+		var callers []net.Conn
+		for range idleStreams {
+			near, far := net.Pipe()
+			l.conns <- far
+			callers = append(callers, near)
+			openStream(b, near, token)
+		}
+		memoryAfter, goroutinesAfter := usage()
+		b.ReportMetric(float64(memoryAfter-memory)/idleStreams, "bytes/stream")
+		b.ReportMetric(float64(goroutinesAfter-goroutines)/idleStreams, "goroutines/stream")
+		for _, c := range callers {
+			_ = c.Close()
+		}
+		close(l.conns)
+		p.close()
+	}
+}
+
+// openStream sends a request and reads up to the first event.
+func openStream(b *testing.B, conn net.Conn, token string) {
+	b.Helper()
+	body := fmt.Sprintf(chatBody, true, 16)
+	request := "POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nContent-Type: application/json\r\nAuthorization: Bearer " + token +
+		"\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	_, err := conn.Write([]byte(request))
+	assert.NilError(b, err)
+	var got []byte
+	part := make([]byte, 4096)
+	for !bytes.Contains(got, []byte("data: ")) {
+		n, err := conn.Read(part)
+		assert.NilError(b, err)
+		got = append(got, part[:n]...)
+	}
+}
+
+func usage() (bytes uint64, goroutines int) {
+	for range 3 {
+		runtime.GC()
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse, runtime.NumGoroutine()
+}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -8,6 +8,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -182,7 +183,7 @@
 		x.w.Header().Set("Connection", "close")
 		return nil, errkind.New(errkind.TooLarge, "body of more than %d bytes", limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -196,6 +197,15 @@
 	return body, nil
 }
 
+// readAll reads to the end; length is what the caller announced, or below 0. Memory
+// is taken in steps, as an announced length costs a caller nothing.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	const firstStep = 1 << 20
+	buffer := bytes.NewBuffer(make([]byte, 0, min(max(length, 0), firstStep)+bytes.MinRead))
+	_, err := buffer.ReadFrom(r)
+	return buffer.Bytes(), err
+}
+
 // cleanPath reports whether a path means the same to every reader.
 func cleanPath(p string) bool {
 	return path.Clean(p) == strings.TrimSuffix(p, "/") || p == "/"
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -31,6 +31,7 @@
 			assert.Equal(t, errkind.Of(err).Outcome, errkind.NotRun)
 			return
 		}
+		assert.Equal(t, string(c.prompt), string(promptOf(t, body, chat)))
 		sent, err := c.bodyFor(extra)
 		assert.NilError(t, err)
 		var read struct {
@@ -46,3 +47,22 @@
 		assert.Equal(t, read.Extra, extra)
 	})
 }
+
+// promptOf reads the prompt as engines do.
+func promptOf(t *testing.T, body []byte, chat bool) []byte {
+	var f struct {
+		Messages []engineapi.Message
+		Prompt   json.RawMessage
+	}
+	if err := json.Unmarshal(body, &f); err != nil {
+		t.Skip("engines refuse this body")
+	}
+	if chat {
+		return engineapi.ChatPrompt(f.Messages)
+	}
+	var text string
+	if json.Unmarshal(f.Prompt, &text) != nil {
+		t.Skip("lists of texts are joined by the router only")
+	}
+	return []byte(text)
+}
