Bound what a caller that reads nothing can hold, and keep a stream's weights

Cause: the system took megabytes for a connection that had gone silent, so a stream was never given up; a stream resumed during a change of weights could go on with others. Change: send buffer of 64 KiB on callers' connections, write bound 10 s; the stream's name carries its weights version; routing's rolling versions are asked for; the stand-in reads a stream's cancel under its lock (race seen by the detector).

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -15,6 +15,8 @@
 	"eelgrasshollow/internal/prefix"
 	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/state"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // job is a completion on its way through one or more engines.
@@ -121,7 +123,11 @@
 	if account, ok := view.Account(x.account); ok {
 		priority += int(account.GetPriority())
 	}
-	j := &job{exchange: x, completion: c, path: path, version: model.GetWeightsVersion(), delivered: from}
+	version, err := f.versionOf(x, c.model, f.serving(x, c, model))
+	if err != nil {
+		return nil, err
+	}
+	j := &job{exchange: x, completion: c, path: path, version: version, delivered: from}
 	j.seed = prefix.Namespace{Account: x.account, Model: c.model, Adapter: c.adapter, Version: j.version}.Seed()
 	j.request = routing.Request{
 		ID: x.id, Account: x.account, Model: c.model, Version: j.version, Adapter: c.adapter,
@@ -131,6 +137,22 @@
 	return j, nil
 }
 
+// siblingBytes is the length of prompt by which requests that share a prefix stay on
+// one weights version while new weights are rolled out.
+const siblingBytes = 4000
+
+// serving returns the weights version to run on.
+func (f *Front) serving(x *exchange, c *completion, model *pb.Model) string {
+	versioner, ok := f.router.(routing.Versioner)
+	if !ok {
+		return model.GetWeightsVersion()
+	}
+	key := xxhash.New()
+	_, _ = key.WriteString(x.account)
+	_, _ = key.Write(c.prompt[:min(len(c.prompt), siblingBytes)])
+	return versioner.Serving(c.model, model.GetWeightsVersion(), key.Sum64())
+}
+
 func (f *Front) modelRoute(x *exchange, view *state.View, c *completion) (*pb.Route, *pb.Model, error) {
 	route, ok := view.ModelRoute(c.model)
 	model, known := view.Model(c.model)
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -18,6 +18,7 @@
 	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/settings"
 	"eelgrasshollow/internal/standin"
@@ -247,6 +248,10 @@
 		Fleet: selfOnly{watch.VM{Name: "e1", Address: "127.0.0.1:7001", FailureDomain: "a"}},
 	})
 	b.server = httptest.NewUnstartedServer(nil)
+	l, err := liveness.Listen(t.Context(), "127.0.0.1:0", entrySettings.Acknowledge, int(entrySettings.SendBuffer))
+	assert.NilError(t, err)
+	assert.NilError(t, b.server.Listener.Close())
+	b.server.Listener = l
 	b.server.Config = b.front.Server(zap.New(core))
 	b.server.Start()
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -35,6 +35,8 @@
 const (
 	// HeaderStream names a stream for GET /v1/streams/{stream} at any entry VM.
 	HeaderStream = "Eelgrass-Stream"
+	// HeaderRequest is the request ID in logs and at endpoints.
+	HeaderRequest = "Eelgrass-Request-Id"
 	// HeaderAccount tells a plain service the client account that a call runs for.
 	HeaderAccount = "Eelgrass-Account"
 )
@@ -125,6 +127,8 @@
 			id: uuid.NewString(), token: tokenOf(r), start: time.Now(),
 		}
 		w.Header().Set(engineapi.HeaderRequestID, x.id)
+		w.Header().Set(HeaderRequest, x.id)
+		f.echo(x)
 		open := &openRequest{token: x.token, route: r.URL.Path, cancel: cancel}
 		if err := f.open.add(open); err != nil {
 			w.Header().Set("Connection", "close")
@@ -141,6 +145,16 @@
 	})
 }
 
+// echo gives a caller its own request ID back. It goes nowhere else, as only ours is
+// known to be one request's and to hold no key.
+func (f *Front) echo(x *exchange) {
+	own := x.r.Header.Get(engineapi.HeaderRequestID)
+	if own == "" || len(own) > f.settings.MaxIDBytes || (x.token != "" && strings.Contains(own, x.token)) {
+		return
+	}
+	x.w.Header().Set(engineapi.HeaderRequestID, own)
+}
+
 // fail ends an exchange with an error: a refusal, or the last event of a stream.
 func (f *Front) fail(x *exchange, err error) {
 	e := reason(x.ctx, err)
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -72,7 +72,8 @@
 
 // Start listens and serves.
 func (m *Module) Start(ctx context.Context) error {
-	l, err := liveness.Listen(ctx, m.config.Self.Address, m.config.Settings.Acknowledge)
+	s := m.config.Settings
+	l, err := liveness.Listen(ctx, m.config.Self.Address, s.Acknowledge, int(s.SendBuffer))
 	if err != nil {
 		return err
 	}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -54,6 +54,7 @@
 		h.Set(errkind.HeaderName, string(e.Outcome))
 	}
 	if after > 0 {
+		h.Set("Retry-After-Ms", strconv.FormatInt(after.Milliseconds(), 10))
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
 	}
 	w.WriteHeader(e.Kind.Answer().HTTP)
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -21,6 +21,7 @@
 	Incarnation string `json:"n"`
 	Account     string `json:"a,omitempty"`
 	Model       string `json:"m"`
+	Version     string `json:"v"` // weights version
 	Output      int    `json:"o"` // greatest output, in tokens
 	Prompt      int    `json:"p"` // prompt, in tokens
 }
@@ -32,7 +33,7 @@
 
 // streamName returns the name by which the caller can ask any entry VM for the rest.
 func (f *Front) streamName(j *job, d routing.Decision, incarnation string) string {
-	data, err := json.Marshal(streamRef{j.id, d.Endpoint, incarnation, j.account, j.model, j.output, j.request.PromptTokens})
+	data, err := json.Marshal(streamRef{j.id, d.Endpoint, incarnation, j.account, j.model, j.version, j.output, j.request.PromptTokens})
 	if err != nil {
 		return ""
 	}
@@ -51,6 +52,20 @@
 	return ref, err == nil && json.Unmarshal(data, &ref) == nil
 }
 
+// versionOf returns the weights version that a stream began with, so that its rest comes
+// from the same weights; without a stream's name it is the wanted one.
+func (f *Front) versionOf(x *exchange, model, wanted string) (string, error) {
+	name := x.r.Header.Get(HeaderStream)
+	if name == "" {
+		return wanted, nil
+	}
+	ref, ok := f.parseStreamName(name)
+	if !ok || ref.Account != x.account || ref.Model != model {
+		return "", errkind.New(errkind.NotFound, "no such stream")
+	}
+	return ref.Version, nil
+}
+
 // resumeStream goes on with a stream that another entry VM began, on the engine that
 // runs it. When that engine's run is gone, the caller is told so and can send the
 // request itself again with Last-Event-ID.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -12,9 +12,10 @@
 	MaxHeader      settings.Bytes `ini:"max_header" default:"32 KiB" min:"1 KiB" max:"1 MiB" doc:"Greatest header of a request."`
 	ReadHeader     time.Duration  `ini:"read_header" default:"5s" min:"50ms" max:"1m" doc:"Time a caller may take to send a header."`
 	ReadBody       time.Duration  `ini:"read_body" default:"30s" min:"50ms" max:"10m" doc:"Time a caller may take to send a body."`
-	Write          time.Duration  `ini:"write" default:"20s" min:"50ms" max:"10m" doc:"Time a caller may take to accept one event or answer."`
+	Write          time.Duration  `ini:"write" default:"10s" min:"50ms" max:"10m" doc:"Time a caller may take to accept one event or answer."`
+	SendBuffer     settings.Bytes `ini:"send_buffer" default:"64 KiB" min:"4 KiB" max:"16 MiB" doc:"Bytes that wait in the system for a caller that does not read."`
 	Idle           time.Duration  `ini:"idle" default:"60s" min:"100ms" max:"1h" doc:"Time an unused connection of a caller is kept."`
-	Acknowledge    time.Duration  `ini:"acknowledge" default:"5s" min:"100ms" max:"1m" doc:"Time that bytes sent to a caller may stay unacknowledged."`
+	Acknowledge    time.Duration  `ini:"acknowledge" default:"10s" min:"100ms" max:"1m" doc:"Time that bytes for a caller may stay unacknowledged or unsent."`
 	Queue          time.Duration  `ini:"queue" default:"20s" min:"10ms" max:"10m" doc:"Time a request may wait for an endpoint."`
 	ClaimQueue     time.Duration  `ini:"claim_queue" default:"3s" min:"10ms" max:"1m" doc:"Time a call under a journal claim may wait for an endpoint; below the journal's begin_lease."`
 	Attempts       int            `ini:"attempts" default:"4" min:"1" max:"20" doc:"Endpoints an idempotent request is tried at."`
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -79,13 +79,17 @@
 func (e *Engine) cancelStream(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	s := e.streams[r.PathValue("id")]
+	var cancel context.CancelFunc
+	if s != nil {
+		cancel = s.cancel
+	}
 	e.mu.Unlock()
 	if s == nil {
 		writeError(w, http.StatusNotFound, "unknown_stream", "no such stream in this incarnation")
 		return
 	}
-	if s.cancel != nil {
-		s.cancel()
+	if cancel != nil {
+		cancel()
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
