Weigh homes once per decision and register placement

Cause: the home scorer compared every endpoint with every other. Change: one rendezvous weight per candidate, the n-th highest by selection; bench of decisions; control.placement joins the control daemon.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,12 @@
 demo: build
 	@./scripts/demo.sh
 
+# bench-routing   the routing policy against baselines, with plots
+bench-routing:
+	@mkdir -p docs/results
+	$(GO) run ./cmd/eelgrass-policybench --plots docs/results
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/routing
+
 generate:
 	./proto/generate.sh
 
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -11,6 +11,7 @@
 	"eelgrasshollow/internal/keys"
 	"eelgrasshollow/internal/logging"
 	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/placement"
 	"eelgrasshollow/internal/state"
 	"eelgrasshollow/internal/statemachine"
 	"eelgrasshollow/internal/watch"
@@ -105,4 +106,5 @@
 // addServices registers the services that run on the leader. Each adds its machine
 // to p.mux and its module to p.kernel, with consensus.ModuleName among its needs.
 func (p *parts) addServices() {
+	p.kernel.Register(placement.ModuleName, placement.NewModule(p.settings.Placement), consensus.ModuleName, state.ModuleName)
 }
--- a/internal/controld/settings.go
+++ b/internal/controld/settings.go
@@ -6,15 +6,17 @@
 
 	"eelgrasshollow/internal/consensus"
 	"eelgrasshollow/internal/logging"
+	"eelgrasshollow/internal/placement"
 	"eelgrasshollow/internal/settings"
 )
 
 // Settings of eelgrass-control.
 type Settings struct {
-	Log      logging.Settings `ini:"log"`
-	Node     Node             `ini:"node"`
-	Control  Control          `ini:"control"`
-	Security Security         `ini:"security"`
+	Log       logging.Settings   `ini:"log"`
+	Node      Node               `ini:"node"`
+	Control   Control            `ini:"control"`
+	Placement placement.Settings `ini:"placement"`
+	Security  Security           `ini:"security"`
 }
 
 // Node is the [node] section.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -103,8 +103,12 @@
 func (p *Planner) Step(now time.Time, w World) []Action {
 	r := &round{planner: p, now: now, world: w, models: map[string]Model{}}
 	for _, m := range w.Models {
-		r.models[m.Name] = m
+		if m.Version != "" { // without a version operators place the model themselves
+			r.models[m.Name] = m
+		}
 	}
+	r.world.Models = slices.Clone(w.Models)
+	r.world.Models = slices.DeleteFunc(r.world.Models, func(m Model) bool { return m.Version == "" })
 	r.look()
 	p.measure(now, r)
 	r.settle()
--- /dev/null
+++ b/internal/routing/bench_test.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"eelgrasshollow/internal/prefix"
+)
+
+// chainOf makes the chain of one of many prompts that share a first half.
+func chainOf(prompt, depth int) []prefix.Hash {
+	rng := rand.New(rand.NewPCG(uint64(prompt%8), 1))
+	chain := make([]prefix.Hash, depth)
+	for i := range chain {
+		if i == depth/2 {
+			rng = rand.New(rand.NewPCG(uint64(prompt), 2))
+		}
+		chain[i] = prefix.Hash(rng.Uint64())
+	}
+	return chain
+}
+
+func warmCore(endpoints, depth, prompts int) (*Core, []Request) {
+	c := NewCore(Ours(DefaultTuning()), DefaultLimits(), epoch)
+	c.SetFleet(epoch, engines(endpoints, 1000))
+	requests := make([]Request, prompts)
+	for i := range requests {
+		requests[i] = request("a", chainOf(i, depth)...)
+		p := submit(c, epoch, requests[i])
+		c.Finish(epoch, p, answer(p, "i", 0))
+	}
+	return c, requests
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, endpoints := range []int{9, 170, 1000} {
+		for _, depth := range []int{4, 16, 64} {
+			b.Run(fmt.Sprintf("endpoints=%d/depth=%d", endpoints, depth), func(b *testing.B) {
+				c, requests := warmCore(endpoints, depth, 500)
+				now := epoch
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now = now.Add(time.Millisecond)
+					p := submit(c, now, requests[i%len(requests)])
+					c.Finish(now, p, Result{Incarnation: "i", PromptTokens: p.Request.PromptTokens, CachedTokens: p.Decision.CachedTokens, FirstToken: time.Millisecond})
+				}
+			})
+		}
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkMemory reports bytes per endpoint and per tracked prefix.
+func BenchmarkMemory(b *testing.B) {
+	const endpoints, prefixes = 10_000, 100_000
+	for b.Loop() {
+		before := heap()
+		c := NewCore(Ours(DefaultTuning()), DefaultLimits(), epoch)
+		c.SetFleet(epoch, engines(endpoints, 8))
+		withFleet := heap()
+		for i := range prefixes / 10 {
+			chain := chainOf(1000+i, 10)
+			c.index.Touch(c.byName["e0"].index, chain, epoch)
+			c.index.Touch(c.byName["e1"].index, chain, epoch)
+		}
+		withPrefixes := heap()
+		b.ReportMetric((withFleet-before)/endpoints, "B/endpoint")
+		b.ReportMetric((withPrefixes-withFleet)/float64(c.index.Len()), "B/prefix")
+		runtime.KeepAlive(c)
+	}
+}
+
+func BenchmarkDigest(b *testing.B) {
+	c, requests := warmCore(9, 10, 50)
+	peer, _ := warmCore(9, 10, 50)
+	now := epoch
+	bytes := 0
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(100 * time.Millisecond)
+		p := submit(c, now, requests[i%len(requests)])
+		c.Finish(now, p, answer(p, "i", 0))
+		d := c.Digest("a", 1024)
+		bytes += d.Size()
+		peer.Absorb(now, d)
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "B/digest")
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -72,7 +72,7 @@
 		} else {
 			delete(old, e.Name)
 		}
-		s.Endpoint, s.id = e, digest.Identify(e.Name)
+		s.Endpoint, s.id, s.hash = e, digest.Identify(e.Name), nameHash(e.Name)
 		c.byName[e.Name] = s
 		for _, m := range e.Models {
 			c.byModel[m] = append(c.byModel[m], s)
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -40,7 +40,11 @@
 		k.Held = max(k.Held, c.candidates[i].Match.Depth)
 	}
 	if len(r.Chain) > 0 {
-		k.Rate = c.index.Rate(levelKey(r.Chain, k.Held), now)
+		key := levelKey(r.Chain, k.Held)
+		k.Rate = c.index.Rate(key, now)
+		for i := range c.candidates {
+			c.candidates[i].home = rendezvous(key, c.candidates[i].State.hash)
+		}
 	}
 	c.score(&k)
 	return &c.candidates[c.policy.Picker.Pick(&k, c.candidates)]
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -51,6 +51,7 @@
 	Service         time.Duration
 
 	index     cacheindex.Endpoint
+	hash      uint64 // of the name
 	queue     fairQueue
 	failures  int
 	downUntil time.Time
--- a/internal/routing/pick_least.go
+++ b/internal/routing/pick_least.go
@@ -27,6 +27,5 @@
 		}
 		return a.State.Name < b.State.Name
 	}
-	key := levelKey(c.Request.Chain, c.Held)
-	return rendezvous(key, a.State.Name) > rendezvous(key, b.State.Name)
+	return a.home > b.home
 }
--- a/internal/routing/plugin.go
+++ b/internal/routing/plugin.go
@@ -16,6 +16,7 @@
 	// ImportFrom is the store to import from, when that is cheaper than computing.
 	ImportFrom string
 	Import     int     // tokens to import
+	home       uint64  // rendezvous weight for the level of the request
 	Total      float64 // predicted milliseconds
 	parts      [maxScorers]float64
 }
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -104,7 +104,7 @@
 	key := c.Request.Chain[len(c.Request.Chain)-1]
 	best, most := 0, uint64(0)
 	for i := range candidates {
-		if w := rendezvous(key, candidates[i].State.Name); w > most {
+		if w := rendezvous(key, candidates[i].State.hash); w > most {
 			best, most = i, w
 		}
 	}
--- a/internal/routing/score_home.go
+++ b/internal/routing/score_home.go
@@ -1,7 +1,7 @@
 package routing
 
 import (
-	"encoding/binary"
+	"slices"
 
 	"eelgrasshollow/internal/prefix"
 
@@ -24,31 +24,54 @@
 	if len(c.Request.Chain) == 0 {
 		return
 	}
-	key := levelKey(c.Request.Chain, c.Held)
 	copies := 1 + int(c.Rate*float64(c.VMs)/h.perCopyRate)
+	if copies >= len(candidates) {
+		return
+	}
+	least := nthHighest(candidates, copies)
 	for i := range candidates {
-		mine := rendezvous(key, candidates[i].State.Name)
-		above := 0
-		for j := range candidates {
-			if j != i && rendezvous(key, candidates[j].State.Name) > mine {
-				above++
-			}
-		}
-		if above >= copies {
+		if candidates[i].home < least {
 			s := candidates[i].State
 			out[i] = h.weight * float64(candidates[i].Missed) * milliseconds(s.PrefillPerToken)
 		}
 	}
 }
 
+// nthHighest finds the n-th highest home weight among more than n candidates.
+func nthHighest(candidates []Candidate, n int) uint64 {
+	var few [16]uint64
+	if n > len(few) {
+		all := make([]uint64, len(candidates))
+		for i := range candidates {
+			all[i] = candidates[i].home
+		}
+		slices.Sort(all)
+		return all[len(all)-n]
+	}
+	top := few[:n]
+	for i := range candidates {
+		w := candidates[i].home
+		for j := range top {
+			if w > top[j] {
+				w, top[j] = top[j], w
+			}
+		}
+	}
+	return top[n-1]
+}
+
 // levelKey is the first piece that nobody is known to hold: siblings share it.
 func levelKey(chain []prefix.Hash, held int) prefix.Hash {
 	return chain[min(held, len(chain)-1)]
 }
 
-// rendezvous weighs a key at an endpoint; the highest weight is the first home.
-func rendezvous(key prefix.Hash, endpoint string) uint64 {
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], uint64(key)^xxhash.Sum64String(endpoint))
-	return xxhash.Sum64(b[:])
+// rendezvous weighs a key at a name; the highest weight is the first home.
+func rendezvous(key prefix.Hash, name uint64) uint64 {
+	x := uint64(key) ^ name
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9 // finalizer of splitmix64
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
+
+// nameHash prepares a name for rendezvous.
+func nameHash(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/routing/sources.go
+++ b/internal/routing/sources.go
@@ -125,9 +125,9 @@
 }
 
 func owns(key prefix.Hash, self string, peers []string) bool {
-	mine := rendezvous(key, self)
+	mine := rendezvous(key, nameHash(self))
 	for _, p := range peers {
-		if rendezvous(key, p) > mine {
+		if rendezvous(key, nameHash(p)) > mine {
 			return false
 		}
 	}
