Tell peers at once of prefixes that are being computed and bound the extra wait

Cause: with one VM Tatrametal's p99 was 4232 ms, as requests queued long to spare work; digests every 100 ms cost 3.1 KB/s per VM. Change: the weight of uncached work adds at most 2 s; digests every 250 ms, within 20 ms when new work was placed.

--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -16,7 +16,8 @@
 	warmUp       = 10 * time.Second
 	hop          = 1500 * time.Microsecond
 	tickEvery    = 20 * time.Millisecond
-	digestEvery  = 100 * time.Millisecond
+	digestEvery  = 250 * time.Millisecond
+	digestUrgent = 20 * time.Millisecond
 	digestBytes  = 1024
 	recallBytes  = 16 << 10
 	lookupKept   = 10 * time.Second // how long callers keep the address of an entry VM
@@ -87,6 +88,7 @@
 	scenario Scenario
 	length   time.Duration
 	cores    []*routing.Core
+	told     []time.Duration // when each VM sent its last digest
 	listed   map[string]bool // endpoints in the configuration
 	seen     *Measures
 }
@@ -106,12 +108,13 @@
 		b.fleet.listen = b.listen
 	}
 	b.cores = make([]*routing.Core, vms)
+	b.told = make([]time.Duration, vms)
 	for i := range b.cores {
 		b.startVM(i)
 	}
 	l.every(tickEvery, b.tick)
 	if v.Digests && vms > 1 {
-		l.every(digestEvery, b.exchange)
+		l.every(digestUrgent, b.exchange)
 	}
 	b.plan()
 	for _, a := range w.Generate(s, b.length, rand.New(rand.NewPCG(seed, 2))) {
@@ -199,9 +202,13 @@
 	}
 }
 
-// exchange sends every VM's digest to every other.
+// exchange sends digests to the other VMs: urgent ones at once, others when due.
 func (b *bench) exchange() {
 	for i, c := range b.cores {
+		if !c.Urgent() && b.loop.now-b.told[i] < digestEvery {
+			continue
+		}
+		b.told[i] = b.loop.now
 		d := c.Digest(fmt.Sprint(i), digestBytes)
 		b.seen.digestBytes += d.Size() * (len(b.cores) - 1)
 		b.loop.after(hop, func() { b.deliver(i, d) })
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -6,6 +6,7 @@
 	"eelgrasshollow/internal/cacheindex"
 	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/prefix"
 )
 
 // Limits bound what a Core keeps and how long it lets requests wait.
@@ -38,6 +39,7 @@
 	peers      map[string]peerView
 	fresh      []digest.Placement // for the next digest
 	gone       []digest.Placement
+	urgent     bool
 	matches    []cacheindex.Match
 	candidates []Candidate
 	out        []float64
@@ -198,7 +200,7 @@
 	s.InFlight++
 	s.PendingTokens += p.missed
 	c.index.Touch(s.index, p.Request.Chain, now)
-	c.remember(s, p.Request.Chain)
+	c.remember(s, p.Request.Chain, p.missed >= prefix.PieceTokens)
 	p.settled()
 }
 
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -17,6 +17,7 @@
 
 const (
 	digestTimeout = 500 * time.Millisecond
+	urgentEvery   = 20 * time.Millisecond
 	recallBytes   = 16 << 10
 )
 
@@ -67,6 +68,7 @@
 type exchange struct {
 	module *Module
 	pool   caller
+	last   time.Time // of the last digest
 
 	mu    sync.Mutex
 	busy  map[string]bool // peers whose last call still runs
@@ -78,7 +80,7 @@
 }
 
 func (x *exchange) run(ctx context.Context) error {
-	ticker := time.NewTicker(x.module.settings.DigestEvery)
+	ticker := time.NewTicker(urgentEvery)
 	defer ticker.Stop()
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -86,12 +88,27 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
-			x.round(ctx, &calls)
+		case now := <-ticker.C:
+			if x.due(now) {
+				x.round(ctx, &calls)
+			}
 		}
 	}
 }
 
+// due reports whether a digest is to be sent now: one of the regular ones, or an
+// urgent one.
+func (x *exchange) due(now time.Time) bool {
+	x.module.mu.Lock()
+	urgent := x.module.core.Urgent()
+	x.module.mu.Unlock()
+	if !urgent && now.Sub(x.last) < x.module.settings.DigestEvery {
+		return false
+	}
+	x.last = now
+	return true
+}
+
 // round tells every peer; one that has not answered yet is passed over.
 func (x *exchange) round(ctx context.Context, calls *sync.WaitGroup) {
 	m := x.module
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -26,7 +26,7 @@
 	QueuePerEndpoint int           `ini:"queue_per_endpoint" default:"64" min:"1" max:"10000" doc:"Requests that may wait for a place at one endpoint."`
 	LongestWait      time.Duration `ini:"longest_wait" default:"5s" min:"10ms" max:"1m" doc:"Longest wait for a place before a request is refused as not run."`
 	TrackedPrefixes  int           `ini:"tracked_prefixes" default:"100000" min:"1000" max:"10000000" doc:"Prefixes whose whereabouts are kept in memory."`
-	DigestEvery      time.Duration `ini:"digest_every" default:"100ms" min:"10ms" max:"10s" doc:"Time between two digests to the other entry VMs."`
+	DigestEvery      time.Duration `ini:"digest_every" default:"250ms" min:"20ms" max:"10s" doc:"Time between two digests to the other entry VMs; news of a prefix that is being computed goes sooner."`
 	DigestBytes      int           `ini:"digest_bytes" default:"1024" min:"128" max:"65536" doc:"Greatest size of a digest."`
 	LoadEvery        time.Duration `ini:"load_every" default:"500ms" min:"50ms" max:"1m" doc:"Time between two reads of an endpoint's load report."`
 	RetryShare       float64       `ini:"retry_share" default:"0.1" min:"0" max:"1" doc:"Second tries allowed per first try."`
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -10,6 +10,9 @@
 	// Prefill is the weight of uncached work against waiting; above 1, because work
 	// that is repeated also delays others and evicts what they use.
 	Prefill float64
+	// MostExtra bounds what the weight beyond 1 may add, so that nobody waits for long
+	// to spare others work.
+	MostExtra time.Duration
 	// Home is the weight with which unknown work is drawn to its level's homes.
 	Home float64
 	// PerCopyRate is how many requests per second one copy of a shared level takes.
@@ -17,7 +20,9 @@
 }
 
 // DefaultTuning is the entry VMs' tuning.
-func DefaultTuning() Tuning { return Tuning{Prefill: 3, Home: 1, PerCopyRate: 20} }
+func DefaultTuning() Tuning {
+	return Tuning{Prefill: 2.5, MostExtra: 2 * time.Second, Home: 1, PerCopyRate: 20}
+}
 
 // Cost of an import from the kept-cache store.
 const (
@@ -30,7 +35,7 @@
 	return Policy{
 		Filters: []Filter{available{}},
 		Scorers: []Scorer{
-			queueScorer{}, prefillScorer{t.Prefill}, homeScorer{t.Home, t.PerCopyRate},
+			queueScorer{}, prefillScorer{t.Prefill, milliseconds(t.MostExtra)}, homeScorer{t.Home, t.PerCopyRate},
 			importScorer{fixed: importFixed, perToken: importPerToken, prefill: t.Prefill},
 		},
 		Picker: leastPicker{},
--- a/internal/routing/score_prefill.go
+++ b/internal/routing/score_prefill.go
@@ -2,7 +2,8 @@
 
 // prefillScorer predicts the time to compute what the endpoint has not cached.
 type prefillScorer struct {
-	weight float64
+	weight    float64
+	mostExtra float64 // milliseconds that the weight beyond 1 may add
 }
 
 // Name names the scorer.
@@ -11,6 +12,7 @@
 // Score predicts the prefill time at each candidate.
 func (p prefillScorer) Score(_ *Case, candidates []Candidate, out []float64) {
 	for i := range candidates {
-		out[i] = p.weight * float64(candidates[i].Missed) * milliseconds(candidates[i].State.PrefillPerToken)
+		cost := float64(candidates[i].Missed) * milliseconds(candidates[i].State.PrefillPerToken)
+		out[i] = cost + min((p.weight-1)*cost, p.mostExtra)
 	}
 }
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -25,11 +25,12 @@
 
 // remember notes for the next digest where a request's prefix went: the whole chain
 // and the levels that it shares with siblings.
-func (c *Core) remember(s *State, chain []prefix.Hash) {
+func (c *Core) remember(s *State, chain []prefix.Hash, fresh bool) {
 	if len(chain) == 0 || s.run == 0 {
 		return
 	}
 	s.told = false
+	c.urgent = c.urgent || fresh
 	at := digest.Of(s.id, s.run)
 	c.note(digest.Placement{At: at, Prefix: chain[len(chain)-1]})
 	c.forks = c.index.Forks(chain, c.forks[:0])
@@ -48,10 +49,14 @@
 	c.fresh = append(c.fresh, p)
 }
 
+// Urgent reports whether peers should hear soon: a prefix that was not there before is
+// being computed, and siblings may be on their way.
+func (c *Core) Urgent() bool { return c.urgent }
+
 // Digest returns what the peers should know, within bytes, and starts the next one.
 func (c *Core) Digest(from string, bytes int) *digest.Digest {
 	d := &digest.Digest{From: from, Placements: c.fresh, Gone: c.gone}
-	c.fresh, c.gone = nil, nil
+	c.fresh, c.gone, c.urgent = nil, nil, false
 	for _, s := range c.byName {
 		if s.InFlight == 0 && s.told {
 			continue
