--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -6,7 +6,6 @@
 	"eelgrasshollow/internal/cacheindex"
 	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/errkind"
-	"eelgrasshollow/internal/prefix"
 )
 
 // Limits bound what a Core keeps and how long it lets requests wait.
@@ -200,7 +199,7 @@
 	s.InFlight++
 	s.PendingTokens += p.missed
 	c.index.Touch(s.index, p.Request.Chain, now)
-	c.remember(s, p.Request.Chain, p.missed >= prefix.PieceTokens)
+	c.remember(s, p.Request.Chain, p.match.Depth)
 	p.settled()
 }
 
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -23,15 +23,19 @@
 	loads map[digest.EndpointID]digest.Load
 }
 
-// remember notes for the next digest where a request's prefix went: the whole chain
-// and the levels that it shares with siblings.
-func (c *Core) remember(s *State, chain []prefix.Hash, fresh bool) {
+// remember notes for the next digest where a request's prefix went: the whole chain,
+// the levels that it shares with siblings, and every piece that is computed anew, as
+// siblings of a new prefix are not known yet.
+func (c *Core) remember(s *State, chain []prefix.Hash, held int) {
 	if len(chain) == 0 || s.run == 0 {
 		return
 	}
 	s.told = false
-	c.urgent = c.urgent || fresh
 	at := digest.Of(s.id, s.run)
+	for _, h := range chain[held:] {
+		c.urgent = true
+		c.note(digest.Placement{At: at, Prefix: h})
+	}
 	c.note(digest.Placement{At: at, Prefix: chain[len(chain)-1]})
 	c.forks = c.index.Forks(chain, c.forks[:0])
 	for _, depth := range c.forks {
