--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -38,6 +38,7 @@
 	peers      map[string]peerView
 	fresh      []digest.Placement // for the next digest
 	gone       []digest.Placement
+	urgent     bool
 	matches    []cacheindex.Match
 	candidates []Candidate
 	out        []float64
@@ -72,7 +73,7 @@
 		} else {
 			delete(old, e.Name)
 		}
-		s.Endpoint, s.id = e, digest.Identify(e.Name)
+		s.Endpoint, s.id, s.hash = e, digest.Identify(e.Name), nameHash(e.Name)
 		c.byName[e.Name] = s
 		for _, m := range e.Models {
 			c.byModel[m] = append(c.byModel[m], s)
@@ -198,7 +199,7 @@
 	s.InFlight++
 	s.PendingTokens += p.missed
 	c.index.Touch(s.index, p.Request.Chain, now)
-	c.remember(s, p.Request.Chain)
+	c.remember(s, p.Request.Chain, p.match.Depth)
 	p.settled()
 }
 
