--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -8,6 +8,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -34,6 +35,8 @@
 const (
 	// HeaderStream names a stream for GET /v1/streams/{stream} at any entry VM.
 	HeaderStream = "Eelgrass-Stream"
+	// HeaderRequest is the request ID in logs and at endpoints.
+	HeaderRequest = "Eelgrass-Request-Id"
 	// HeaderAccount tells a plain service the client account that a call runs for.
 	HeaderAccount = "Eelgrass-Account"
 )
@@ -46,7 +49,7 @@
 	Router    routing.Router
 	Engine    *engine.Client
 	Hasher    keys.Hasher
-	Fleet     Fleet
+	Fleet     watch.Fleet
 	Log       *zap.Logger
 }
 
@@ -59,7 +62,7 @@
 	router    routing.Router
 	engine    *engine.Client
 	hasher    keys.Hasher
-	fleet     Fleet
+	fleet     watch.Fleet
 	log       *zap.Logger
 	metrics   *metrics
 	budget    *retryBudget
@@ -124,6 +127,8 @@
 			id: uuid.NewString(), token: tokenOf(r), start: time.Now(),
 		}
 		w.Header().Set(engineapi.HeaderRequestID, x.id)
+		w.Header().Set(HeaderRequest, x.id)
+		f.echo(x)
 		open := &openRequest{token: x.token, route: r.URL.Path, cancel: cancel}
 		if err := f.open.add(open); err != nil {
 			w.Header().Set("Connection", "close")
@@ -140,6 +145,16 @@
 	})
 }
 
+// echo gives a caller its own request ID back. It goes nowhere else, as only ours is
+// known to be one request's and to hold no key.
+func (f *Front) echo(x *exchange) {
+	own := x.r.Header.Get(engineapi.HeaderRequestID)
+	if own == "" || len(own) > f.settings.MaxIDBytes || (x.token != "" && strings.Contains(own, x.token)) {
+		return
+	}
+	x.w.Header().Set(engineapi.HeaderRequestID, own)
+}
+
 // fail ends an exchange with an error: a refusal, or the last event of a stream.
 func (f *Front) fail(x *exchange, err error) {
 	e := reason(x.ctx, err)
@@ -182,7 +197,7 @@
 		x.w.Header().Set("Connection", "close")
 		return nil, errkind.New(errkind.TooLarge, "body of more than %d bytes", limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -196,6 +211,15 @@
 	return body, nil
 }
 
+// readAll reads to the end; length is what the caller announced, or below 0. Memory
+// is taken in steps, as an announced length costs a caller nothing.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	const firstStep = 1 << 20
+	buffer := bytes.NewBuffer(make([]byte, 0, min(max(length, 0), firstStep)+bytes.MinRead))
+	_, err := buffer.ReadFrom(r)
+	return buffer.Bytes(), err
+}
+
 // cleanPath reports whether a path means the same to every reader.
 func cleanPath(p string) bool {
 	return path.Clean(p) == strings.TrimSuffix(p, "/") || p == "/"
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -1,13 +1,65 @@
 package routing
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Tuning weighs the scorers of our policy.
+type Tuning struct {
+	// Prefill is the weight of uncached work against waiting; above 1, because work
+	// that is repeated also delays others and evicts what they use.
+	Prefill float64
+	// MostExtra bounds what the weight beyond 1 may add, so that nobody waits for long
+	// to spare others work.
+	MostExtra time.Duration
+	// Home is the weight with which unknown work is drawn to its level's homes.
+	Home float64
+	// PerCopyRate is how many requests per second one copy of a shared level takes.
+	PerCopyRate float64
+}
+
+// DefaultTuning is the entry VMs' tuning.
+func DefaultTuning() Tuning {
+	return Tuning{Prefill: 2.5, MostExtra: 2 * time.Second, Home: 1, PerCopyRate: 20}
+}
+
+// Cost of an import from the kept-cache store.
+const (
+	importFixed    = 5 * time.Millisecond
+	importPerToken = 10 * time.Microsecond
+)
 
 // Ours is the policy of the entry VMs.
-func Ours() Policy {
+func Ours(t Tuning) Policy {
 	return Policy{
 		Filters: []Filter{available{}},
-		Scorers: []Scorer{queueScorer{}, prefillScorer{weight: 2}, homeScorer{weight: 1, perCopyRate: 20}},
-		Picker:  leastPicker{},
+		Scorers: []Scorer{
+			queueScorer{}, prefillScorer{t.Prefill, milliseconds(t.MostExtra)}, homeScorer{t.Home, t.PerCopyRate},
+			importScorer{fixed: importFixed, perToken: importPerToken, prefill: t.Prefill},
+		},
+		Picker: leastPicker{},
+	}
+}
+
+// Oracle is the same policy over caches and queues as they are.
+func Oracle(truth Truth, t Tuning) Policy {
+	p := Ours(t)
+	p.Scorers[0], p.Truth = truthScorer{truth}, truth
+	return p
+}
+
+// truthScorer predicts the wait from the endpoint's real backlog.
+type truthScorer struct{ truth Truth }
+
+// Name names the scorer.
+func (truthScorer) Name() string { return "queue" }
+
+// Score predicts the wait at each candidate.
+func (t truthScorer) Score(c *Case, candidates []Candidate, out []float64) {
+	for i := range candidates {
+		s := candidates[i].State
+		out[i] = float64(t.truth.Pending(s.Name))*milliseconds(s.PrefillPerToken) + admissionWait(c, s)
 	}
 }
 
@@ -57,7 +109,7 @@
 	key := c.Request.Chain[len(c.Request.Chain)-1]
 	best, most := 0, uint64(0)
 	for i := range candidates {
-		if w := rendezvous(key, candidates[i].State.Name); w > most {
+		if w := rendezvous(key, candidates[i].State.hash); w > most {
 			best, most = i, w
 		}
 	}
