--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -31,6 +32,7 @@
 // Module serves the operator API over HTTP.
 type Module struct {
 	address   string
+	config    *tls.Config
 	operators *Operators
 	keys      keys.Deriver
 	log       *zap.Logger
@@ -38,9 +40,10 @@
 	listener  net.Listener
 }
 
-// NewModule returns a module that serves operators at address.
-func NewModule(address string, o *Operators, d keys.Deriver, log *zap.Logger) *Module {
-	return &Module{address: address, operators: o, keys: d, log: log}
+// NewModule returns a module that serves operators at address; config is nil for
+// plain HTTP.
+func NewModule(address string, config *tls.Config, o *Operators, d keys.Deriver, log *zap.Logger) *Module {
+	return &Module{address: address, config: config, operators: o, keys: d, log: log}
 }
 
 // Provision builds the handlers and registers the net/rpc receiver for followers.
@@ -91,6 +94,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
+	if m.config != nil {
+		l = tls.NewListener(l, m.config)
+	}
 	m.listener = l
 	go func() {
 		if err := m.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"os"
 	"strings"
 
@@ -16,6 +17,7 @@
 	"eelgrasshollow/internal/placement"
 	"eelgrasshollow/internal/state"
 	"eelgrasshollow/internal/statemachine"
+	"eelgrasshollow/internal/tlsconf"
 	"eelgrasshollow/internal/watch"
 
 	"github.com/cockroachdb/errors"
@@ -57,7 +59,9 @@
 // replica can't go on.
 func Build(s *Settings, log *zap.Logger, fatal func(error)) (*kernel.Kernel, error) {
 	p := &parts{settings: s, log: log, kernel: kernel.New(log), mux: statemachine.NewMux(), fatal: fatal}
-	p.addPeers()
+	if err := p.addPeers(); err != nil {
+		return nil, err
+	}
 	p.addAgreement()
 	if err := p.addOperators(); err != nil {
 		return nil, err
@@ -67,9 +71,18 @@
 	return p.kernel, nil
 }
 
-func (p *parts) addPeers() {
-	p.kernel.Register(peer.ServerName, peer.NewServerModule(p.log.Named("peer"), p.settings.Node.PeerAddress, nil))
-	p.kernel.Register(peer.PoolName, peer.NewPoolModule(peer.Options{}, p.settings.controlAddresses()))
+func (p *parts) addPeers() error {
+	var serverTLS, clientTLS *tls.Config
+	if t := p.settings.PeerTLS; t.Enabled() {
+		files, err := tlsconf.New(t)
+		if err != nil {
+			return errors.Wrap(err, "peer TLS")
+		}
+		serverTLS, clientTLS = files.Server(), files.Client()
+	}
+	p.kernel.Register(peer.ServerName, peer.NewServerModule(p.log.Named("peer"), p.settings.Node.PeerAddress, serverTLS))
+	p.kernel.Register(peer.PoolName, peer.NewPoolModule(peer.Options{TLS: clientTLS}, p.settings.controlAddresses()))
+	return nil
 }
 
 // addAgreement registers the replicated machines and agreement over them. A
@@ -98,7 +111,15 @@
 		return err
 	}
 	deriver := keys.NewDeriver(strings.TrimSpace(string(hashKey)))
-	p.kernel.Register(control.ModuleName, control.NewModule(p.settings.Node.OperatorAddress, operators, deriver, p.log.Named("operator")), watch.ModuleName)
+	var config *tls.Config
+	if t := p.settings.TLS; t.Enabled() {
+		files, err := tlsconf.New(t)
+		if err != nil {
+			return errors.Wrap(err, "operators' TLS")
+		}
+		config = files.Server()
+	}
+	p.kernel.Register(control.ModuleName, control.NewModule(p.settings.Node.OperatorAddress, config, operators, deriver, p.log.Named("operator")), watch.ModuleName)
 	if c := p.settings.Control; c.Platform != "" {
 		p.kernel.Register(control.PlatformName, control.NewPlatform(c.Platform, c.PlatformEvery, p.log.Named("platform")), watch.ModuleName)
 	}
--- a/internal/controld/settings.go
+++ b/internal/controld/settings.go
@@ -10,6 +10,7 @@
 	"eelgrasshollow/internal/logging"
 	"eelgrasshollow/internal/placement"
 	"eelgrasshollow/internal/settings"
+	"eelgrasshollow/internal/tlsconf"
 )
 
 // Settings of eelgrass-control.
@@ -18,6 +19,8 @@
 	Node      Node                  `ini:"node"`
 	Control   Control               `ini:"control"`
 	Security  Security              `ini:"security"`
+	PeerTLS   tlsconf.Settings      `ini:"peer_tls"`
+	TLS       tlsconf.Settings      `ini:"tls"`
 	Grants    grants.OwnerSettings  `ini:"grants"`
 	Journal   journal.OwnerSettings `ini:"journal"`
 	Placement placement.Settings    `ini:"placement"`
