--- a/internal/consensus/calls.go
+++ b/internal/consensus/calls.go
@@ -29,6 +29,9 @@
 	select {
 	case r.inbox <- func() {
 		for _, m := range msgs {
+			if m.ReplyTo != "" {
+				r.addresses[m.From] = m.ReplyTo
+			}
 			r.core.Step(time.Now(), m)
 		}
 	}:
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -61,10 +61,11 @@
 	done    chan struct{}
 	stopped sync.Once
 
-	waiting map[uint64]waiter
-	reads   map[uint64]chan ReadReady
-	readID  uint64
-	pending bool // proposals were appended in this batch
+	addresses map[uint64]string // of senders, for those that are no members here
+	waiting   map[uint64]waiter
+	reads     map[uint64]chan ReadReady
+	readID    uint64
+	pending   bool // proposals were appended in this batch
 
 	applied     uint64
 	appliedTerm uint64
@@ -109,7 +110,7 @@
 		opt.OnFatal = func(error) {}
 	}
 	r := &Replica{opt: opt, inbox: make(chan func(), inboxSize), stop: make(chan struct{}), done: make(chan struct{}),
-		waiting: map[uint64]waiter{}, reads: map[uint64]chan ReadReady{}, changed: make(chan struct{})}
+		addresses: map[uint64]string{}, waiting: map[uint64]waiter{}, reads: map[uint64]chan ReadReady{}, changed: make(chan struct{})}
 	snap := opt.Stored.Snapshot
 	if len(snap.Data) > 0 {
 		if err := opt.Machine.Restore(bytes.NewReader(snap.Data)); err != nil {
@@ -247,7 +248,9 @@
 	}
 	members := r.core.Status().Members
 	groups := map[uint64][]Message{}
+	own, _ := members.Find(r.opt.Core.ID)
 	for _, m := range msgs {
+		m.ReplyTo = own.Address
 		if m.Kind == MsgSnapshot {
 			s, err := r.opt.Storage.Snapshot()
 			if err != nil {
@@ -259,8 +262,12 @@
 		groups[m.To] = append(groups[m.To], m)
 	}
 	for to, group := range groups {
+		address := r.addresses[to]
 		if x, ok := members.Find(to); ok {
-			r.opt.Transport.Send(x.Address, group)
+			address = x.Address
+		}
+		if address != "" {
+			r.opt.Transport.Send(address, group)
 		}
 	}
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -121,6 +121,8 @@
 	Transfer  bool
 	Witnesses map[uint64]Witness
 	Snapshot  *Snapshot
+	// ReplyTo is the sender's address, for a receiver that knows no members yet.
+	ReplyTo string
 	// For names the boot that a hello reply speaks of.
 	For Identity
 }
--- a/spec/agreement.pml
+++ b/spec/agreement.pml
@@ -10,7 +10,6 @@
  * Broken variants, each of which must be caught:
  *   BROKEN_LOST_DISK  a replica with a lost disk votes as its old self
  *   BROKEN_VOTE       a vote is not stored before it is given
- *   BROKEN_TERM       a leader commits entries of older terms by counting
  *   BROKEN_JUMP       a membership change replaces two voters at once
  */
 #define N 4
@@ -81,12 +80,8 @@
 #define TRUSTED(x) (!r[x].lost)
 #endif
 
-/* a leader commits entries of its own term only */
-#ifdef BROKEN_TERM
-#define OWNTERM(e) (true)
-#else
+/* a leader commits entries of its own term only; see commit.pml */
 #define OWNTERM(e) (TERM(e) == r[me].term)
-#endif
 
 inline lastTerm(x, out) {
   if :: r[x].size == 0 -> out = 0 :: else -> out = TERM(r[x].log[r[x].size]) fi
