--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -51,6 +51,9 @@
 	settings Settings
 	dial     Dial
 	http     *http.Client
+	// reports has connections of its own, so that a request never meets one that only
+	// a quiet stretch of load reports has kept.
+	reports *http.Client
 }
 
 // New returns a client; a nil dial opens TCP connections with liveness bounds.
@@ -58,6 +61,10 @@
 	if dial == nil {
 		dial = liveness.Dialer(s.ConnectTimeout, s.Acknowledge).DialContext
 	}
+	return &Client{settings: s, dial: dial, http: newHTTP(s, dial), reports: newHTTP(s, dial)}
+}
+
+func newHTTP(s Settings, dial Dial) *http.Client {
 	transport := &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
@@ -66,13 +73,16 @@
 		MaxResponseHeaderBytes: int64(s.MaxHeader),
 		ReadBufferSize:         readBuffer,
 	}
-	return &Client{settings: s, dial: dial, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Close closes unused connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+	c.reports.CloseIdleConnections()
+}
 
 // Do sends an idempotent call and reads its whole answer within bound.
 func (c *Client) Do(ctx context.Context, call Call, bound time.Duration) (*Answer, error) {
@@ -86,9 +96,14 @@
 	return c.whole(ctx, response)
 }
 
+// FirstBound is the time to the first byte of an answer to a prompt of so many tokens.
+func (c *Client) FirstBound(prompt int) time.Duration {
+	return c.settings.FirstByte + time.Duration(prompt)*c.settings.PromptTime
+}
+
 // AnswerBound is the time that an answer of so many output tokens may take in one piece.
-func (c *Client) AnswerBound(tokens int) time.Duration {
-	return c.settings.FirstByte + time.Duration(tokens)*c.settings.TokenTime
+func (c *Client) AnswerBound(prompt, output int) time.Duration {
+	return c.FirstBound(prompt) + time.Duration(output)*c.settings.TokenTime
 }
 
 // PlainBound is the time that a plain service may take.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -19,9 +19,11 @@
 	"gotest.tools/v3/assert"
 )
 
+const firstBound = 200 * time.Millisecond
+
 func testSettings() Settings {
 	return Settings{
-		ConnectTimeout: time.Second, FirstByte: 200 * time.Millisecond, Silence: 200 * time.Millisecond, Acknowledge: time.Second,
+		ConnectTimeout: time.Second, Silence: 200 * time.Millisecond, Acknowledge: time.Second,
 		Idle: time.Second, PlainAnswer: 300 * time.Millisecond, MaxEvent: 1 << 10, MaxAnswer: 1 << 10, MaxHeader: 4 << 10,
 		IdleConnections: 4, RequireEcho: true,
 	}
@@ -99,10 +101,10 @@
 	silent(err)
 	_, err = c.DoOnce(t.Context(), call, begun)
 	silent(err)
-	_, err = c.Stream(t.Context(), call)
+	_, err = c.Stream(t.Context(), call, firstBound)
 	silent(err)
 	call.Path = "/begun"
-	s, err := c.Stream(t.Context(), call)
+	s, err := c.Stream(t.Context(), call, firstBound)
 	assert.NilError(t, err)
 	defer s.Close()
 	_, err = s.Next()
@@ -121,7 +123,7 @@
 	assert.Assert(t, errkind.Is(err, errkind.EndpointFailed))
 	_, err = c.DoOnce(t.Context(), call, begun)
 	assert.Assert(t, errkind.Is(err, errkind.EndpointFailed))
-	_, err = c.Stream(t.Context(), call)
+	_, err = c.Stream(t.Context(), call, firstBound)
 	assert.Assert(t, errkind.Is(err, errkind.EndpointFailed))
 }
 
@@ -135,7 +137,7 @@
 		close(left)
 	})
 	ctx, cancel := context.WithCancel(t.Context())
-	s, err := c.Stream(ctx, call)
+	s, err := c.Stream(ctx, call, firstBound)
 	assert.NilError(t, err)
 	defer s.Close()
 	_, err = s.Next()
--- a/internal/engine/reports.go
+++ b/internal/engine/reports.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.http.Do(request)
+	response, err := c.reports.Do(request)
 	if err != nil {
 		return nil, failure(ctx, err)
 	}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -32,10 +32,10 @@
 	begun   bool // an event has arrived
 }
 
-// Stream sends a call whose answer is a stream of events.
-func (c *Client) Stream(ctx context.Context, call Call) (*Stream, error) {
+// Stream sends a call whose answer is a stream of events, the first within bound.
+func (c *Client) Stream(ctx context.Context, call Call, bound time.Duration) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(c.settings.FirstByte, func() { cancel(errSilent) })
+	timer := time.AfterFunc(bound, func() { cancel(errSilent) })
 	response, err := c.send(ctx, call)
 	if err != nil {
 		timer.Stop()
@@ -100,7 +100,7 @@
 		return
 	}
 	// The closed connection has told the endpoint already; this is for one that did not see it.
-	if response, err := c.http.Do(request); err == nil {
+	if response, err := c.reports.Do(request); err == nil {
 		_ = response.Body.Close()
 	}
 }
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return errors.CombineErrors(err, l.Close())
 	}
-	m.server.TLSConfig = certificates.Server()
+	m.server.TLSConfig = certificates.Server("h2", "http/1.1")
 	m.work.Go(func() error {
 		return m.serveUntilClosed(l, func(l net.Listener) error { return m.server.ServeTLS(l, "", "") })
 	})
@@ -102,8 +102,15 @@
 	if err != nil {
 		panic(err) // the level is a constant
 	}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	half := f.settings.Acknowledge / 2
 	return &http.Server{
-		Handler: f.Handler(), ErrorLog: errorLog,
+		Handler: f.Handler(), ErrorLog: errorLog, Protocols: &protocols,
+		// HTTP/2 callers are pinged, so that one that is gone is found on quiet streams too.
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: half, PingTimeout: half},
 		ReadHeaderTimeout: f.settings.ReadHeader, IdleTimeout: f.settings.Idle,
 		MaxHeaderBytes: int(f.settings.MaxHeader),
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -86,7 +86,7 @@
 // whole passes an answer on in one piece.
 func (a *attempt) whole(call engine.Call) error {
 	f, j := a.front, a.job
-	answer, err := f.engine.Do(j.ctx, call, f.engine.AnswerBound(j.output))
+	answer, err := f.engine.Do(j.ctx, call, f.engine.AnswerBound(j.request.PromptTokens, j.output))
 	if err != nil {
 		if j.ctx.Err() != nil || errkind.Of(err).Outcome != errkind.NotRun {
 			go f.engine.Cancel(call.Address, call.ID)
@@ -108,7 +108,7 @@
 // streamed passes a stream on, event by event.
 func (a *attempt) streamed(call engine.Call, d routing.Decision) error {
 	f, j := a.front, a.job
-	stream, err := f.engine.Stream(j.ctx, call)
+	stream, err := f.engine.Stream(j.ctx, call, f.engine.FirstBound(j.request.PromptTokens))
 	if err != nil {
 		if errkind.Of(err).Outcome != errkind.NotRun {
 			go f.engine.Cancel(call.Address, call.ID)
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -113,7 +113,7 @@
 	if j.delivered > 0 {
 		call.Header[engineapi.HeaderLastEventID] = j.r.Header[engineapi.HeaderLastEventID]
 	}
-	stream, err := f.engine.Stream(j.ctx, call)
+	stream, err := f.engine.Stream(j.ctx, call, f.engine.FirstBound(ref.Prompt))
 	if err != nil {
 		return err
 	}
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -54,14 +54,15 @@
 	return f, f.load(stamps)
 }
 
-// Server returns a configuration for listeners.
-func (f *Files) Server() *tls.Config {
+// Server returns a configuration for listeners; protocols are offered in this order,
+// such as "h2" and "http/1.1".
+func (f *Files) Server(protocols ...string) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS12,
-		NextProtos: []string{"http/1.1"},
+		NextProtos: protocols,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			certificate, authorities := f.current()
-			c := &tls.Config{MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"}, Certificates: []tls.Certificate{*certificate}}
+			c := &tls.Config{MinVersion: tls.VersionTLS12, NextProtos: protocols, Certificates: []tls.Certificate{*certificate}}
 			if f.settings.RequireClient {
 				c.ClientAuth, c.ClientCAs = tls.RequireAndVerifyClientCert, authorities
 			}
