--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"eelgrasshollow/internal/cacheindex"
@@ -30,6 +31,7 @@
 	vms        int
 	index      *cacheindex.Index
 	byName     map[string]*State
+	fleet      []*State // in the order of the configuration
 	byModel    map[string][]*State
 	byService  map[string][]*State
 	unused     []cacheindex.Endpoint
@@ -62,7 +64,7 @@
 // are placed anew.
 func (c *Core) SetFleet(now time.Time, fleet []Endpoint) {
 	old := c.byName
-	c.byName = map[string]*State{}
+	c.byName, c.fleet = map[string]*State{}, nil
 	c.byModel = map[string][]*State{}
 	c.byService = map[string][]*State{}
 	var moved []*Pending
@@ -75,6 +77,7 @@
 		}
 		s.Endpoint, s.id, s.hash = e, digest.Identify(e.Name), nameHash(e.Name)
 		c.byName[e.Name] = s
+		c.fleet = append(c.fleet, s)
 		for _, m := range e.Models {
 			c.byModel[m] = append(c.byModel[m], s)
 		}
@@ -91,6 +94,7 @@
 		c.unused = append(c.unused, s.index)
 		moved = append(moved, s.queue.Overdue(now.Add(time.Nanosecond))...)
 	}
+	slices.SortStableFunc(moved, func(a, b *Pending) int { return a.submitted.Compare(b.submitted) })
 	for _, p := range moved {
 		c.place(now, p)
 	}
@@ -239,7 +243,7 @@
 // Tick refuses, at once, what has waited for longer than the bound.
 func (c *Core) Tick(now time.Time) {
 	c.forgetSilent(now)
-	for _, s := range c.byName {
+	for _, s := range c.fleet {
 		if s.queue.Len() == 0 {
 			continue
 		}
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -61,7 +61,7 @@
 func (c *Core) Digest(from string, bytes int) *digest.Digest {
 	d := &digest.Digest{From: from, Placements: c.fresh, Gone: c.gone}
 	c.fresh, c.gone, c.urgent = nil, nil, false
-	for _, s := range c.byName {
+	for _, s := range c.fleet {
 		if s.InFlight == 0 && s.told {
 			continue
 		}
@@ -83,7 +83,7 @@
 func (c *Core) Recall(now time.Time, from string, bytes int) *digest.Digest {
 	d := &digest.Digest{From: from}
 	at := make(map[cacheindex.Endpoint]digest.At, len(c.byName))
-	for _, s := range c.byName {
+	for _, s := range c.fleet {
 		if s.run != 0 {
 			at[s.index] = digest.Of(s.id, s.run)
 			d.Loads = append(d.Loads, c.load(s))
@@ -117,7 +117,7 @@
 	}
 	c.peers[d.From] = v
 	at := make(map[digest.At]*State, len(c.byName))
-	for _, s := range c.byName {
+	for _, s := range c.fleet {
 		if l, ok := v.loads[s.id]; ok && l.Run != 0 {
 			c.adopt(s, l.Run)
 		}
@@ -164,7 +164,7 @@
 // sumPeers adds the peers' loads up.
 func (c *Core) sumPeers() {
 	c.vms = len(c.peers) + 1
-	for _, s := range c.byName {
+	for _, s := range c.fleet {
 		s.PeerInFlight, s.PeerPending = 0, 0
 		for _, v := range c.peers {
 			if l, ok := v.loads[s.id]; ok && l.Run == s.run {
