--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,12 @@
 	$(GO) run ./cmd/eelgrass-policybench --plots docs/results
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/routing
 
+# make soak MINUTES=10 SEED=1
+MINUTES := 10
+SEED    := 1
+soak: build
+	@./scripts/soak.sh $(MINUTES) $(SEED)
+
 generate:
 	./proto/generate.sh
 
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -7,6 +7,8 @@
 
 	"eelgrasshollow/internal/consensus"
 	"eelgrasshollow/internal/control"
+	"eelgrasshollow/internal/grants"
+	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/keys"
 	"eelgrasshollow/internal/logging"
@@ -107,4 +109,9 @@
 // to p.mux and its module to p.kernel, with consensus.ModuleName among its needs.
 func (p *parts) addServices() {
 	p.kernel.Register(placement.ModuleName, placement.NewModule(p.settings.Placement), consensus.ModuleName, state.ModuleName)
+	bucket := grants.NewMachine()
+	p.mux.Add(grants.Namespace, bucket)
+	p.kernel.Register("control.grants", grants.NewOwnerModule(p.settings.Grants, bucket), consensus.ModuleName, state.ModuleName, peer.ServerName)
+	p.mux.Add(journal.Namespace, journal.NewMachine())
+	p.kernel.Register("control.journal", journal.NewOwnerModule(p.settings.Journal), consensus.ModuleName, peer.ServerName)
 }
--- a/internal/controld/settings.go
+++ b/internal/controld/settings.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"eelgrasshollow/internal/consensus"
+	"eelgrasshollow/internal/grants"
+	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/logging"
 	"eelgrasshollow/internal/placement"
 	"eelgrasshollow/internal/settings"
@@ -12,11 +14,13 @@
 
 // Settings of eelgrass-control.
 type Settings struct {
-	Log       logging.Settings   `ini:"log"`
-	Node      Node               `ini:"node"`
-	Control   Control            `ini:"control"`
-	Placement placement.Settings `ini:"placement"`
-	Security  Security           `ini:"security"`
+	Log       logging.Settings      `ini:"log"`
+	Node      Node                  `ini:"node"`
+	Control   Control               `ini:"control"`
+	Security  Security              `ini:"security"`
+	Grants    grants.OwnerSettings  `ini:"grants"`
+	Journal   journal.OwnerSettings `ini:"journal"`
+	Placement placement.Settings    `ini:"placement"`
 }
 
 // Node is the [node] section.
