--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -258,7 +258,7 @@
 	for _, part := range d.Parts {
 		fields = append(fields, zap.Float64(part.Name+"_ms", part.Milliseconds))
 	}
-	m.log.Info("routing decision", fields...)
+	m.log.Debug("endpoint picked", fields...) // entry.http writes the line of the decision
 }
 
 type ticket struct {
