Tell the truth after failed attempts and go back to the only engine

Cause: an idempotent call whose endpoints had all failed was refused as not run though one may have run it; a fleet's only engine was given up after one lost connection; tokens beyond a reservation were never charged. Change: tries keeps what was sent; with no other endpoint left the failed one is tried again after retry_pause; the excess over a reservation is reserved afterwards; keys of open requests are hashed again only when the configuration has changed.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -17,16 +17,17 @@
 	"eelgrasshollow/internal/state"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 )
 
 // job is a completion on its way through one or more engines.
 type job struct {
 	*exchange
 	*completion
-	path      string
-	version   string
-	seed      prefix.Seed
-	request   routing.Request
+	path    string
+	version string
+	seed    prefix.Seed
+	tries
 	delivered int // last position that the caller has; 0 before the first
 	finished  bool
 	numbered  bool // the engine numbers its events, so the stream can be resumed
@@ -92,7 +93,8 @@
 	if err != nil {
 		return err
 	}
-	reservation, err := f.reserve(x, int64(j.request.PromptTokens+c.output))
+	reserved := int64(j.request.PromptTokens + c.output)
+	reservation, err := f.reserve(x, reserved)
 	if err != nil {
 		return err
 	}
@@ -101,7 +103,11 @@
 	defer gauge.Dec()
 	f.budget.request()
 	err = f.run(j)
-	reservation.Settle(j.used())
+	used := j.used()
+	reservation.Settle(used)
+	if used > reserved {
+		go f.charge(x.account, used-reserved)
+	}
 	f.measure(j, err)
 	return err
 }
@@ -191,6 +197,22 @@
 	return f.limiter.Reserve(x.ctx, x.account, tokens)
 }
 
+// charge takes what a request used beyond its reservation, as an engine counts tokens
+// otherwise than prefix.Tokens, so that the account's next requests wait for it.
+func (f *Front) charge(account string, tokens int64) {
+	if account == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.settings.Queue)
+	defer cancel()
+	r, err := f.limiter.Reserve(ctx, account, tokens)
+	if err != nil {
+		f.log.Warn("tokens beyond a reservation not charged", zap.String("account", account), zap.Int64("tokens", tokens))
+		return
+	}
+	r.Settle(tokens)
+}
+
 type noReservation struct{}
 
 // Settle does nothing.
@@ -210,34 +232,22 @@
 // run tries engines until the answer is whole or cannot become so.
 func (f *Front) run(j *job) error {
 	for attempt := 1; ; attempt++ {
-		ticket, err := f.pick(j.ctx, j.request)
+		ticket, err := f.pickAgain(j.ctx, &j.tries)
 		if err != nil {
-			return j.afterAttempts(err)
+			return j.ended(err, j.begun)
 		}
 		err = f.attempt(j, ticket)
 		if err == nil {
 			return nil
 		}
+		j.failed(ticket, err)
 		if !f.mayRetry(j, err, attempt) {
-			return err
+			return j.ended(err, j.begun)
 		}
 		f.metrics.retries.WithLabelValues(j.account, j.route).Inc()
-		j.request.Exclude = append(j.request.Exclude, ticket.Decision().Endpoint)
 	}
 }
 
-// afterAttempts tells the truth about a request that was tried before no endpoint was left.
-func (j *job) afterAttempts(err error) error {
-	if len(j.request.Exclude) == 0 {
-		return err
-	}
-	e := errkind.Of(err)
-	if j.begun {
-		return errkind.Wrap(err, errkind.StreamBroken, "engine was lost and no other could go on")
-	}
-	return e.WithOutcome(errkind.Unknown)
-}
-
 // mayRetry allows another endpoint when what the caller has can be continued.
 func (f *Front) mayRetry(j *job, err error, attempt int) bool {
 	if j.ctx.Err() != nil || attempt >= f.settings.Attempts || (j.delivered > 0 && !j.numbered) {
@@ -250,21 +260,6 @@
 	return false
 }
 
-// pick waits for an endpoint within the queue's bound.
-func (f *Front) pick(ctx context.Context, r routing.Request) (routing.Ticket, error) {
-	return f.pickWithin(ctx, f.settings.Queue, r)
-}
-
-func (f *Front) pickWithin(ctx context.Context, bound time.Duration, r routing.Request) (routing.Ticket, error) {
-	bounded, cancel := context.WithTimeout(ctx, bound)
-	defer cancel()
-	ticket, err := f.router.Pick(bounded, r)
-	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
-		return nil, errkind.Wrap(err, errkind.Overloaded, "no endpoint became free in time")
-	}
-	return ticket, err
-}
-
 func (f *Front) measure(j *job, err error) {
 	labels := []string{j.account, j.route}
 	if j.firstAt > 0 {
--- a/internal/entry/open.go
+++ b/internal/entry/open.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/state"
 )
 
 // openRequest is a request being served.
@@ -105,9 +106,14 @@
 func (f *Front) recheck(ctx context.Context) {
 	ticker := time.NewTicker(f.settings.RecheckKeys)
 	defer ticker.Stop()
+	var checked *state.View
 	for {
 		changed := f.directory.Changed()
-		f.open.end(f.stillAllowed)
+		view, err := f.currentView()
+		if err != nil || view != checked {
+			f.open.end(f.stillAllowed)
+		}
+		checked = view
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -20,8 +20,8 @@
 // plainCall is a call to a plain service.
 type plainCall struct {
 	*exchange
-	call    engine.Call
-	request routing.Request
+	call engine.Call
+	tries
 }
 
 // plain serves the routes of plain services.
@@ -46,10 +46,11 @@
 	if err != nil {
 		return err
 	}
-	p := &plainCall{exchange: x, call: f.callOf(x, body), request: routing.Request{
+	p := &plainCall{exchange: x, call: f.callOf(x, body)}
+	p.request = routing.Request{
 		ID: x.id, Account: x.account, Service: route.GetService(),
 		MaxTokens: int(route.GetCallTokens()), Priority: int(route.GetPriority()), Idempotent: route.GetIdempotent(),
-	}}
+	}
 	reservation, err := f.reserve(x, route.GetCallTokens())
 	if err != nil {
 		return err
@@ -94,9 +95,9 @@
 func (f *Front) repeatable(p *plainCall) error {
 	f.budget.request()
 	for attempt := 1; ; attempt++ {
-		ticket, err := f.pick(p.ctx, p.request)
+		ticket, err := f.pickAgain(p.ctx, &p.tries)
 		if err != nil {
-			return err
+			return p.ended(err, false)
 		}
 		answer, err := f.tryPlain(p, ticket, func(call engine.Call) (*engine.Answer, error) {
 			return f.engine.Do(p.ctx, call, f.engine.PlainBound())
@@ -105,11 +106,11 @@
 			f.answer(p.exchange, answer.Status, answer.ContentType, answer.Body)
 			return nil
 		}
+		p.failed(ticket, err)
 		if p.ctx.Err() != nil || attempt >= f.settings.Attempts || !f.budget.retry() {
-			return err
+			return p.ended(err, false)
 		}
 		f.metrics.retries.WithLabelValues(p.account, p.route).Inc()
-		p.request.Exclude = append(p.request.Exclude, ticket.Decision().Endpoint)
 	}
 }
 
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -75,9 +75,11 @@
 func TestIdempotentCallIsTriedElsewhere(t *testing.T) {
 	b := newBench(t, nil)
 	first := b.addPlain()
-	b.addPlain()
 	b.fault(first, standin.Fault{Kind: standin.FaultCutStream})
 	answer, text := b.do("GET", "/stock/egg", "")
+	refused(t, answer, text, errkind.EndpointFailed, errkind.Unknown) // it did run
+	b.addPlain()
+	answer, text = b.do("GET", "/stock/egg", "")
 	assert.Equal(t, answer.StatusCode, 200, text)
 	answer, text = b.do("GET", "/news", "", "Authorization", "")
 	assert.Equal(t, answer.StatusCode, 200, text)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -19,6 +19,7 @@
 	Queue          time.Duration  `ini:"queue" default:"20s" min:"10ms" max:"10m" doc:"Time a request may wait for an endpoint."`
 	ClaimQueue     time.Duration  `ini:"claim_queue" default:"3s" min:"10ms" max:"1m" doc:"Time a call under a journal claim may wait for an endpoint; below the journal's begin_lease."`
 	Attempts       int            `ini:"attempts" default:"4" min:"1" max:"20" doc:"Endpoints an idempotent request is tried at."`
+	RetryPause     time.Duration  `ini:"retry_pause" default:"300ms" min:"1ms" max:"10s" doc:"Pause before a request goes back to an endpoint that failed it, when there is no other."`
 	RetryShare     float64        `ini:"retry_share" default:"0.1" min:"0" max:"1" doc:"Retries per request, on average."`
 	RetryBurst     float64        `ini:"retry_burst" default:"100" min:"1" max:"100000" doc:"Retries at once."`
 	DefaultOutput  int            `ini:"default_output" default:"512" min:"1" max:"1000000" doc:"Output tokens of a request that names no bound."`
