Let requests wait for endpoints that just failed; roll a single idle endpoint

Change: such requests are parked until the back-off ends, at most for their longest wait, and an excluded endpoint is the last resort; a model that operators ask no endpoints for and that has no demand may be changed on its only endpoint. The old assertion that an excluded endpoint is never used is replaced by three: not while another is left, as last resort, never when leaving.

--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -128,10 +128,15 @@
 // spared.
 func (p *Planner) Blocked() []string { return slices.Sorted(maps.Keys(p.blocked)) }
 
-// Need is how many endpoints the model needs now.
+// idleShare is the share of an endpoint's work that counts as none.
+const idleShare = 0.05
+
+// Need is how many endpoints the model needs now: what operators ask for at any time,
+// and what the demand asks for. An idle model that operators ask nothing for needs
+// none, so that a single endpoint can get new weights.
 func (p *Planner) Need(m Model) int {
-	byDemand := int(math.Ceil(p.demand[m.Name] / p.config.PerEndpoint))
-	return max(m.MinEndpoints, byDemand, 1)
+	byDemand := int(math.Ceil(p.demand[m.Name]/p.config.PerEndpoint - idleShare))
+	return max(m.MinEndpoints, byDemand, 0)
 }
 
 // measure averages the requests running and waiting per model. An engine that serves
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -227,3 +227,18 @@
 		}
 	})
 }
+
+func TestASingleIdleEndpointGetsNewWeights(t *testing.T) {
+	f := newFakeFleet(t, 1, "v1")
+	f.models = []Model{{Name: "m", Version: "v2"}}
+	for range 50 {
+		f.now = f.now.Add(stepEvery)
+		if e := f.engines[0]; e.loading != "" && !f.now.Before(e.until) {
+			e.versions, e.loading = map[string]string{"m": e.version}, ""
+		}
+		for _, a := range f.planner.Step(f.now, f.world()) {
+			f.obey(a)
+		}
+	}
+	assert.Equal(t, f.on("v2"), 1)
+}
--- a/internal/placement/roll.go
+++ b/internal/placement/roll.go
@@ -53,7 +53,8 @@
 // theirs yet.
 func (r *round) fill() {
 	for _, m := range r.world.Models {
-		missing := r.planner.Need(m) - r.serving(m.Name) - r.coming(m.Name)
+		want := max(r.planner.Need(m), 1)
+		missing := want - r.serving(m.Name) - r.coming(m.Name)
 		for _, e := range r.live {
 			if missing <= 0 {
 				break
@@ -61,7 +62,7 @@
 			if !slices.Contains(e.Models, m.Name) || e.Load.Versions[m.Name] != "" || len(e.Load.Loading) > 0 || r.drains(e) {
 				continue
 			}
-			if r.order(e, load(m), "%s needs %d endpoints, %d serve it", m.Name, r.planner.Need(m), r.serving(m.Name)) {
+			if r.order(e, load(m), "%s needs %d endpoints, %d serve it", m.Name, want, r.serving(m.Name)) {
 				missing--
 			}
 		}
@@ -177,7 +178,7 @@
 // model too: memory is worth freeing only there.
 func (r *round) shrink() {
 	for _, m := range r.world.Models {
-		if r.serving(m.Name) <= r.planner.Need(m)+1 {
+		if r.serving(m.Name) <= max(r.planner.Need(m), 1)+1 {
 			delete(r.planner.surplus, m.Name)
 			continue
 		}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -41,6 +41,7 @@
 	fresh      []digest.Placement // for the next digest
 	gone       []digest.Placement
 	urgent     bool
+	parked     []*Pending
 	matches    []cacheindex.Match
 	candidates []Candidate
 	out        []float64
@@ -96,8 +97,10 @@
 	}
 	slices.SortStableFunc(moved, func(a, b *Pending) int { return a.submitted.Compare(b.submitted) })
 	for _, p := range moved {
+		p.state = nil
 		c.place(now, p)
 	}
+	c.unpark(now)
 }
 
 func (c *Core) newState() *State {
@@ -133,7 +136,7 @@
 func (c *Core) place(now time.Time, p *Pending) {
 	best := c.decide(now, p)
 	if best == nil {
-		c.refuse(p, errkind.New(errkind.NoEndpoint, "no endpoint can serve the request now").WithRetryAfter(time.Second))
+		c.park(now, p)
 		return
 	}
 	s := best.State
@@ -236,13 +239,18 @@
 		return false
 	}
 	p.phase = over
-	p.state.queue.Remove(p)
+	if p.state == nil {
+		c.dropParked(p)
+	} else {
+		p.state.queue.Remove(p)
+	}
 	return true
 }
 
 // Tick refuses, at once, what has waited for longer than the bound.
 func (c *Core) Tick(now time.Time) {
 	c.forgetSilent(now)
+	c.unpark(now)
 	for _, s := range c.fleet {
 		if s.queue.Len() == 0 {
 			continue
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -54,11 +54,47 @@
 	for range 20 {
 		assert.Equal(t, submit(c, epoch, request("a")).Decision.Endpoint, "e1")
 	}
+	c.SetFleet(epoch, engines(2, 8))
 	r := request("a")
 	r.Exclude = []string{"e1"}
+	for range 5 {
+		assert.Equal(t, submit(c, epoch, r).Decision.Endpoint, "e0")
+	}
+	c.SetFleet(epoch, fleet)
+	assert.Equal(t, submit(c, epoch, r).Decision.Endpoint, "e1", "the excluded one is the last resort")
+	fleet[1].Leaving = true
+	c.SetFleet(epoch, fleet)
 	assert.Equal(t, submit(c, epoch, r).Refusal.Kind, errkind.NoEndpoint)
 }
 
+func TestWaitsForAnEndpointThatJustFailed(t *testing.T) {
+	c := newCore(1, 8)
+	failed := submit(c, epoch, request("a"))
+	c.Finish(epoch, failed, Result{Err: errkind.New(errkind.EndpointFailed, "reset")})
+	again := request("a")
+	again.Exclude = []string{"e0"}
+	p, gone := submit(c, epoch, again), submit(c, epoch, request("a"))
+	assert.Equal(t, p.phase, waiting)
+	assert.Assert(t, c.Cancel(gone))
+	c.Tick(epoch.Add(firstBackOff - time.Millisecond))
+	assert.Equal(t, p.phase, waiting)
+	c.Tick(epoch.Add(firstBackOff))
+	assert.Equal(t, p.phase, sent)
+	assert.Equal(t, gone.phase, over)
+}
+
+func TestRefusesAtOnceWhenTheEndpointIsBackTooLate(t *testing.T) {
+	limits := DefaultLimits()
+	limits.LongestWait = firstBackOff / 2
+	c := NewCore(Ours(DefaultTuning()), limits, epoch)
+	c.SetFleet(epoch, engines(1, 8))
+	failed := submit(c, epoch, request("a"))
+	c.Finish(epoch, failed, Result{Err: errkind.New(errkind.EndpointFailed, "reset")})
+	p := submit(c, epoch, request("a"))
+	assert.Equal(t, p.Refusal.Kind, errkind.NoEndpoint)
+	assert.Equal(t, p.Refusal.RetryAfter, firstBackOff)
+}
+
 func TestWaitingMovesOffALeavingEndpoint(t *testing.T) {
 	c := newCore(1, 1)
 	running, queued := submit(c, epoch, request("a")), submit(c, epoch, request("a"))
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -18,20 +18,16 @@
 // valid until the next call.
 func (c *Core) decide(now time.Time, p *Pending) *Candidate {
 	r := &p.Request
-	group := c.byModel[r.Model]
-	if r.Service != "" {
-		group = c.byService[r.Service]
-	}
+	group := c.group(r)
 	k := Case{Now: now, Request: r, VMs: c.vms}
 	if len(r.Chain) > 0 {
 		c.matches = c.index.Find(r.Chain, now, c.matches)
 		k.Kept = c.kept()
 	}
-	c.candidates = c.candidates[:0]
-	for _, s := range group {
-		if c.keep(&k, s) {
-			c.candidates = append(c.candidates, c.candidate(r, s))
-		}
+	c.filter(&k, group)
+	if len(c.candidates) == 0 && len(r.Exclude) > 0 {
+		k.LastResort = true
+		c.filter(&k, group)
 	}
 	if len(c.candidates) == 0 {
 		return nil
@@ -50,6 +46,22 @@
 	return &c.candidates[c.policy.Picker.Pick(&k, c.candidates)]
 }
 
+func (c *Core) group(r *Request) []*State {
+	if r.Service != "" {
+		return c.byService[r.Service]
+	}
+	return c.byModel[r.Model]
+}
+
+func (c *Core) filter(k *Case, group []*State) {
+	c.candidates = c.candidates[:0]
+	for _, s := range group {
+		if c.keep(k, s) {
+			c.candidates = append(c.candidates, c.candidate(k.Request, s))
+		}
+	}
+}
+
 func (c *Core) keep(k *Case, s *State) bool {
 	for _, f := range c.policy.Filters {
 		if !f.Keep(k, s) {
--- a/internal/routing/filter_available.go
+++ b/internal/routing/filter_available.go
@@ -3,7 +3,7 @@
 import "slices"
 
 // available keeps endpoints that may get new work: not leaving, not just failed, not
-// excluded by the request, not known to run other weights.
+// excluded by the request unless no other is left, not known to run other weights.
 type available struct{}
 
 // Name names the filter.
@@ -14,5 +14,8 @@
 	if s.Leaving || s.gone || c.Now.Before(s.downUntil) {
 		return false
 	}
-	return !slices.Contains(c.Request.Exclude, s.Name) && s.runs(c.Request.Model, c.Request.Version, c.Now)
+	if !c.LastResort && slices.Contains(c.Request.Exclude, s.Name) {
+		return false
+	}
+	return s.runs(c.Request.Model, c.Request.Version, c.Now)
 }
--- a/internal/routing/plugin.go
+++ b/internal/routing/plugin.go
@@ -31,6 +31,8 @@
 	Rate    float64 // requests per second of the first piece beyond, at this VM
 	VMs     int     // entry VMs that route to the same endpoints
 	Kept    Kept    // what the kept-cache stores hold
+	// LastResort is set when every endpoint left is one that the request excludes.
+	LastResort bool
 }
 
 // Filter drops endpoints that may not get a request.
