--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"eelgrasshollow/internal/cacheindex"
@@ -30,6 +31,7 @@
 	vms        int
 	index      *cacheindex.Index
 	byName     map[string]*State
+	fleet      []*State // in the order of the configuration
 	byModel    map[string][]*State
 	byService  map[string][]*State
 	unused     []cacheindex.Endpoint
@@ -39,6 +41,7 @@
 	fresh      []digest.Placement // for the next digest
 	gone       []digest.Placement
 	urgent     bool
+	parked     []*Pending
 	matches    []cacheindex.Match
 	candidates []Candidate
 	out        []float64
@@ -62,7 +65,7 @@
 // are placed anew.
 func (c *Core) SetFleet(now time.Time, fleet []Endpoint) {
 	old := c.byName
-	c.byName = map[string]*State{}
+	c.byName, c.fleet = map[string]*State{}, nil
 	c.byModel = map[string][]*State{}
 	c.byService = map[string][]*State{}
 	var moved []*Pending
@@ -75,6 +78,7 @@
 		}
 		s.Endpoint, s.id, s.hash = e, digest.Identify(e.Name), nameHash(e.Name)
 		c.byName[e.Name] = s
+		c.fleet = append(c.fleet, s)
 		for _, m := range e.Models {
 			c.byModel[m] = append(c.byModel[m], s)
 		}
@@ -91,9 +95,12 @@
 		c.unused = append(c.unused, s.index)
 		moved = append(moved, s.queue.Overdue(now.Add(time.Nanosecond))...)
 	}
+	slices.SortStableFunc(moved, func(a, b *Pending) int { return a.submitted.Compare(b.submitted) })
 	for _, p := range moved {
+		p.state = nil
 		c.place(now, p)
 	}
+	c.unpark(now)
 }
 
 func (c *Core) newState() *State {
@@ -129,7 +136,7 @@
 func (c *Core) place(now time.Time, p *Pending) {
 	best := c.decide(now, p)
 	if best == nil {
-		c.refuse(p, errkind.New(errkind.NoEndpoint, "no endpoint can serve the request now").WithRetryAfter(time.Second))
+		c.park(now, p)
 		return
 	}
 	s := best.State
@@ -232,14 +239,19 @@
 		return false
 	}
 	p.phase = over
-	p.state.queue.Remove(p)
+	if p.state == nil {
+		c.dropParked(p)
+	} else {
+		p.state.queue.Remove(p)
+	}
 	return true
 }
 
 // Tick refuses, at once, what has waited for longer than the bound.
 func (c *Core) Tick(now time.Time) {
 	c.forgetSilent(now)
-	for _, s := range c.byName {
+	c.unpark(now)
+	for _, s := range c.fleet {
 		if s.queue.Len() == 0 {
 			continue
 		}
