--- a/internal/cacheindex/match.go
+++ b/internal/cacheindex/match.go
@@ -18,7 +18,8 @@
 }
 
 // Find fills into, indexed by Endpoint, with what each endpoint holds of the chain,
-// and returns it.
+// and returns it. A piece stands for all above it, as engines evict the deepest first:
+// so peers need to tell of one piece only.
 func (x *Index) Find(chain []prefix.Hash, now time.Time, into []Match) []Match {
 	into = into[:0]
 	for range x.endpoints {
@@ -28,16 +29,16 @@
 	for i, h := range chain {
 		n, ok := x.byHash[h]
 		if !ok {
-			break
+			continue
 		}
 		for _, held := range x.entries[n].holders {
 			state := &x.endpoints[held.endpoint]
 			m := &into[held.endpoint]
-			if held.generation != state.generation || m.RawDepth != i {
+			if held.generation != state.generation {
 				continue
 			}
 			m.RawDepth, m.Age = i+1, age(at, held.at)
-			if m.Depth == i && m.Age <= state.lifetime {
+			if m.Age <= state.lifetime {
 				m.Depth = i + 1
 			}
 		}
@@ -69,30 +70,34 @@
 	}
 }
 
-// Level is the place in a chain where siblings part.
-type Level struct {
-	Depth int     // pieces up to and including the last known fork; 0 when none
-	Rate  float64 // touches per second of the piece after the fork
+// Forks appends to into the depths at which the chain is known to have siblings:
+// pieces with more than one continuation.
+func (x *Index) Forks(chain []prefix.Hash, into []int) []int {
+	for i, h := range chain {
+		if n, ok := x.byHash[h]; ok && x.entries[n].forked && i+1 < len(chain) {
+			into = append(into, i+1)
+		}
+	}
+	return into
 }
 
-// Level finds the deepest piece of the chain with more than one continuation.
-func (x *Index) Level(chain []prefix.Hash, now time.Time) Level {
+// Recent hands out the prefixes that others should know of, the most recently used
+// first: forks and the ends of chains, with each believed holder. It stops when more
+// returns false.
+func (x *Index) Recent(now time.Time, more func(Endpoint, prefix.Hash) bool) {
 	at := x.ticks(now)
-	var l Level
-	for i, h := range chain {
-		n, ok := x.byHash[h]
-		if !ok {
-			break
-		}
+	for n := x.newest; n != nowhere; n = x.entries[n].older {
 		en := &x.entries[n]
-		if i == l.Depth {
-			l.Rate = en.rateNow(at)
+		if en.child != 0 && !en.forked {
+			continue
 		}
-		if en.forked && i+1 < len(chain) {
-			l.Depth, l.Rate = i+1, 0
+		for _, h := range en.holders {
+			state := &x.endpoints[h.endpoint]
+			if h.generation == state.generation && age(at, h.at) <= state.lifetime && !more(h.endpoint, en.hash) {
+				return
+			}
 		}
 	}
-	return l
 }
 
 // Rate returns the touches per second of a prefix.
--- a/internal/routing/plugin.go
+++ b/internal/routing/plugin.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrasshollow/internal/cacheindex"
+	"eelgrasshollow/internal/prefix"
 )
 
 // Candidate is an endpoint under consideration for a request.
@@ -12,8 +13,10 @@
 	Match cacheindex.Match
 	// Missed are the prompt tokens that the endpoint would have to compute.
 	Missed int
-	// ImportFrom is the store that makes the score of an import the better one.
+	// ImportFrom is the store to import from, when that is cheaper than computing.
 	ImportFrom string
+	Import     int     // tokens to import
+	home       uint64  // rendezvous weight for the level of the request
 	Total      float64 // predicted milliseconds
 	parts      [maxScorers]float64
 }
@@ -24,16 +27,10 @@
 type Case struct {
 	Now     time.Time
 	Request *Request
-	Level   cacheindex.Level
-	VMs     int // entry VMs that route to the same endpoints
-	Stores  []Store
-}
-
-// Store is a kept-cache store that can be imported from.
-type Store struct {
-	Address string
-	// Holds reports how many leading pieces of a chain the store keeps.
-	Holds func(r *Request) int
+	Held    int     // pieces that the best candidate holds
+	Rate    float64 // requests per second of the first piece beyond, at this VM
+	VMs     int     // entry VMs that route to the same endpoints
+	Kept    Kept    // what the kept-cache stores hold
 }
 
 // Filter drops endpoints that may not get a request.
@@ -58,6 +55,16 @@
 	Filters []Filter
 	Scorers []Scorer
 	Picker  Picker
+	// Truth, when set, replaces the index: the oracle baseline.
+	Truth Truth
+}
+
+// Truth sees every cache.
+type Truth interface {
+	// Cached is the number of leading pieces that the endpoint holds now.
+	Cached(endpoint string, chain []prefix.Hash) int
+	// Pending is the uncached prompt tokens before a newcomer's at the endpoint.
+	Pending(endpoint string) int
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
