--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -37,6 +37,7 @@
 	blocked   time.Duration // the owner has nothing before then
 	demand    float64       // tokens a second
 	asked     int64         // tokens asked for since the last report
+	size      float64       // tokens of a usual request
 	since     time.Duration // the last report
 	queue     []*waiter
 }
@@ -63,6 +64,10 @@
 func (h *Holder) Reserve(now time.Duration, account string, tokens int64) (*reservation, *waiter, error) {
 	a := h.holding(now, account)
 	a.asked += tokens
+	if a.size == 0 {
+		a.size = float64(tokens)
+	}
+	a.size += (float64(tokens) - a.size) / sizeMemory
 	if err := a.check(account, tokens); err != nil {
 		return nil, nil, err
 	}
@@ -144,7 +149,7 @@
 	if len(a.queue) > 0 {
 		return true
 	}
-	low := float64(a.current.unspent()) < a.demand*h.opt.Horizon.Seconds()/lowShare
+	low := a.current.unspent() < a.target(h.opt.Horizon)/lowShare
 	return low && now-a.since >= h.opt.Interval/lowShare
 }
 
@@ -174,7 +179,7 @@
 
 // entry reports one account and gives back what demand does not ask for.
 func (h *Holder) entry(now time.Duration, name string, a *holding) SyncEntry {
-	target := int64(a.demand * h.opt.Horizon.Seconds())
+	target := a.target(h.opt.Horizon)
 	waiting, need := int64(0), int64(0)
 	for _, w := range a.queue {
 		waiting += w.tokens
@@ -191,6 +196,22 @@
 	}
 }
 
+// target is what the slice should hold ahead of need. Where a usual request takes more
+// than that, or a large part of the burst, tokens held here would only be missed
+// elsewhere.
+func (a *holding) target(horizon time.Duration) int64 {
+	t := a.demand * horizon.Seconds()
+	if t < a.size || float64(a.burst) < largeShare*a.size {
+		return 0
+	}
+	return int64(t)
+}
+
+const (
+	sizeMemory = 8 // requests that the usual size is taken over
+	largeShare = 8 // a request of more than this part of the burst is not provided for
+)
+
 // Weights of the demand's estimate: it rises at once and falls slowly.
 const (
 	fall     = 0.8
--- a/internal/grants/limiter.go
+++ b/internal/grants/limiter.go
@@ -27,6 +27,7 @@
 
 	mu     sync.Mutex
 	holder *Holder
+	failed bool // the last report was not answered
 }
 
 // NewClient returns a limiter that reports to owner once Run is called.
@@ -73,6 +74,9 @@
 		err = limited(w.account, c.opt.Queue)
 	}
 	c.mu.Lock()
+	if c.failed && ctx.Err() == nil {
+		err = errkind.New(errkind.NoQuorum, "the owner of the grants does not answer").WithRetryAfter(c.opt.Interval)
+	}
 	c.holder.Cancel(w)
 	c.mu.Unlock()
 	select {
@@ -156,12 +160,14 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	var reply SyncReply
-	if err := c.owner.Call(ctx, "Grants.Sync", req, &reply); err != nil {
+	err := c.owner.Call(ctx, "Grants.Sync", req, &reply)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = err != nil
+	if err != nil {
 		c.log.Debug("grant report failed", zap.Error(err))
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.holder.Answer(c.now(), sent, req, &reply)
 }
 
