Wait for a changing owner; measure refusals and traffic

Change: a request may wait up to owner_wait while the owner does not answer; with an owner that answers the wait stays short.

--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -14,6 +14,7 @@
 	Interval time.Duration // between two reports
 	Horizon  time.Duration // demand that a slice should last for
 	Queue    time.Duration // how long a request may wait for tokens
+	Outage   time.Duration // how long it may wait while the owner does not answer
 	MaxQueue int           // requests of one account that may wait
 }
 
@@ -34,6 +35,7 @@
 	refundCap int64
 	burst     int64
 	known     bool          // the owner has answered for this account
+	answered  time.Duration // when it last did
 	blocked   time.Duration // the owner has nothing before then
 	demand    float64       // tokens a second
 	asked     int64         // tokens asked for since the last report
@@ -46,8 +48,9 @@
 type waiter struct {
 	account  string
 	tokens   int64
-	deadline time.Duration
-	result   chan outcome // takes one outcome without blocking
+	since    time.Duration
+	deadline time.Duration // with an owner that answers
+	result   chan outcome  // takes one outcome without blocking
 }
 
 type outcome struct {
@@ -83,7 +86,7 @@
 	if len(a.queue) >= h.opt.MaxQueue {
 		return nil, nil, limited(account, h.opt.Queue)
 	}
-	w := &waiter{account: account, tokens: tokens, deadline: deadline, result: make(chan outcome, 1)}
+	w := &waiter{account: account, tokens: tokens, since: now, deadline: deadline, result: make(chan outcome, 1)}
 	a.queue = append(a.queue, w)
 	return nil, w, nil
 }
@@ -129,6 +132,16 @@
 // Settle ends a reservation with the tokens used.
 func (h *Holder) Settle(now time.Duration, r *reservation, used int64) { r.settle(now, used) }
 
+// Until returns how long a waiter waits: beyond its deadline while the owner, which may
+// be changing, has not answered since it came.
+func (h *Holder) Until(w *waiter) time.Duration {
+	a := h.accounts[w.account]
+	if a == nil || a.known && a.answered >= w.since {
+		return w.deadline
+	}
+	return max(w.deadline, w.since+h.opt.Outage)
+}
+
 // Cancel takes a waiter out of its queue.
 func (h *Holder) Cancel(w *waiter) {
 	a := h.accounts[w.account]
@@ -277,6 +290,7 @@
 	a.current.renew(g, reported, end)
 	a.current.reported = reported
 	a.known, a.burst, a.refundCap = true, g.Burst, g.RefundCap
+	a.answered = now
 	a.blocked = 0
 	if g.RetryAfter > 0 {
 		a.blocked = now + g.RetryAfter
--- a/internal/grants/limiter.go
+++ b/internal/grants/limiter.go
@@ -27,7 +27,6 @@
 
 	mu     sync.Mutex
 	holder *Holder
-	failed bool // the last report was not answered
 }
 
 // NewClient returns a limiter that reports to owner once Run is called.
@@ -64,23 +63,35 @@
 func (c *Client) wait(ctx context.Context, w *waiter) (Reservation, error) {
 	timer := time.NewTimer(w.deadline - c.now())
 	defer timer.Stop()
-	var err error
-	select {
-	case o := <-w.result:
-		return c.finish(o)
-	case <-ctx.Done():
-		err = errkind.Wrap(ctx.Err(), errkind.Canceled, "caller left while waiting for tokens").WithOutcome(errkind.NotRun)
-	case <-timer.C:
-		err = limited(w.account, c.opt.Queue)
+	for {
+		select {
+		case o := <-w.result:
+			return c.finish(o)
+		case <-ctx.Done():
+			return c.giveUp(w, errkind.Wrap(ctx.Err(), errkind.Canceled, "caller left while waiting for tokens").WithOutcome(errkind.NotRun))
+		case <-timer.C:
+		}
+		c.mu.Lock()
+		left, answered := c.holder.Until(w)-c.now(), c.holder.Until(w) == w.deadline
+		c.mu.Unlock()
+		switch {
+		case left > 0:
+			timer.Reset(left)
+		case answered:
+			return c.giveUp(w, limited(w.account, c.opt.Queue))
+		default:
+			return c.giveUp(w, errkind.New(errkind.NoQuorum, "the owner of the grants does not answer").WithRetryAfter(c.opt.Interval))
+		}
 	}
+}
+
+// giveUp takes a waiter out of its queue, unless its outcome came in the last moment.
+func (c *Client) giveUp(w *waiter, err error) (Reservation, error) {
 	c.mu.Lock()
-	if c.failed && ctx.Err() == nil {
-		err = errkind.New(errkind.NoQuorum, "the owner of the grants does not answer").WithRetryAfter(c.opt.Interval)
-	}
 	c.holder.Cancel(w)
 	c.mu.Unlock()
 	select {
-	case o := <-w.result: // it came in the last moment
+	case o := <-w.result:
 		return c.finish(o)
 	default:
 		return nil, err
@@ -163,7 +174,6 @@
 	err := c.owner.Call(ctx, "Grants.Sync", req, &reply)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.failed = err != nil
 	if err != nil {
 		c.log.Debug("grant report failed", zap.Error(err))
 		return
--- a/internal/grants/module.go
+++ b/internal/grants/module.go
@@ -18,6 +18,7 @@
 	Interval time.Duration `ini:"report_interval" default:"1s" doc:"time between two reports to the owner"`
 	Horizon  time.Duration `ini:"horizon" default:"2500ms" doc:"demand that a slice should last for; covers a change of the owner"`
 	Queue    time.Duration `ini:"queue_time" default:"300ms" doc:"how long a request may wait for tokens"`
+	Outage   time.Duration `ini:"owner_wait" default:"2s" doc:"how long a request may wait for tokens while the owner does not answer, as when it changes"`
 	MaxQueue int           `ini:"queue_length" default:"64" doc:"requests of one client account that may wait"`
 }
 
@@ -58,7 +59,7 @@
 	}
 	opt := HolderOptions{
 		Name: uuid.NewString(), Interval: m.cfg.Interval, Horizon: m.cfg.Horizon,
-		Queue: m.cfg.Queue, MaxQueue: m.cfg.MaxQueue,
+		Queue: m.cfg.Queue, Outage: m.cfg.Outage, MaxQueue: m.cfg.MaxQueue,
 	}
 	m.client = NewClient(opt, p.Leader(), k.Log.Named("grants"))
 	return nil
--- a/internal/grants/sim_test.go
+++ b/internal/grants/sim_test.go
@@ -28,6 +28,7 @@
 	arrivals []simArrival
 	messages int
 	entries  int
+	traffic  func(n *simNode, req *SyncRequest, reply *SyncReply) // sees what was answered, may be nil
 }
 
 type simOptions struct {
@@ -36,6 +37,7 @@
 	interval  time.Duration
 	horizon   time.Duration
 	queue     time.Duration
+	outage    time.Duration
 	loss, dup float64
 	drift     float64 // of each clock, at most
 	delay     time.Duration
@@ -47,7 +49,7 @@
 func defaultSim() simOptions {
 	return simOptions{
 		holders: 9, lease: DefaultLease, interval: time.Second, horizon: 2500 * time.Millisecond,
-		queue: 300 * time.Millisecond, delay: 1500 * time.Microsecond, drift: 0.0009, seed: 1,
+		queue: 300 * time.Millisecond, outage: 2 * time.Second, delay: 1500 * time.Microsecond, drift: 0.0009, seed: 1,
 	}
 }
 
@@ -112,7 +114,7 @@
 	for i := range opt.holders {
 		n := &simNode{drift: s.drift(), offset: time.Duration(s.rng.Int64N(int64(time.Hour)))}
 		n.Holder = NewHolder(HolderOptions{
-			Name: string(rune('A' + i)), Interval: opt.interval, Horizon: opt.horizon, Queue: opt.queue, MaxQueue: 64,
+			Name: string(rune('A' + i)), Interval: opt.interval, Horizon: opt.horizon, Queue: opt.queue, Outage: opt.outage, MaxQueue: 64,
 		})
 		s.nodes = append(s.nodes, n)
 		s.armTimer(n, time.Duration(s.rng.Int64N(int64(opt.interval))))
@@ -290,6 +292,9 @@
 		}
 		reply := o.Sync(o.clock(s.now), req)
 		s.promise(o)
+		if s.traffic != nil {
+			s.traffic(n, req, reply)
+		}
 		if s.rng.Float64() < s.opt.loss {
 			return
 		}
@@ -385,7 +390,7 @@
 	if n.dead {
 		return
 	}
-	if n.clock(s.now) >= w.deadline {
+	if n.clock(s.now) >= n.Until(w) {
 		n.Cancel(w)
 		s.refuse(i, limited(w.account, s.opt.queue))
 		return
