--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -206,6 +206,22 @@
 	assert.Equal(t, s.excess("a", limit).Tokens, int64(0))
 }
 
+// TestLargeRequestsOfASmallAccount sends requests of most of the burst at three times
+// the rate to three VMs: tokens held at one VM must not keep the others from theirs.
+func TestLargeRequestsOfASmallAccount(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 4000}
+	opt := defaultSim()
+	opt.holders = 3
+	s := newSim(opt, map[string]Limit{"a": limit})
+	for node := range s.nodes {
+		s.poisson(node, "a", time.Second, 301*time.Second, 3*float64(limit.Rate)/3, func() int64 { return 3070 })
+	}
+	s.runUntil(305 * time.Second)
+	sc := s.score("a", 0, 301*time.Second)
+	assert.Equal(t, sc.over, int64(0))
+	assert.Assert(t, sc.served > 0.95, "served %v of what one bucket serves, %d", sc.served, sc.inside)
+}
+
 func TestRefusalComesAtOnceWithRetryTime(t *testing.T) {
 	limit := Limit{Rate: 100, Burst: 1000}
 	s := newSim(defaultSim(), map[string]Limit{"a": limit})
--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -156,7 +156,13 @@
 // Hungry reports whether waiting for the next regular report would cost requests.
 func (h *Holder) Hungry(now time.Duration, account string) bool {
 	a := h.accounts[account]
-	if a == nil || now < a.blocked {
+	if a == nil {
+		return false
+	}
+	if a.urgent() {
+		return true
+	}
+	if now < a.blocked {
 		return false
 	}
 	if len(a.queue) > 0 {
@@ -323,11 +329,23 @@
 	a.queue = a.queue[1:]
 }
 
+// urgent says that so much was spent since the last report that the owner, who counts it
+// as outstanding, may be keeping the bucket from its refill.
+func (a *holding) urgent() bool {
+	return a.burst > 0 && a.current.gone()-a.current.reported > a.burst/reportShare
+}
+
+// reportShare of the burst is reported ahead of the regular report once it is spent.
+const reportShare = 8
+
 // NextRetry returns the earliest time at which the owner said to come back for
-// someone who waits, or 0.
+// someone who waits, or 0. It is in the past when much was spent unreported.
 func (h *Holder) NextRetry() time.Duration {
 	next := time.Duration(0)
 	for _, a := range h.accounts {
+		if a.urgent() {
+			return 1
+		}
 		if len(a.queue) > 0 && a.blocked > 0 && (next == 0 || a.blocked < next) {
 			next = a.blocked
 		}
--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -15,10 +15,11 @@
 // Timing of the client's calls.
 const (
 	claimTry      = time.Second            // one try of a claim
+	claimFor      = 2 * time.Second        // all tries; nothing is sent meanwhile
 	settleTry     = 2 * time.Second        // one try of a settlement
 	settlePause   = 100 * time.Millisecond // between two tries
 	settleFor     = 30 * time.Second       // a settlement is tried for that long
-	maxSettleWait = 3 * time.Second        // a caller waits at most that long for a settlement
+	maxSettleWait = 2 * time.Second        // a caller waits at most that long for a settlement
 )
 
 // Client is the Journal of an entry VM.
@@ -38,7 +39,7 @@
 func (c *Client) Claim(ctx context.Context, r Request) (Claim, *Answer, error) {
 	o := op{Op: opClaim, Account: r.Account, ID: r.ID, Claim: uuid.NewString(), Body: r.Body}
 	sent := time.Now()
-	res, err := c.claim(ctx, o, sent)
+	res, err := c.claim(ctx, o)
 	if err != nil {
 		if !errkind.Is(err, errkind.Overloaded) {
 			// The claim may be in the journal, or come in yet. Nothing was sent, so it goes back.
@@ -56,8 +57,10 @@
 }
 
 // claim tries until the journal answers; a repeat names the same claim and does no
-// harm. It gives up while half of the lease is left to no avail.
-func (c *Client) claim(ctx context.Context, o op, sent time.Time) (result, error) {
+// harm. It gives up after claimFor.
+func (c *Client) claim(ctx context.Context, o op) (result, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimFor)
+	defer cancel()
 	for {
 		try, cancel := context.WithTimeout(ctx, claimTry)
 		var out Outcome
@@ -67,7 +70,7 @@
 			return out.Result, nil
 		}
 		again := errkind.Is(err, errkind.Timeout) || errkind.Is(err, errkind.NoQuorum)
-		if !again || ctx.Err() != nil || time.Since(sent) > c.lease/2 {
+		if !again || ctx.Err() != nil {
 			return result{}, err
 		}
 	}
--- a/internal/journal/service.go
+++ b/internal/journal/service.go
@@ -36,11 +36,12 @@
 	queue    chan *pending
 	start    time.Time
 	wg       sync.WaitGroup
+	batch    int // ops in one entry of the log, at most
 }
 
 // NewService returns a service; Run makes it work.
 func NewService(limits Limits, p statemachine.Proposer) *Service {
-	return &Service{limits: limits, proposer: p, queue: make(chan *pending, maxWaiting), start: time.Now()}
+	return &Service{limits: limits, proposer: p, queue: make(chan *pending, maxWaiting), start: time.Now(), batch: maxBatch}
 }
 
 // clock is Unix milliseconds that don't follow steps of the wall clock after the start.
@@ -77,7 +78,7 @@
 
 // gather adds what waits already.
 func (s *Service) gather(ops []*pending) []*pending {
-	for len(ops) < maxBatch {
+	for len(ops) < s.batch {
 		select {
 		case p := <-s.queue:
 			ops = append(ops, p)
