--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -14,6 +14,7 @@
 	Interval time.Duration // between two reports
 	Horizon  time.Duration // demand that a slice should last for
 	Queue    time.Duration // how long a request may wait for tokens
+	Outage   time.Duration // how long it may wait while the owner does not answer
 	MaxQueue int           // requests of one account that may wait
 }
 
@@ -34,9 +35,11 @@
 	refundCap int64
 	burst     int64
 	known     bool          // the owner has answered for this account
+	answered  time.Duration // when it last did
 	blocked   time.Duration // the owner has nothing before then
 	demand    float64       // tokens a second
 	asked     int64         // tokens asked for since the last report
+	size      float64       // tokens of a usual request
 	since     time.Duration // the last report
 	queue     []*waiter
 }
@@ -45,8 +48,9 @@
 type waiter struct {
 	account  string
 	tokens   int64
-	deadline time.Duration
-	result   chan outcome // takes one outcome without blocking
+	since    time.Duration
+	deadline time.Duration // with an owner that answers
+	result   chan outcome  // takes one outcome without blocking
 }
 
 type outcome struct {
@@ -63,6 +67,10 @@
 func (h *Holder) Reserve(now time.Duration, account string, tokens int64) (*reservation, *waiter, error) {
 	a := h.holding(now, account)
 	a.asked += tokens
+	if a.size == 0 {
+		a.size = float64(tokens)
+	}
+	a.size += (float64(tokens) - a.size) / sizeMemory
 	if err := a.check(account, tokens); err != nil {
 		return nil, nil, err
 	}
@@ -78,7 +86,7 @@
 	if len(a.queue) >= h.opt.MaxQueue {
 		return nil, nil, limited(account, h.opt.Queue)
 	}
-	w := &waiter{account: account, tokens: tokens, deadline: deadline, result: make(chan outcome, 1)}
+	w := &waiter{account: account, tokens: tokens, since: now, deadline: deadline, result: make(chan outcome, 1)}
 	a.queue = append(a.queue, w)
 	return nil, w, nil
 }
@@ -124,6 +132,16 @@
 // Settle ends a reservation with the tokens used.
 func (h *Holder) Settle(now time.Duration, r *reservation, used int64) { r.settle(now, used) }
 
+// Until returns how long a waiter waits: beyond its deadline while the owner, which may
+// be changing, has not answered since it came.
+func (h *Holder) Until(w *waiter) time.Duration {
+	a := h.accounts[w.account]
+	if a == nil || a.known && a.answered >= w.since {
+		return w.deadline
+	}
+	return max(w.deadline, w.since+h.opt.Outage)
+}
+
 // Cancel takes a waiter out of its queue.
 func (h *Holder) Cancel(w *waiter) {
 	a := h.accounts[w.account]
@@ -138,13 +156,19 @@
 // Hungry reports whether waiting for the next regular report would cost requests.
 func (h *Holder) Hungry(now time.Duration, account string) bool {
 	a := h.accounts[account]
-	if a == nil || now < a.blocked {
+	if a == nil {
+		return false
+	}
+	if a.urgent() {
+		return true
+	}
+	if now < a.blocked {
 		return false
 	}
 	if len(a.queue) > 0 {
 		return true
 	}
-	low := float64(a.current.unspent()) < a.demand*h.opt.Horizon.Seconds()/lowShare
+	low := a.current.unspent() < a.target(h.opt.Horizon)/lowShare
 	return low && now-a.since >= h.opt.Interval/lowShare
 }
 
@@ -174,7 +198,7 @@
 
 // entry reports one account and gives back what demand does not ask for.
 func (h *Holder) entry(now time.Duration, name string, a *holding) SyncEntry {
-	target := int64(a.demand * h.opt.Horizon.Seconds())
+	target := a.target(h.opt.Horizon)
 	waiting, need := int64(0), int64(0)
 	for _, w := range a.queue {
 		waiting += w.tokens
@@ -191,6 +215,22 @@
 	}
 }
 
+// target is what the slice should hold ahead of need. Where a usual request takes more
+// than that, or a large part of the burst, tokens held here would only be missed
+// elsewhere.
+func (a *holding) target(horizon time.Duration) int64 {
+	t := a.demand * horizon.Seconds()
+	if t < a.size || float64(a.burst) < largeShare*a.size {
+		return 0
+	}
+	return int64(t)
+}
+
+const (
+	sizeMemory = 8 // requests that the usual size is taken over
+	largeShare = 8 // a request of more than this part of the burst is not provided for
+)
+
 // Weights of the demand's estimate: it rises at once and falls slowly.
 const (
 	fall     = 0.8
@@ -256,6 +296,7 @@
 	a.current.renew(g, reported, end)
 	a.current.reported = reported
 	a.known, a.burst, a.refundCap = true, g.Burst, g.RefundCap
+	a.answered = now
 	a.blocked = 0
 	if g.RetryAfter > 0 {
 		a.blocked = now + g.RetryAfter
@@ -288,11 +329,23 @@
 	a.queue = a.queue[1:]
 }
 
+// urgent says that so much was spent since the last report that the owner, who counts it
+// as outstanding, may be keeping the bucket from its refill.
+func (a *holding) urgent() bool {
+	return a.burst > 0 && a.current.gone()-a.current.reported > a.burst/reportShare
+}
+
+// reportShare of the burst is reported ahead of the regular report once it is spent.
+const reportShare = 8
+
 // NextRetry returns the earliest time at which the owner said to come back for
-// someone who waits, or 0.
+// someone who waits, or 0. It is in the past when much was spent unreported.
 func (h *Holder) NextRetry() time.Duration {
 	next := time.Duration(0)
 	for _, a := range h.accounts {
+		if a.urgent() {
+			return 1
+		}
 		if len(a.queue) > 0 && a.blocked > 0 && (next == 0 || a.blocked < next) {
 			next = a.blocked
 		}
