--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -48,8 +48,10 @@
 
 func TestCallerThatDoesNotReadIsGivenUp(t *testing.T) {
 	b := newBench(t, func(s *Settings, _ *engine.Settings) { s.Write = 200 * time.Millisecond })
-	e := b.addEngine(0)
-	b.raw(b.rawChat(10_000)) // two megabytes: more than the connection's buffers may hold
+	// Slow enough that the engine has most of its two megabytes still to send when the
+	// caller's connection is full, whatever the buffers before the front hold.
+	e := b.addEngine(time.Millisecond)
+	b.raw(b.rawChat(10_000))
 	b.waitForCancel(e)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if len(b.front.open.list()) > 0 {
