Open a connection for each request to an endpoint

Cause: a request that met a pooled connection gone silent waited for the whole first byte bound (scenario silent-connections, 15 s); an engine sends no byte before its prompt is computed, so a shorter bound can't tell the two apart. Change: [engine] idle = 0 by default; reports keep their connections. Conclusion: one round trip is cheaper than the bound it replaces.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -61,14 +61,18 @@
 	if dial == nil {
 		dial = liveness.Dialer(s.ConnectTimeout, s.Acknowledge).DialContext
 	}
-	return &Client{settings: s, dial: dial, http: newHTTP(s, dial), reports: newHTTP(s, dial)}
+	return &Client{settings: s, dial: dial, http: newHTTP(s, dial, s.Idle), reports: newHTTP(s, dial, reportsIdle)}
 }
 
-func newHTTP(s Settings, dial Dial) *http.Client {
+// reportsIdle is how long an unused connection for reports is kept.
+const reportsIdle = 2 * time.Second
+
+func newHTTP(s Settings, dial Dial, idle time.Duration) *http.Client {
 	transport := &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
-		IdleConnTimeout:        s.Idle,
+		DisableKeepAlives:      idle == 0,
+		IdleConnTimeout:        idle,
 		MaxIdleConnsPerHost:    s.IdleConnections,
 		MaxResponseHeaderBytes: int64(s.MaxHeader),
 		ReadBufferSize:         readBuffer,
--- a/internal/engine/settings.go
+++ b/internal/engine/settings.go
@@ -13,7 +13,7 @@
 	PromptTime      time.Duration  `ini:"prompt_time" default:"200us" min:"1us" max:"1s" doc:"Time for each prompt token, beyond first_byte."`
 	Silence         time.Duration  `ini:"silence" default:"5s" min:"50ms" max:"5m" doc:"Time a streaming endpoint may say nothing."`
 	Acknowledge     time.Duration  `ini:"acknowledge" default:"3s" min:"100ms" max:"1m" doc:"Time that sent bytes may stay unacknowledged, and in which an idle connection is found dead."`
-	Idle            time.Duration  `ini:"idle" default:"2s" min:"100ms" max:"5m" doc:"Time an unused connection is kept; one that went silent meanwhile costs its next request first_byte."`
+	Idle            time.Duration  `ini:"idle" default:"0s" min:"0s" max:"5m" doc:"Time an unused connection for requests is kept; 0 opens one for each request, so that none meets a connection that has gone silent."`
 	TokenTime       time.Duration  `ini:"token_time" default:"250ms" min:"1ms" max:"10s" doc:"Time for each output token of an answer in one piece, beyond that to the first byte."`
 	PlainAnswer     time.Duration  `ini:"plain_answer" default:"10s" min:"50ms" max:"10m" doc:"Time a plain service may take to answer."`
 	MaxEvent        settings.Bytes `ini:"max_event" default:"1 MiB" min:"1 KiB" max:"64 MiB" doc:"Greatest event of a stream."`
