Wait out engines that still run other weights

Change: an engine's 409 counts as nothing run; the version is asked for again after retry_pause, within the queue's bound; at last the caller is refused as not run, 503.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -17,6 +17,7 @@
 	"eelgrasshollow/internal/state"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -25,7 +26,7 @@
 	*exchange
 	*completion
 	path    string
-	version string
+	weights *pb.Model // as configured when the request came
 	seed    prefix.Seed
 	tries
 	delivered int // last position that the caller has; 0 before the first
@@ -133,16 +134,37 @@
 	if err != nil {
 		return nil, err
 	}
-	j := &job{exchange: x, completion: c, path: path, version: version, delivered: from}
-	j.seed = prefix.Namespace{Account: x.account, Model: c.model, Adapter: c.adapter, Version: j.version}.Seed()
+	j := &job{exchange: x, completion: c, path: path, weights: model, delivered: from}
 	j.request = routing.Request{
-		ID: x.id, Account: x.account, Model: c.model, Version: j.version, Adapter: c.adapter,
-		Seed: j.seed, Chain: prefix.Chain(j.seed, c.prompt), PromptTokens: prefix.Tokens(len(c.prompt)),
+		ID: x.id, Account: x.account, Model: c.model, Adapter: c.adapter, PromptTokens: prefix.Tokens(len(c.prompt)),
 		MaxTokens: c.output, Priority: priority, Idempotent: true,
 	}
+	j.setVersion(version)
 	return j, nil
 }
 
+// setVersion names the weights to run on, and with them the cache namespace.
+func (j *job) setVersion(version string) {
+	j.seed = prefix.Namespace{Account: j.account, Model: j.completion.model, Adapter: j.adapter, Version: version}.Seed()
+	j.request.Version, j.request.Seed = version, j.seed
+	j.request.Chain = prefix.Chain(j.seed, j.prompt)
+}
+
+// rolling waits for the next look at the weights that engines run, while an engine had
+// others than routing knew of. It reports whether the request may go on; nothing of it
+// has run.
+func (f *Front) rolling(j *job, err error) bool {
+	if !errors.Is(err, errOtherWeights) || j.delivered > 0 || time.Since(j.start) > f.settings.Queue {
+		return false
+	}
+	pause(j.ctx, f.settings.RetryPause)
+	if version := f.serving(j.exchange, j.completion, j.weights); version != j.request.Version {
+		j.setVersion(version)
+		j.request.Exclude = nil
+	}
+	return j.ctx.Err() == nil
+}
+
 // siblingBytes is the length of prompt by which requests that share a prefix stay on
 // one weights version while new weights are rolled out.
 const siblingBytes = 4000
@@ -241,6 +263,10 @@
 			return nil
 		}
 		j.failed(ticket, err)
+		if f.rolling(j, err) {
+			attempt--
+			continue
+		}
 		if !f.mayRetry(j, err, attempt) {
 			return j.ended(err, j.begun)
 		}
--- a/internal/entry/front_test.go
+++ b/internal/entry/front_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -245,3 +246,28 @@
 		assert.Assert(t, strings.Contains(stats, `"saw_secret":false`), stats)
 	}
 }
+
+// rollingRouter tells the old version first, as routing does while reports lag.
+type rollingRouter struct {
+	*fakeRouter
+	asked atomic.Int32
+}
+
+func (r *rollingRouter) Serving(_, wanted string, _ uint64) string {
+	if r.asked.Add(1) < 4 {
+		return "v0"
+	}
+	return wanted
+}
+
+func TestEnginesWithOtherWeightsFailNobody(t *testing.T) {
+	b := newBench(t, func(s *Settings, _ *engine.Settings) { s.Attempts = 2 })
+	b.addEngine(0)
+	b.addEngine(0)
+	b.front.router = &rollingRouter{fakeRouter: b.router}
+	answer, text := b.do("POST", "/v1/chat/completions", fmt.Sprintf(chatBody, false, 4))
+	assert.Equal(t, answer.StatusCode, 200, text)
+	last := b.router.requests[len(b.router.requests)-1]
+	assert.Equal(t, last.Version, "v1")
+	assert.Assert(t, last.Seed != b.router.requests[0].Seed)
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -64,7 +64,7 @@
 func (a *attempt) run(d routing.Decision) error {
 	j := a.job
 	extra := engineapi.Extra{
-		CacheSalt: j.seed.Salt(), Priority: j.request.Priority, WeightsVersion: j.version, ImportFrom: d.ImportFrom,
+		CacheSalt: j.seed.Salt(), Priority: j.request.Priority, WeightsVersion: j.request.Version, ImportFrom: d.ImportFrom,
 	}
 	if j.delivered > 0 {
 		extra.ResumeFrom = j.delivered + 1
@@ -273,6 +273,9 @@
 	return nil
 }
 
+// errOtherWeights says that an engine runs another version than the one asked for.
+var errOtherWeights = errors.New("other weights")
+
 // refusalOf turns an engine's refusal into an error kind. The engine's own text is not
 // passed on, as it may hold what another party wrote.
 func refusalOf(a *engine.Answer) error {
@@ -284,7 +287,7 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return errkind.New(errkind.Overloaded, "engine has no room")
 	case http.StatusConflict:
-		return errkind.New(errkind.EndpointFailed, "engine has other weights loaded").WithOutcome(errkind.NotRun)
+		return errkind.Wrap(errOtherWeights, errkind.Overloaded, "engine has other weights loaded")
 	}
 	return errkind.New(errkind.EndpointFailed, "engine answered with status %d", a.Status)
 }
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -33,7 +33,7 @@
 
 // streamName returns the name by which the caller can ask any entry VM for the rest.
 func (f *Front) streamName(j *job, d routing.Decision, incarnation string) string {
-	data, err := json.Marshal(streamRef{j.id, d.Endpoint, incarnation, j.account, j.model, j.version, j.output, j.request.PromptTokens})
+	data, err := json.Marshal(streamRef{j.id, d.Endpoint, incarnation, j.account, j.completion.model, j.request.Version, j.output, j.request.PromptTokens})
 	if err != nil {
 		return ""
 	}
@@ -101,8 +101,8 @@
 		return err
 	}
 	x.id = ref.ID
-	j := &job{exchange: x, completion: &completion{stream: true, output: ref.Output}, delivered: from, numbered: true}
-	j.request.PromptTokens = ref.Prompt
+	j := &job{exchange: x, completion: &completion{model: ref.Model, stream: true, output: ref.Output}, delivered: from, numbered: true}
+	j.request.PromptTokens, j.request.Version = ref.Prompt, ref.Version
 	err = f.goOn(j, ref, endpoint.GetAddress())
 	reservation.Settle(j.used())
 	return err
