Export hot shared levels to the kept-cache store

Change: a finished request whose shared level is asked for twice in four seconds or more at this VM and that no store has is exported, one at a time; peers learn of it from digests; a failed export is taken back.

--- a/internal/cacheindex/cacheindex.go
+++ b/internal/cacheindex/cacheindex.go
@@ -15,14 +15,16 @@
 // Endpoint is the small number of an endpoint within one index.
 type Endpoint uint16
 
+// InitialLifetime is the age up to which entries of a new endpoint are believed.
+const InitialLifetime = 30 * time.Second
+
 const (
-	tick            = 10 * time.Millisecond
-	initialLifetime = 30 * time.Second
-	minLifetime     = 200 * time.Millisecond
-	maxLifetime     = 10 * time.Minute
-	shrinkShare     = 0.3  // of the gap to the age at which an entry was found missing
-	growFactor      = 1.05 // for a hit in the older half of the lifetime
-	nowhere         = -1
+	tick        = 10 * time.Millisecond
+	minLifetime = 200 * time.Millisecond
+	maxLifetime = 10 * time.Minute
+	shrinkShare = 0.3  // of the gap to the age at which an entry was found missing
+	growFactor  = 1.05 // for a hit in the older half of the lifetime
+	nowhere     = -1
 )
 
 type holder struct {
@@ -68,13 +70,16 @@
 
 // Add returns the number for a further endpoint.
 func (x *Index) Add() Endpoint {
-	x.endpoints = append(x.endpoints, endpointState{lifetime: initialLifetime})
+	x.endpoints = append(x.endpoints, endpointState{lifetime: InitialLifetime})
 	return Endpoint(len(x.endpoints) - 1)
 }
 
 // Forget empties what is known of an endpoint: it has a new incarnation or is gone.
 func (x *Index) Forget(e Endpoint) { x.endpoints[e].generation++ }
 
+// Believe sets the age up to which entries of the endpoint are believed.
+func (x *Index) Believe(e Endpoint, age time.Duration) { x.endpoints[e].lifetime = age }
+
 // Lifetime is the age up to which entries of the endpoint are believed.
 func (x *Index) Lifetime(e Endpoint) time.Duration { return x.endpoints[e].lifetime }
 
--- a/internal/cacheindex/cacheindex_test.go
+++ b/internal/cacheindex/cacheindex_test.go
@@ -63,7 +63,7 @@
 	m := x.Find(chain(1, 2), now, nil)[e]
 	x.Learn(e, m, 0)
 	short := x.Lifetime(e)
-	assert.Assert(t, short < initialLifetime)
+	assert.Assert(t, short < InitialLifetime)
 	for range 20 {
 		x.Learn(e, Match{RawDepth: 2, Age: 40 * time.Second}, 2)
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -115,6 +115,7 @@
 	}
 	n := c.unused[last]
 	c.unused = c.unused[:last]
+	c.index.Believe(n, cacheindex.InitialLifetime)
 	return n
 }
 
--- a/internal/routing/keep.go
+++ b/internal/routing/keep.go
@@ -12,6 +12,9 @@
 // silently, so they have no incarnations.
 const keptRun = "kept"
 
+// storeLifetime is how long a store is believed to keep what was exported to it.
+const storeLifetime = 5 * time.Minute
+
 // Store is a kept-cache store.
 type Store struct {
 	Name    string
@@ -48,7 +51,9 @@
 			continue
 		}
 		at := digest.Of(digest.Identify(s.Name), digest.RunOf(keptRun))
-		kept = append(kept, &storeState{Store: s, index: c.number(), at: at})
+		n := c.number()
+		c.index.Believe(n, storeLifetime)
+		kept = append(kept, &storeState{Store: s, index: n, at: at})
 	}
 	for _, old := range c.stores {
 		if now := c.storeAmong(kept, old.Name); now != old {
@@ -80,6 +85,13 @@
 	c.note(digest.Placement{At: s.at, Prefix: chain[len(chain)-1]})
 }
 
+// NotExported takes back what Exported recorded.
+func (c *Core) NotExported(now time.Time, store string, chain []prefix.Hash) {
+	if s := c.store(store); s != nil {
+		c.index.Remove(s.index, chain, now)
+	}
+}
+
 // kept finds the store with most of the chain. c.matches must be the chain's.
 func (c *Core) kept() Kept {
 	var best Kept
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -49,6 +49,8 @@
 	server    addressed   // nil without peers
 	pool      caller
 	source    Source // nil without reports
+	keeper    Keeper // nil without exports
+	exports   chan Export
 
 	mu       sync.Mutex
 	core     *Core
@@ -72,6 +74,8 @@
 	m.core = NewCore(m.policy, m.settings.limits(), time.Now())
 	m.fleet, _ = kernel.Lookup[watch.Fleet](k, "entry.directory")
 	m.source, _ = kernel.Lookup[Source](k, "entry.engine")
+	m.keeper, _ = kernel.Lookup[Keeper](k, "entry.engine")
+	m.exports = make(chan Export, exportsQueued)
 	return m.provisionPeers(k)
 }
 
@@ -123,6 +127,7 @@
 	m.group, ctx = errgroup.WithContext(ctx)
 	m.group.Go(func() error { return m.follow(ctx) })
 	m.group.Go(func() error { return m.tick(ctx) })
+	m.group.Go(func() error { return m.export(ctx) })
 	if m.server != nil {
 		m.group.Go(func() error { return newExchange(m, m.pool).run(ctx) })
 	}
@@ -280,5 +285,9 @@
 func (t *ticket) Done(r Result) {
 	t.module.mu.Lock()
 	defer t.module.mu.Unlock()
-	t.module.core.Finish(time.Now(), t.pending, r)
+	now := time.Now()
+	t.module.core.Finish(now, t.pending, r)
+	if r.Err == nil {
+		t.module.keep(now, t.pending)
+	}
 }
