--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -129,7 +129,7 @@
 func (p *Planner) Blocked() []string { return slices.Sorted(maps.Keys(p.blocked)) }
 
 // idleShare is the share of an endpoint's work that counts as none.
-const idleShare = 0.05
+const idleShare = 0.25
 
 // Need is how many endpoints the model needs now: what operators ask for at any time,
 // and what the demand asks for. An idle model that operators ask nothing for needs
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -71,9 +71,10 @@
 	c := newCore(1, 8)
 	failed := submit(c, epoch, request("a"))
 	c.Finish(epoch, failed, Result{Err: errkind.New(errkind.EndpointFailed, "reset")})
-	again := request("a")
-	again.Exclude = []string{"e0"}
-	p, gone := submit(c, epoch, again), submit(c, epoch, request("a"))
+	again, once := request("a"), request("a")
+	again.Idempotent, again.Exclude = true, []string{"e0"}
+	p, gone := submit(c, epoch, again), submit(c, epoch, again)
+	assert.Equal(t, submit(c, epoch, once).Refusal.Kind, errkind.NoEndpoint, "may run once only")
 	assert.Equal(t, p.phase, waiting)
 	assert.Assert(t, c.Cancel(gone))
 	c.Tick(epoch.Add(firstBackOff - time.Millisecond))
@@ -90,7 +91,9 @@
 	c.SetFleet(epoch, engines(1, 8))
 	failed := submit(c, epoch, request("a"))
 	c.Finish(epoch, failed, Result{Err: errkind.New(errkind.EndpointFailed, "reset")})
-	p := submit(c, epoch, request("a"))
+	r := request("a")
+	r.Idempotent = true
+	p := submit(c, epoch, r)
 	assert.Equal(t, p.Refusal.Kind, errkind.NoEndpoint)
 	assert.Equal(t, p.Refusal.RetryAfter, firstBackOff)
 }
--- a/internal/routing/park.go
+++ b/internal/routing/park.go
@@ -10,11 +10,13 @@
 // defaultComeBack is told when nothing says when an endpoint will be there.
 const defaultComeBack = time.Second
 
-// park lets a request wait while every endpoint that may serve it has just failed and
-// will be tried again within the request's wait. Otherwise it is refused at once.
+// park lets an idempotent request wait while every endpoint that may serve it has just
+// failed and will be tried again within the request's wait. Every other one is refused at
+// once: a call that may run once only had better be told not-run than meet an endpoint
+// that may lose its answer.
 func (c *Core) park(now time.Time, p *Pending) {
 	back, ok := c.nextBack(now, &p.Request)
-	if ok && !back.After(p.submitted.Add(c.limits.LongestWait)) && len(c.parked) < c.limits.QueuePerEndpoint {
+	if ok && p.Request.Idempotent && !back.After(p.submitted.Add(c.limits.LongestWait)) && len(c.parked) < c.limits.QueuePerEndpoint {
 		c.parked = append(c.parked, p)
 		return
 	}
