Hold lagging load reports against what is known to be at an endpoint

Cause: reports were read and not used for the score; work of others, or of peers whose digests are lost, was not seen. Change: requests reported beyond the most that was known since the last report count as foreign, for places and for the wait.

--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eelgrasshollow/internal/digest"
+	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
 	"eelgrasshollow/internal/routing"
@@ -116,6 +117,7 @@
 	if v.Digests && vms > 1 {
 		l.every(digestUrgent, b.exchange)
 	}
+	l.every(w.Shape.LoadEvery, b.reports)
 	b.plan()
 	for _, a := range w.Generate(s, b.length, rand.New(rand.NewPCG(seed, 2))) {
 		l.after(a.At, func() { b.arrive(a) })
@@ -223,6 +225,19 @@
 	}
 }
 
+// reports delivers every engine's load to the VM that reads it, with a lag.
+func (b *bench) reports() {
+	for i, e := range b.fleet.engines {
+		if e.down {
+			continue
+		}
+		load := engineapi.Load{Incarnation: e.incarnation(), Running: len(e.running), Waiting: len(e.waiting), Versions: map[string]string{"m": "v1"}}
+		b.loop.after(e.shape.LoadEvery, func() {
+			b.cores[i%len(b.cores)].Report(b.loop.time(), e.name, load)
+		})
+	}
+}
+
 func (b *bench) listen(e cacheEvent) {
 	for _, c := range b.cores {
 		c.Event(b.loop.time(), e.engine, routing.CacheEvent{Incarnation: e.incarnation, Seq: e.seq, Kind: e.kind, Hashes: e.hashes})
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -157,7 +157,7 @@
 // admit sheds early: by the predicted wait in fair order, and by the queue's bound,
 // where the account that waits with the most tokens gives way.
 func (c *Core) admit(now time.Time, p *Pending, s *State) bool {
-	limit := s.limit(c.vms)
+	limit := s.limit(now, c.vms)
 	if s.InFlight < limit && s.queue.Len() == 0 {
 		return true
 	}
@@ -191,7 +191,7 @@
 
 // pump sends waiting requests while there are places.
 func (c *Core) pump(now time.Time, s *State) {
-	for s.InFlight < s.limit(c.vms) {
+	for s.InFlight < s.limit(now, c.vms) {
 		p := s.queue.Pop()
 		if p == nil {
 			return
@@ -205,6 +205,7 @@
 	p.phase, p.sent, p.run = sent, now, s.run
 	p.work = s.PendingTokens + s.PeerPending + p.missed
 	s.InFlight++
+	s.note()
 	s.PendingTokens += p.missed
 	c.index.Touch(s.index, p.Request.Chain, now)
 	c.remember(s, p.Request.Chain, p.match.Depth)
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
 
@@ -151,3 +152,19 @@
 	}
 	assert.Equal(t, ran, int(DefaultLimits().RetryBurst))
 }
+
+func TestReportsShowForeignWork(t *testing.T) {
+	c := newCore(2, 4)
+	own := submit(c, epoch, request("a"))
+	c.Report(epoch, own.Decision.Endpoint, engineapi.Load{Incarnation: "i", Running: 1})
+	s, _ := c.State(own.Decision.Endpoint)
+	assert.Equal(t, s.Foreign, 0)
+	c.Finish(epoch, own, answer(own, "i", 0))
+	c.Report(epoch, s.Name, engineapi.Load{Incarnation: "i", Running: 1})
+	assert.Equal(t, s.Foreign, 0, "the report may be older than the end of the request")
+	c.Report(epoch, s.Name, engineapi.Load{Incarnation: "i", Running: 4, Waiting: 3})
+	assert.Equal(t, s.Foreign, 7)
+	for range 4 {
+		assert.Assert(t, submit(c, epoch, request("a")).Decision.Endpoint != s.Name)
+	}
+}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -19,6 +19,7 @@
 	firstBackOff           = 250 * time.Millisecond
 	greatestBackOff        = 5 * time.Second
 	endedRuns              = 4
+	foreignKept            = 3 * time.Second
 )
 
 // Endpoint is what the configuration says of a server.
@@ -43,13 +44,17 @@
 	// last digests.
 	PeerInFlight int
 	PeerPending  int
-	Incarnation  string
-	Load         engineapi.Load
-	LoadAt       time.Time
+	// Foreign counts requests that the endpoint reported and no entry VM is known to
+	// have sent: digests were lost, or others use it too.
+	Foreign     int
+	Incarnation string
+	Load        engineapi.Load
+	LoadAt      time.Time
 	// PrefillPerToken and Service are learned from answers.
 	PrefillPerToken time.Duration
 	Service         time.Duration
 
+	peak      int // most requests known to be there since the last report
 	index     cacheindex.Endpoint
 	hash      uint64 // of the name
 	queue     fairQueue
@@ -67,13 +72,33 @@
 
 // limit is the number of own requests that may run there now: what the peers leave,
 // but never less than an equal share.
-func (s *State) limit(vms int) int {
+func (s *State) limit(now time.Time, vms int) int {
 	most := s.MaxConcurrent
 	if most <= 0 {
 		most = DefaultConcurrent
 	}
 	share := (most + vms - 1) / max(vms, 1)
-	return max(most-s.PeerInFlight, share)
+	return max(most-s.PeerInFlight-s.foreign(now), share)
+}
+
+// note keeps the peak of the requests known to be there.
+func (s *State) note() { s.peak = max(s.peak, s.InFlight+s.PeerInFlight) }
+
+// report takes in a load report. It lags, so it is held against the most that was
+// known to be there since the one before.
+func (s *State) report(l engineapi.Load, now time.Time) {
+	s.note()
+	s.Foreign = max(l.Running+l.Waiting-s.peak, 0)
+	s.peak = s.InFlight + s.PeerInFlight
+	s.Load, s.LoadAt = l, now
+}
+
+// foreign is Foreign while the report is fresh.
+func (s *State) foreign(now time.Time) int {
+	if now.Sub(s.LoadAt) > foreignKept {
+		return 0
+	}
+	return s.Foreign
 }
 
 // observe learns from an answer. work is the number of uncached tokens that stood
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -50,7 +50,7 @@
 		return
 	}
 	s.told = s.told && s.Load.Role == l.Role && maps.Equal(s.Load.Versions, l.Versions) && now.Sub(s.LoadAt) < weightsKept/4
-	s.Load, s.LoadAt = l, now
+	s.report(l, now)
 }
 
 // noteGone keeps evictions for the next digest, the newest of them.
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -172,5 +172,6 @@
 				s.PeerPending += int(l.Pending)
 			}
 		}
+		s.note()
 	}
 }
