--- /dev/null
+++ b/internal/routing/versions_test.go
@@ -0,0 +1,58 @@
+package routing
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"eelgrasshollow/internal/engineapi"
+
+	"gotest.tools/v3/assert"
+)
+
+// serving reports weights for every endpoint of a core of four.
+func serving(c *Core, now time.Time, versions ...string) {
+	for i, v := range versions {
+		c.Report(now, engines(4, 8)[i].Name, engineapi.Load{Incarnation: "i", Versions: map[string]string{"m": v}})
+	}
+}
+
+func share(c *Core, now time.Time, wanted string) float64 {
+	n := 0
+	const keys = 1000
+	for i := range uint64(keys) {
+		if c.Serving(now, "m", wanted, i*(math.MaxUint64/keys)) == wanted {
+			n++
+		}
+	}
+	return float64(n) / keys
+}
+
+func TestRequestsFollowTheRoll(t *testing.T) {
+	c := newCore(4, 8)
+	c.SetVersions(map[string]string{"m": "v1"})
+	serving(c, epoch, "v1", "v1", "v1", "v1")
+	assert.Equal(t, share(c, epoch, "v1"), 1.0)
+	c.SetVersions(map[string]string{"m": "v2"})
+	assert.Equal(t, share(c, epoch, "v2"), 0.0, "nobody has it yet")
+	serving(c, epoch, "v2", "v1", "v1", "v1")
+	got := share(c, epoch, "v2")
+	assert.Assert(t, got > 0.2 && got < 0.3, "%v", got)
+	serving(c, epoch, "v2", "v2", "v2", "v2")
+	assert.Equal(t, share(c, epoch, "v2"), 1.0)
+}
+
+func TestADrainingEndpointGetsNothingAndPeersHearOfIt(t *testing.T) {
+	c, peer := newCore(2, 8), newCore(2, 8)
+	drain := engineapi.Load{Incarnation: "i", Role: engineapi.RoleDrain, Versions: map[string]string{"m": "v1"}}
+	c.Report(epoch, "e0", drain)
+	peer.Absorb(epoch, c.Digest("c", 1024))
+	for range 5 {
+		assert.Equal(t, submit(c, epoch, request("a")).Decision.Endpoint, "e1")
+		assert.Equal(t, submit(peer, epoch, request("a")).Decision.Endpoint, "e1")
+	}
+	c.Report(epoch.Add(time.Second), "e0", engineapi.Load{Incarnation: "i", Role: "any", Versions: map[string]string{"m": "v1"}})
+	peer.Absorb(epoch.Add(time.Second), c.Digest("c", 1024))
+	p := submit(peer, epoch.Add(time.Second), request("a"))
+	assert.Equal(t, p.Decision.Endpoint, "e0", "it serves again, and is the idle one")
+}
