--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -203,6 +203,8 @@
 [security]
 hash_key_file = %s
 operator_tokens_file = %s
+[journal]
+run_time = 15s
 `
 
 func (f *fleet) prepareEntries() error {
--- a/internal/scenario/link_check_test.go
+++ b/internal/scenario/link_check_test.go
@@ -59,6 +59,7 @@
 		assert.Assert(t, !answered(t, dial(t, k), shortly))
 		k.heal()
 		assert.Assert(t, answered(t, dial(t, k), longEnough))
+		assert.Assert(t, answered(t, c, longEnough)) // what was held comes after all
 	}
 }
 
