--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,12 @@
 SEED    := 1
 soak: build
 	@./scripts/soak.sh $(MINUTES) $(SEED)
+# bench-routing   the routing policy against baselines, with plots
+
+bench-routing:
+	@mkdir -p docs/results
+	$(GO) run ./cmd/eelgrass-policybench --plots docs/results
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/routing
 
 generate:
 	./proto/generate.sh
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -13,6 +13,7 @@
 	"eelgrasshollow/internal/keys"
 	"eelgrasshollow/internal/logging"
 	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/placement"
 	"eelgrasshollow/internal/state"
 	"eelgrasshollow/internal/statemachine"
 	"eelgrasshollow/internal/watch"
@@ -112,4 +113,5 @@
 	p.kernel.Register("control.grants", grants.NewOwnerModule(p.settings.Grants, bucket), consensus.ModuleName, state.ModuleName, peer.ServerName)
 	p.mux.Add(journal.Namespace, journal.NewMachine())
 	p.kernel.Register("control.journal", journal.NewOwnerModule(p.settings.Journal), consensus.ModuleName, peer.ServerName)
+	p.kernel.Register(placement.ModuleName, placement.NewModule(p.settings.Placement), consensus.ModuleName, state.ModuleName)
 }
