--- a/internal/reference/reference.go
+++ b/internal/reference/reference.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"eelgrasshollow/internal/controld"
+	"eelgrasshollow/internal/entryd"
 	"eelgrasshollow/internal/load"
 	"eelgrasshollow/internal/settings"
 )
@@ -41,6 +42,7 @@
 func daemons() []daemon {
 	return []daemon{
 		{"eelgrass-control", controld.Settings{}},
+		{"eelgrass-entry", entryd.Settings{}},
 		{"eelgrass-load", load.Settings{}},
 	}
 }
