--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -141,6 +141,7 @@
 func (f *fleet) standin(name string, args ...string) {
 	f.addresses[name] = freeAddress()
 	f.add(name, "eelgrass-standin", append(args, "--listen", f.addresses[name])...)
+	f.processes[name].listens = f.addresses[name]
 }
 
 func (f *fleet) prepareEndpoints() error {
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -53,6 +53,9 @@
 	path string
 	args []string
 	log  string // file for standard error
+	// listens is where a started process must be reached before start returns; empty:
+	// start does not wait.
+	listens string
 
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -80,7 +83,23 @@
 		p.err = cmd.Wait()
 		close(exited)
 	}()
-	return nil
+	return p.awaitListening()
+}
+
+// listenBound is the longest that a stand-in may take to listen.
+const listenBound = 20 * time.Second
+
+func (p *process) awaitListening() error {
+	if p.listens == "" {
+		return nil
+	}
+	for deadline := time.Now().Add(listenBound); time.Now().Before(deadline); time.Sleep(retryPause) {
+		c, err := net.DialTimeout("tcp", p.listens, dialTimeout)
+		if err == nil {
+			return c.Close()
+		}
+	}
+	return errors.Newf("%s does not listen after %v", p.name, listenBound)
 }
 
 func (p *process) running() bool {
