--- a/internal/consensus/module.go
+++ b/internal/consensus/module.go
@@ -29,6 +29,7 @@
 	HeartbeatEvery  time.Duration
 	SnapshotEvery   uint64
 	KeepEntries     uint64
+	Batch           int
 	Machine         *statemachine.Mux
 	Log             *zap.Logger
 	OnFatal         func(error)
@@ -61,7 +62,7 @@
 		Core: Config{ID: m.cfg.Replica, ElectionTimeout: m.cfg.ElectionTimeout, HeartbeatEvery: m.cfg.HeartbeatEvery,
 			MaxAppendBytes: DefaultAppendBytes, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		Storage: store, Stored: stored, Transport: NewPeerTransport(pool), Machine: m.cfg.Machine, Log: m.cfg.Log,
-		SnapshotEvery: m.cfg.SnapshotEvery, KeepEntries: m.cfg.KeepEntries, OnFatal: m.cfg.OnFatal,
+		SnapshotEvery: m.cfg.SnapshotEvery, KeepEntries: m.cfg.KeepEntries, Batch: m.cfg.Batch, OnFatal: m.cfg.OnFatal,
 	})
 	if err != nil {
 		return errors.CombineErrors(err, store.Close())
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -33,7 +33,7 @@
 	DefaultSnapshotEvery = 10_000
 	DefaultKeepEntries   = 1_000
 	inboxSize            = 4096
-	batchSize            = 1024
+	DefaultBatch         = 1024
 )
 
 // Options of a Replica.
@@ -47,6 +47,7 @@
 	TickEvery     time.Duration
 	SnapshotEvery uint64 // applied entries between two snapshots
 	KeepEntries   uint64 // entries kept before a snapshot, for slow replicas
+	Batch         int    // calls and messages that share one sync at most
 	// OnFatal is called once when the replica stops by itself.
 	OnFatal func(error)
 }
@@ -106,6 +107,9 @@
 	if opt.SnapshotEvery == 0 {
 		opt.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if opt.Batch == 0 {
+		opt.Batch = DefaultBatch
+	}
 	if opt.OnFatal == nil {
 		opt.OnFatal = func(error) {}
 	}
@@ -152,7 +156,7 @@
 
 // drainInbox takes what has queued up, so that one sync serves it all.
 func (r *Replica) drainInbox() {
-	for range batchSize {
+	for range r.opt.Batch - 1 {
 		select {
 		case f := <-r.inbox:
 			f()
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -95,7 +95,7 @@
 	p.kernel.Register(consensus.ModuleName, consensus.NewModule(consensus.ModuleConfig{
 		Replica: c.ReplicaID, Initial: p.settings.initial(), DataDir: p.settings.Node.DataDir,
 		ElectionTimeout: c.ElectionTimeout, HeartbeatEvery: c.Heartbeat,
-		SnapshotEvery: c.SnapshotEvery, KeepEntries: c.KeepEntries,
+		SnapshotEvery: c.SnapshotEvery, KeepEntries: c.KeepEntries, Batch: c.Batch,
 		Machine: p.mux, Log: p.log.Named("consensus"), OnFatal: p.fatal,
 	}), peer.ServerName, peer.PoolName)
 	p.kernel.Register(watch.ModuleName, watch.NewModule(c.Freshness, p.log.Named("watch")), consensus.ModuleName, state.ModuleName)
--- a/internal/controld/settings.go
+++ b/internal/controld/settings.go
@@ -45,6 +45,7 @@
 	Heartbeat       time.Duration `ini:"heartbeat" default:"100ms" min:"20ms" max:"2s" doc:"Time between the leader's rounds."`
 	SnapshotEvery   uint64        `ini:"snapshot_every" default:"10000" min:"100" doc:"Log entries between two snapshots."`
 	KeepEntries     uint64        `ini:"keep_entries" default:"1000" doc:"Log entries kept before a snapshot for replicas that are a little behind."`
+	Batch           int           `ini:"batch" default:"1024" min:"1" max:"65536" doc:"Changes and messages that share one sync at most."`
 	Freshness       time.Duration `ini:"freshness" default:"3s" min:"1s" max:"10s" doc:"How old the configuration on an entry VM may be; the same on every VM."`
 	Platform        string        `ini:"platform_address" default:"" doc:"IP address and port of the platform's VM list; empty follows none."`
 	PlatformEvery   time.Duration `ini:"platform_every" default:"1s" min:"100ms" max:"1m" doc:"Time between two readings of the VM list."`
