Tell followers of commits at once and exchange VM reports during changes

Change: one message after a commit; reports are exchanged within 20 ms while they change; election jitter is half the timeout.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -87,6 +87,8 @@
 	rounds   []roundMark
 	quorumAt time.Time // beginning of the newest confirmed round
 	reads    []pendingRead
+	// advanced: the commit index moved and the followers have not been told.
+	advanced bool
 
 	confirmed  map[uint64]bool // replicas that recognised this store since the start
 	recognised bool            // a majority has
@@ -125,7 +127,7 @@
 }
 
 func (c *Core) resetDeadline() {
-	jitter := time.Duration(c.cfg.Random.Int64N(int64(c.cfg.ElectionTimeout)))
+	jitter := time.Duration(c.cfg.Random.Int64N(int64(c.cfg.ElectionTimeout / 2)))
 	c.deadline = c.now.Add(c.cfg.ElectionTimeout + jitter)
 }
 
@@ -238,6 +240,7 @@
 
 // Ready hands out what there is to do and forgets it.
 func (c *Core) Ready() Ready {
+	c.tellCommit()
 	if c.commit > c.handed {
 		c.out.Committed = c.log.slice(c.handed, c.commit, int(^uint(0)>>1))
 		c.handed = c.commit
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -216,7 +216,20 @@
 	slices.Sort(at)
 	index := at[len(at)-c.members.quorum()]
 	if t, ok := c.log.term(index); ok && index > c.commit && t == c.hard.Term {
-		c.commit = index
+		c.commit, c.advanced = index, true
+	}
+}
+
+// tellCommit lets the followers apply at once what was committed.
+func (c *Core) tellCommit() {
+	if !c.advanced || c.role != Leader {
+		return
+	}
+	c.advanced = false
+	for _, x := range c.members.Members {
+		if x.ID != c.id {
+			c.sendAppend(x.ID, true)
+		}
 	}
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -53,6 +53,8 @@
 	leaving map[string]bool // by name or address, as the platform says
 	peers   map[uint64]uint64
 	version uint64
+	// progress counts reports of newer revisions.
+	progress uint64
 }
 
 // NewTable returns a table that forgets VMs not heard for longer than bound.
@@ -74,12 +76,22 @@
 		fresh.VM, fresh.heard = old.VM, old.heard
 	}
 	fresh.Revision = max(fresh.Revision, old.Revision)
+	if !known || fresh.Revision > old.Revision {
+		t.progress++
+	}
 	if !known || old.VM != fresh.VM {
 		t.version++
 	}
 	t.rows[k] = fresh
 }
 
+// Progress counts the VMs' reports of newer revisions.
+func (t *Table) Progress() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.progress
+}
+
 // HearReplica notes the revision that another control replica has applied.
 func (t *Table) HearReplica(id, revision uint64) {
 	t.mu.Lock()
--- a/internal/watch/inforce.go
+++ b/internal/watch/inforce.go
@@ -10,6 +10,8 @@
 const (
 	// exchangeEvery is how often control replicas tell each other of the VMs.
 	exchangeEvery = 200 * time.Millisecond
+	// exchangeSoon is how often at most, while a change is on its way to the VMs.
+	exchangeSoon = 20 * time.Millisecond
 	// waitPoll is how often Wait looks at the table.
 	waitPoll = 20 * time.Millisecond
 )
@@ -63,8 +65,10 @@
 
 // Run dates revisions and exchanges VM reports with the other replicas until Close.
 func (s *Server) Run(calls Caller) {
-	ticker := time.NewTicker(exchangeEvery)
+	ticker := time.NewTicker(exchangeSoon)
 	defer ticker.Stop()
+	var told progress
+	var last time.Time
 	for {
 		changed := s.replica.Changed()
 		s.markRevision(time.Now())
@@ -72,12 +76,19 @@
 		case <-s.ctx.Done():
 			return
 		case <-changed:
-		case <-ticker.C:
-			s.exchange(calls)
+		case now := <-ticker.C:
+			p := progress{s.machine.Revision(), s.table.Progress()}
+			if p != told || now.Sub(last) >= exchangeEvery {
+				told, last = p, now
+				s.exchange(calls)
+			}
 		}
 	}
 }
 
+// progress of a change on its way to the VMs, as this replica sees it.
+type progress struct{ revision, reports uint64 }
+
 // exchange tells the other replicas what this one knows of the VMs.
 func (s *Server) exchange(calls Caller) {
 	p := s.replica.Published()
