--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -11,6 +11,7 @@
 	"eelgrasshollow/internal/consensus"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/state"
 	"eelgrasshollow/internal/watch"
 
 	"connectrpc.com/connect"
@@ -279,3 +280,62 @@
 		}
 	})
 }
+
+// TestRestartedVMDoesNotGoBack: it takes nothing from a replica that lags.
+func TestRestartedVMDoesNotGoBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll()
+		l := c.leader()
+		lagging := addressOf(l.id%3 + 1)
+		c.isolate(lagging, true)
+		c.mu.Lock()
+		for address := range c.nodes {
+			c.cut[[2]string{"", address}] = address != lagging
+		}
+		c.mu.Unlock()
+		_, err := c.change(l, "op", putAccount("a", 1, 0))
+		assert.NilError(t, err)
+		vm := c.client("vm1")
+		defer func() { _ = vm.Stop(context.Background()) }()
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, vm.View() == nil)
+		assert.Equal(t, errkind.Of(vm.Fresh()).Kind, errkind.Stale)
+		c.mu.Lock()
+		clear(c.cut)
+		c.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		assert.NilError(t, vm.Fresh())
+		assert.Equal(t, vm.View().Revision(), uint64(1))
+	})
+}
+
+// TestLeavingVM is listed as leaving on every replica.
+func TestLeavingVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll()
+		c.leader()
+		one, two := c.client("vm1"), c.client("vm2")
+		defer func() { _, _ = one.Stop(context.Background()), two.Stop(context.Background()) }()
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, one.Leave(t.Context()))
+		time.Sleep(2 * time.Second)
+		vms := two.VMs()
+		assert.Equal(t, len(vms), 2)
+		assert.Assert(t, vms[0].Leaving && !vms[1].Leaving)
+		assert.NilError(t, one.Stop(context.Background()))
+		time.Sleep(2 * testFreshness)
+		assert.Equal(t, len(two.VMs()), 1)
+	})
+}
+
+func TestEndpointsOnLeavingVMs(t *testing.T) {
+	v := state.NewView(&pb.Configuration{Endpoints: []*pb.Endpoint{
+		{Name: "by-name", Address: "10.0.0.1:1", Revision: 3}, {Name: "b", Address: "10.0.0.2:1"}, {Name: "c", Address: "10.0.0.3:1"},
+		{Name: "d", Address: "10.0.0.2:2", Leaving: true}}})
+	muts := leavingEndpoints(v, map[string]bool{"by-name": true, "10.0.0.2": true})
+	assert.Equal(t, len(muts), 2)
+	assert.Equal(t, muts[0].GetExpectedRevision(), uint64(3))
+	assert.Assert(t, muts[1].GetPutEndpoint().GetLeaving())
+}
--- a/internal/state/check.go
+++ b/internal/state/check.go
@@ -23,17 +23,34 @@
 			worst = e
 		}
 	}
-	_ = d.accounts.all(func(x *pb.ClientAccount) error { note(checkAccount(x)); return nil })
-	_ = d.keys.all(func(x *pb.Key) error { note(d.checkKey(x)); return nil })
-	_ = d.models.all(func(x *pb.Model) error { note(checkName("model", x.GetName())); return nil })
-	_ = d.endpoints.all(func(x *pb.Endpoint) error { note(d.checkEndpoint(x)); return nil })
-	d.checkRoutes(note)
+	// What was put may be malformed or speak of something missing. What was there
+	// before can only lose an account or a model that it speaks of.
+	full := len(d.accounts.deleted)+len(d.models.deleted) > 0
+	check(&d.accounts, full, checkAccount, note)
+	check(&d.keys, full, d.checkKey, note)
+	check(&d.models, full, func(x *pb.Model) error { return checkName("model", x.GetName()) }, note)
+	check(&d.endpoints, full, d.checkEndpoint, note)
+	check(&d.routes, full, d.checkRoute, note)
+	if len(d.routes.put) > 0 {
+		d.checkRoutesApart(note)
+	}
 	if worst != nil {
 		return worst
 	}
 	return nil
 }
 
+// check looks at what was put, or at everything.
+func check[T object](l *layer[T], full bool, f func(T) error, note func(error)) {
+	if full {
+		_ = l.all(func(x T) error { note(f(x)); return nil })
+		return
+	}
+	for _, x := range l.put {
+		note(f(x))
+	}
+}
+
 func invalid(format string, args ...any) error {
 	return errkind.New(errkind.InvalidRequest, format, args...)
 }
@@ -91,10 +108,10 @@
 	return nil
 }
 
-func (d *draft) checkRoutes(note func(error)) {
+// checkRoutesApart refuses two routes that match the same requests.
+func (d *draft) checkRoutesApart(note func(error)) {
 	byModel, byPath := map[string]int{}, map[string]int{}
 	_ = d.routes.all(func(x *pb.Route) error {
-		note(d.checkRoute(x))
 		if x.GetKind() == pb.RouteKind_ROUTE_KIND_MODEL {
 			byModel[x.GetModel()]++
 		} else {
