--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -33,6 +33,7 @@
 	current   *slice
 	former    *slice // of the last owner, until its lease ends
 	refundCap int64
+	rate      int64
 	burst     int64
 	known     bool          // the owner has answered for this account
 	answered  time.Duration // when it last did
@@ -111,7 +112,7 @@
 func (h *Holder) holding(now time.Duration, account string) *holding {
 	a := h.accounts[account]
 	if a == nil {
-		a = &holding{current: &slice{term: h.term}, since: now}
+		a = &holding{current: &slice{account: account, term: h.term}, since: now}
 		h.accounts[account] = a
 	}
 	return a
@@ -129,14 +130,19 @@
 	return a.current.reserve(now, tokens, a.refundCap)
 }
 
-// Settle ends a reservation with the tokens used.
-func (h *Holder) Settle(now time.Duration, r *reservation, used int64) { r.settle(now, used) }
+// Settle ends a reservation with the tokens used, and reports whether that is worth a
+// report at once.
+func (h *Holder) Settle(now time.Duration, r *reservation, used int64) bool {
+	r.settle(now, used)
+	a := h.accounts[r.slice.account]
+	return a != nil && a.current == r.slice && a.urgent(h.opt.Horizon)
+}
 
 // Until returns how long a waiter waits: beyond its deadline while the owner, which may
 // be changing, has not answered since it came.
 func (h *Holder) Until(w *waiter) time.Duration {
 	a := h.accounts[w.account]
-	if a == nil || a.known && a.answered >= w.since {
+	if a == nil || a.known && a.answered > w.since {
 		return w.deadline
 	}
 	return max(w.deadline, w.since+h.opt.Outage)
@@ -159,7 +165,7 @@
 	if a == nil {
 		return false
 	}
-	if a.urgent() {
+	if a.urgent(h.opt.Horizon) {
 		return true
 	}
 	if now < a.blocked {
@@ -208,6 +214,9 @@
 	} else if spare := a.current.unspent() - 2*target; spare > 0 {
 		a.current.giveBack(now, a.current.unspent()-target)
 	}
+	if a.blocked > 0 {
+		a.current.close(now, a.rate)
+	}
 	a.current.trim(a.refundCap)
 	return SyncEntry{
 		Account: name, Gone: a.current.gone(), Returned: a.current.returned,
@@ -288,14 +297,14 @@
 	for _, a := range h.accounts {
 		a.current.trim(0)
 		a.former = a.current
-		a.current = &slice{term: term}
+		a.current = &slice{account: a.former.account, term: term}
 	}
 }
 
 func (h *Holder) take(now time.Duration, name string, a *holding, g SyncGrant, reported int64, end time.Duration) {
 	a.current.renew(g, reported, end)
 	a.current.reported = reported
-	a.known, a.burst, a.refundCap = true, g.Burst, g.RefundCap
+	a.known, a.rate, a.burst, a.refundCap = true, g.Rate, g.Burst, g.RefundCap
 	a.answered = now
 	a.blocked = 0
 	if g.RetryAfter > 0 {
@@ -329,21 +338,27 @@
 	a.queue = a.queue[1:]
 }
 
-// urgent says that so much was spent since the last report that the owner, who counts it
-// as outstanding, may be keeping the bucket from its refill.
-func (a *holding) urgent() bool {
-	return a.burst > 0 && a.current.gone()-a.current.reported > a.burst/reportShare
+// urgent says that a large part of the burst was spent since the last report, or was
+// refunded and is not needed here. The owner counts both as outstanding, which keeps the
+// bucket from its refill.
+func (a *holding) urgent(horizon time.Duration) bool {
+	large := a.burst / reportShare
+	if a.burst == 0 || len(a.queue) > 0 {
+		return false
+	}
+	return a.current.gone()-a.current.reported > large || a.current.unspent() > large+2*a.target(horizon)
 }
 
 // reportShare of the burst is reported ahead of the regular report once it is spent.
 const reportShare = 8
 
 // NextRetry returns the earliest time at which the owner said to come back for
-// someone who waits, or 0. It is in the past when much was spent unreported.
+// someone who waits, or 0. It is in the past when much
+// was spent unreported, or someone waits who has no answer yet.
 func (h *Holder) NextRetry() time.Duration {
 	next := time.Duration(0)
 	for _, a := range h.accounts {
-		if a.urgent() {
+		if a.urgent(h.opt.Horizon) || len(a.queue) > 0 && a.answered <= a.queue[0].since {
 			return 1
 		}
 		if len(a.queue) > 0 && a.blocked > 0 && (next == 0 || a.blocked < next) {
--- a/internal/grants/limiter.go
+++ b/internal/grants/limiter.go
@@ -17,6 +17,9 @@
 // minGap is the least time between two reports.
 const minGap = 5 * time.Millisecond
 
+// failGap is the least time from a report that failed to the next.
+const failGap = 50 * time.Millisecond
+
 // Client is the Limiter of an entry VM: it holds slices and reports to the owner.
 type Client struct {
 	opt   HolderOptions
@@ -27,6 +30,7 @@
 
 	mu     sync.Mutex
 	holder *Holder
+	failed bool // the last report was not answered
 }
 
 // NewClient returns a limiter that reports to owner once Run is called.
@@ -116,8 +120,11 @@
 func (h *held) Settle(used int64) {
 	h.once.Do(func() {
 		h.client.mu.Lock()
-		defer h.client.mu.Unlock()
-		h.client.holder.Settle(h.client.now(), h.reservation, used)
+		urgent := h.client.holder.Settle(h.client.now(), h.reservation, used)
+		h.client.mu.Unlock()
+		if urgent {
+			h.client.wake()
+		}
 	})
 }
 
@@ -154,7 +161,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if next := c.holder.NextRetry(); next > 0 {
-		return min(max(next-c.now(), minGap), c.opt.Interval)
+		gap := minGap
+		if c.failed {
+			gap = failGap
+		}
+		return min(max(next-c.now(), gap), c.opt.Interval)
 	}
 	return c.opt.Interval
 }
@@ -174,6 +185,7 @@
 	err := c.owner.Call(ctx, "Grants.Sync", req, &reply)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.failed = err != nil
 	if err != nil {
 		c.log.Debug("grant report failed", zap.Error(err))
 		return
--- a/internal/grants/owner.go
+++ b/internal/grants/owner.go
@@ -135,7 +135,7 @@
 	}
 	return SyncGrant{
 		Granted: s.granted, Gone: s.gone, RefundCap: a.refundCap(now),
-		Burst: a.limit.Burst, RetryAfter: retry,
+		Rate: a.limit.Rate, Burst: a.limit.Burst, RetryAfter: retry,
 	}
 }
 
@@ -208,10 +208,11 @@
 	return minWait
 }
 
-// refundCap is the most tokens that one holder may keep open for refunds.
+// refundCap is the most tokens that one holder may keep open for refunds. They are part
+// of the outstanding slices; as long as large requests wait, those may be the whole burst.
 func (a *account) refundCap(now time.Duration) int64 {
 	if now < a.largeUntil {
-		return 0
+		return a.limit.Burst
 	}
 	return a.limit.Burst / 4 / int64(max(1, a.holders))
 }
--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -131,11 +131,7 @@
 		return
 	}
 	owner := NewOwner(term, s.opt)
-	now := s.now()
-	for _, c := range s.machine.Promises() {
-		owner.SetLimit(now, c.Account, Limit{}, &c.Promise)
-	}
-	changes := owner.adopt(now, view, s.machine)
+	changes := owner.adopt(s.now(), view, s.machine)
 	if len(changes) > 0 {
 		if !s.propose(ctx, command{Term: term, Changes: changes}) {
 			return
@@ -148,9 +144,15 @@
 	s.log.Info("owning grants", zap.Uint64("term", term), zap.Int("accounts", len(changes)))
 }
 
-// adopt sets the view's grants and returns the promises to start with.
+// adopt sets the view's grants, takes up accounts that have a promise and no grant any
+// more, and returns the promises to start with.
 func (o *Owner) adopt(now time.Duration, view *state.View, m *Machine) []Change {
 	o.follow(now, view, m)
+	for _, c := range m.Promises() {
+		if o.accounts[c.Account] == nil {
+			o.SetLimit(now, c.Account, Limit{}, &c.Promise)
+		}
+	}
 	return o.Promises(now)
 }
 
--- /dev/null
+++ b/internal/grants/service_test.go
@@ -0,0 +1,147 @@
+package grants
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/state"
+	"eelgrasshollow/internal/statemachine"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// replica is a control replica's log and leadership in memory.
+type replica struct {
+	mu      sync.Mutex
+	machine *Machine
+	view    atomic.Pointer[state.View]
+	term    atomic.Uint64 // 0: it does not lead
+}
+
+func (r *replica) Propose(_ context.Context, _ string, command []byte) (statemachine.Result, error) {
+	time.Sleep(time.Millisecond)
+	if r.term.Load() == 0 {
+		return statemachine.Result{}, errkind.New(errkind.NotLeader, "no")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return statemachine.Result{Data: r.machine.Apply(0, command)}, nil
+}
+
+func (r *replica) ReadBarrier(context.Context) error { return nil }
+func (r *replica) Leading() (uint64, bool)           { t := r.term.Load(); return t, t > 0 }
+func (r *replica) Leader() string                    { return "" }
+func (r *replica) View() *state.View                 { return r.view.Load() }
+func (r *replica) Changed() <-chan struct{}          { return nil }
+
+func (r *replica) set(accounts ...*pb.ClientAccount) {
+	revision := uint64(1)
+	if v := r.view.Load(); v != nil {
+		revision = v.Revision() + 1
+	}
+	r.view.Store(state.NewView(&pb.Configuration{Revision: revision, ClientAccounts: accounts}))
+}
+
+// near calls the service without a network.
+type near struct{ service *Service }
+
+func (n near) Call(ctx context.Context, _ string, args, reply any) error {
+	time.Sleep(time.Millisecond)
+	err := (&Endpoint{n.service}).Sync(args.(*SyncRequest), reply.(*SyncReply))
+	if err != nil {
+		return errkind.New(errkind.NoQuorum, "no leader")
+	}
+	return nil
+}
+
+// fleet is one owner's service and one limiter.
+type fleet struct {
+	replica *replica
+	client  *Client
+	stop    context.CancelFunc
+}
+
+func newFleet(t *testing.T, rate, burst int64) *fleet {
+	r := &replica{machine: NewMachine()}
+	r.set(&pb.ClientAccount{Name: "a", RateTokens: rate, BurstTokens: burst})
+	r.term.Store(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	s := NewService(OwnerOptions{Lease: DefaultLease}, r, r.machine, r, r, zap.NewNop())
+	c := NewClient(HolderOptions{
+		Name: "vm", Interval: time.Second, Horizon: 2 * time.Second, Queue: 300 * time.Millisecond, Outage: 2 * time.Second, MaxQueue: 8,
+	}, near{s}, zap.NewNop())
+	go s.Run(ctx)
+	go c.Run(ctx)
+	time.Sleep(200 * time.Millisecond)
+	return &fleet{replica: r, client: c, stop: cancel}
+}
+
+func TestServiceGrantsRefusesAndRefunds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 100, 1000)
+		defer f.stop()
+		r, err := f.client.Reserve(t.Context(), "a", 400)
+		assert.NilError(t, err)
+		r.Settle(400)
+		_, err = f.client.Reserve(t.Context(), "a", 1001)
+		assert.Equal(t, errkind.Of(err).Kind, errkind.TooLarge)
+		_, err = f.client.Reserve(t.Context(), "nobody", 1)
+		assert.Equal(t, errkind.Of(err).Kind, errkind.PermissionDenied)
+		start := time.Now()
+		_, err = f.client.Reserve(t.Context(), "a", 900)
+		assert.Equal(t, errkind.Of(err).Kind, errkind.RateLimited)
+		assert.Assert(t, errkind.Of(err).RetryAfter > time.Second)
+		assert.Assert(t, time.Since(start) < 100*time.Millisecond, "a refusal comes at once, not after %v", time.Since(start))
+		time.Sleep(errkind.Of(err).RetryAfter)
+		_, err = f.client.Reserve(t.Context(), "a", 900)
+		assert.NilError(t, err)
+	})
+}
+
+func TestRateChangedDuringTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 100, 1000)
+		defer f.stop()
+		_, err := f.client.Reserve(t.Context(), "a", 1000)
+		assert.NilError(t, err)
+		f.replica.set(&pb.ClientAccount{Name: "a", RateTokens: 10000, BurstTokens: 1000})
+		time.Sleep(3 * time.Second)
+		_, err = f.client.Reserve(t.Context(), "a", 900)
+		assert.NilError(t, err)
+		f.replica.set()
+		time.Sleep(3 * time.Second)
+		_, err = f.client.Reserve(t.Context(), "a", 900)
+		assert.Assert(t, err != nil)
+		time.Sleep(3 * time.Second)
+		_, err = f.client.Reserve(t.Context(), "a", 1)
+		assert.Equal(t, errkind.Of(err).Kind, errkind.PermissionDenied)
+	})
+}
+
+func TestRequestsWaitForAnOwnerThatChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 100, 1000)
+		defer f.stop()
+		_, err := f.client.Reserve(t.Context(), "a", 1)
+		assert.NilError(t, err)
+		f.replica.term.Store(0)
+		time.Sleep(3 * time.Second)
+		go func() {
+			time.Sleep(1500 * time.Millisecond)
+			f.replica.term.Store(2)
+		}()
+		_, err = f.client.Reserve(t.Context(), "a", 300)
+		assert.NilError(t, err)
+		f.replica.term.Store(0)
+		_, err = f.client.Reserve(t.Context(), "a", 300)
+		assert.Equal(t, errkind.Of(err).Kind, errkind.NoQuorum)
+		assert.Equal(t, errkind.Of(err).Outcome, errkind.NotRun)
+	})
+}
--- a/internal/grants/slice.go
+++ b/internal/grants/slice.go
@@ -7,6 +7,7 @@
 // Invariant: granted − gone(now) tokens at most are admitted from it or kept open for
 // refunds, and only before end.
 type slice struct {
+	account  string
 	term     uint64
 	granted  int64
 	taken    int64 // reserved, less refunds, or forfeited
@@ -22,6 +23,7 @@
 	slice  *slice
 	tokens int64
 	refund int64 // at most this comes back at the settlement
+	since  time.Duration
 }
 
 // unspent is what may still be reserved.
@@ -36,7 +38,7 @@
 	if tokens > s.unspent() {
 		return nil
 	}
-	r := &reservation{slice: s, tokens: tokens, refund: min(tokens, refundCap)}
+	r := &reservation{slice: s, tokens: tokens, refund: min(tokens, refundCap), since: now}
 	s.taken += tokens
 	s.held += r.refund
 	s.open = append(s.open, r)
@@ -68,6 +70,18 @@
 	s.open = s.open[drop:]
 }
 
+// close closes reservations to refunds that have been open for as long as the rate needs
+// for their tokens. While they are open, a full bucket gets no refill; past that time
+// they would cost more than they can bring back.
+func (s *slice) close(now time.Duration, rate int64) {
+	for _, r := range s.open {
+		if now-r.since > wait(r.refund, rate) {
+			s.held -= r.refund
+			r.refund = 0
+		}
+	}
+}
+
 // expire forfeits everything once the lease has ended.
 func (s *slice) expire(now time.Duration) {
 	if now < s.end {
--- a/internal/grants/wire.go
+++ b/internal/grants/wire.go
@@ -39,6 +39,7 @@
 	Granted    int64         // total of tokens granted
 	Gone       int64         // total gone as the owner counts, at least what was reported
 	RefundCap  int64         // most tokens that may wait for a refund
+	Rate       int64         // tokens a second
 	Burst      int64         // 0 says that the account has no grant
 	RetryAfter time.Duration // when the need can be met; 0 when nothing was refused
 }
