--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"eelgrasshollow/internal/oracle"
+
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -93,6 +95,37 @@
 	turn()
 }
 
+// TestGrantChangedDuringTraffic raises and lowers rate and burst under waves of requests.
+func TestGrantChangedDuringTraffic(t *testing.T) {
+	before := Limit{Rate: 1000, Burst: 4000}
+	for seed := range uint64(10) {
+		for _, after := range []Limit{{Rate: 300, Burst: 800}, {Rate: 3000, Burst: 9000}, {Rate: 1000, Burst: 1000}} {
+			opt := defaultSim()
+			opt.holders, opt.lease, opt.interval, opt.horizon, opt.seed = 3, time.Second, 200*time.Millisecond, 500*time.Millisecond, seed
+			s := newSim(opt, map[string]Limit{"a": before})
+			for node := range s.nodes {
+				s.waves(node, "a", 8*time.Second, before)
+			}
+			const change = 4 * time.Second
+			s.at(change, func() {
+				s.limits["a"] = after
+				s.setLimits()
+			})
+			s.runUntil(9 * time.Second)
+			w := oracle.NewWindows(oracle.Grant{Rate: before.Rate, Burst: before.Burst})
+			changed := false
+			for _, a := range s.admitted {
+				if !changed && a.at >= change {
+					changed = true
+					w.Change(change, oracle.Grant{Rate: after.Rate, Burst: after.Burst}, OwnerLease(opt.lease))
+				}
+				w.Add(a.at, a.tokens)
+			}
+			assert.Equal(t, w.Worst().Tokens, int64(0), "seed %d, to %v", seed, after)
+		}
+	}
+}
+
 // flood sends requests of 25 tokens until twice the burst has been asked for.
 func (s *sim) flood(node int, at time.Duration, limit Limit) {
 	s.at(at, func() {
--- a/internal/oracle/window.go
+++ b/internal/oracle/window.go
@@ -33,65 +33,85 @@
 // is a virtual bucket that drains at the rate and never below zero. All windows that
 // end at t keep their bound exactly if the fill is at most the burst.
 //
-// Admissions must come in order of time. After a change of the grant the larger
-// burst counts until the end of the change's grace.
+// Admissions must come in order of time. After a change of the grant, the larger rate
+// counts until the end of the change's grace, and the larger burst for all windows
+// that start before it.
 type Windows struct {
-	grant    Grant
-	former   int64 // burst that still counts during the grace of a change
+	rate     int64
+	former   int64 // rate that counts until graceEnd
 	graceEnd time.Duration
-	fill     int64 // tokens × nano
 	last     time.Duration
+	phases   []phase
 	worst    Excess
 }
 
+// phase checks the windows that start at from or later.
+type phase struct {
+	from  time.Duration
+	burst int64
+	fill  int64 // tokens × nano
+}
+
 // NewWindows returns a check of a grant that is in force from time zero on.
-func NewWindows(g Grant) *Windows { return &Windows{grant: g} }
+func NewWindows(g Grant) *Windows {
+	return &Windows{rate: g.Rate, former: g.Rate, phases: []phase{{burst: g.Burst}}}
+}
 
 // Add records admitted tokens.
 func (w *Windows) Add(at time.Duration, tokens int64) {
 	w.drain(at)
-	w.fill += tokens * nano
-	burst := w.grant.Burst
-	if at <= w.graceEnd {
-		burst = max(burst, w.former)
-	}
-	over := w.fill - burst*nano
-	if over <= 0 {
-		return
-	}
-	if tokensOver := (over + nano - 1) / nano; tokensOver > w.worst.Tokens {
-		w.worst = Excess{At: at, Tokens: tokensOver}
+	for i := range w.phases {
+		p := &w.phases[i]
+		if at < p.from {
+			continue
+		}
+		p.fill += tokens * nano
+		over := (p.fill - p.burst*nano + nano - 1) / nano
+		if over > w.worst.Tokens {
+			w.worst = Excess{At: at, Tokens: over}
+		}
 	}
 }
 
-// Change puts another grant in force. Until grace has passed the larger of both
-// bursts counts, and the larger of both rates.
+// Change puts another grant in force; what was granted before it ends within grace.
 func (w *Windows) Change(at time.Duration, g Grant, grace time.Duration) {
 	w.drain(at)
-	w.former = max(w.grant.Burst, g.Burst)
+	w.former, w.rate = max(w.former, w.rate), g.Rate
 	w.graceEnd = at + grace
-	if extra := w.grant.Rate - g.Rate; extra > 0 {
-		// The old rate may be spent until the grace ends.
-		w.former += int64(float64(extra) * grace.Seconds())
+	for i := range w.phases {
+		w.phases[i].burst = max(w.phases[i].burst, g.Burst)
 	}
-	w.grant = g
+	w.phases = append(w.phases, phase{from: w.graceEnd, burst: g.Burst})
 }
 
 // Worst returns the worst break so far.
 func (w *Windows) Worst() Excess { return w.worst }
 
-// drain lets the fill run out at the rate up to the moment at.
+// drain lets the fills run out at the rate up to the moment at.
 func (w *Windows) drain(at time.Duration) {
+	if w.last < w.graceEnd {
+		w.drainAt(min(at, w.graceEnd), max(w.former, w.rate))
+	}
+	if at >= w.graceEnd {
+		w.former = w.rate
+		w.drainAt(at, w.rate)
+	}
+}
+
+func (w *Windows) drainAt(at time.Duration, rate int64) {
 	elapsed := int64(at - w.last)
-	w.last = at
-	if elapsed <= 0 || w.fill == 0 {
+	if elapsed <= 0 {
 		return
 	}
-	if float64(elapsed)*float64(w.grant.Rate) >= float64(w.fill) {
-		w.fill = 0
-		return
+	w.last = at
+	for i := range w.phases {
+		p := &w.phases[i]
+		if float64(elapsed)*float64(rate) >= float64(p.fill) {
+			p.fill = 0
+		} else {
+			p.fill -= elapsed * rate
+		}
 	}
-	w.fill -= elapsed * w.grant.Rate
 }
 
 // CheckWindows checks a whole trace, which must be in order of time.
