Keep one copy of a body for each stream

Cause: an open stream with a prompt of 400 KiB held 1.74 MB: the body as read, as sent, the prompt, and a copy that the model's name was a part of. Change: the engine's fields follow the caller's body without a copy; a request lets go of its body once sent; names are copied out.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -6,12 +6,12 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"eelgrasshollow/internal/engineapi"
@@ -30,6 +30,7 @@
 	Query   string
 	Header  http.Header // copied; never holds a caller's key
 	Body    []byte
+	Tail    []byte // sent after Body
 	// BareRefusals takes an answer with an error status that carries no request ID;
 	// nothing of such an answer may be handed to a caller but its status.
 	BareRefusals bool
@@ -159,10 +160,13 @@
 
 func (call Call) request(ctx context.Context) (*http.Request, error) {
 	u := url.URL{Scheme: "http", Host: call.Address, Path: call.Path, RawQuery: call.Query}
-	request, err := http.NewRequestWithContext(ctx, call.Method, u.String(), bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(ctx, call.Method, u.String(), http.NoBody)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidRequest, "request cannot be passed on")
 	}
+	if length := len(call.Body) + len(call.Tail); length > 0 {
+		request.Body, request.ContentLength = &oneRead{parts: [2][]byte{call.Body, call.Tail}}, int64(length)
+	}
 	if call.Header != nil {
 		request.Header = call.Header.Clone()
 	}
@@ -171,6 +175,35 @@
 	return request, nil
 }
 
+// oneRead is a body that can be read once. It lets go of its bytes when closed, as the
+// transport keeps a request for as long as its answer streams.
+type oneRead struct {
+	mu    sync.Mutex // a transport may close while it reads
+	parts [2][]byte
+}
+
+// Read reads the next bytes.
+func (o *oneRead) Read(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i := range o.parts {
+		if len(o.parts[i]) > 0 {
+			n := copy(p, o.parts[i])
+			o.parts[i] = o.parts[i][n:]
+			return n, nil
+		}
+	}
+	return 0, io.EOF
+}
+
+// Close lets go of the bytes.
+func (o *oneRead) Close() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.parts = [2][]byte{}
+	return nil
+}
+
 // errSilent is the cause of a call given up because its endpoint said nothing.
 var errSilent = errors.New("endpoint is silent")
 
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -210,17 +210,24 @@
 func (pipeListener) Close() error   { return nil }
 func (pipeListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
 
-const idleStreams = 10_000
-
-// BenchmarkIdleStreams opens 10,000 streams that have begun and are quiet, in process
-// over net.Pipe, and reports bytes (heap and stacks) and goroutines for each. The
-// caller's and engine's ends are in the bytes; they have no goroutines by then.
+// BenchmarkIdleStreams opens streams that have begun and are quiet, in process over
+// net.Pipe, and reports bytes (heap and stacks) and goroutines for each. The caller's
+// and engine's ends are in the bytes; they have no goroutines by then.
 func BenchmarkIdleStreams(b *testing.B) {
+	for _, c := range []struct{ streams, promptBytes int }{{10_000, 0}, {500, 400 << 10}} {
+		b.Run(fmt.Sprintf("streams=%d/prompt=%dKiB", c.streams, c.promptBytes>>10), func(b *testing.B) {
+			idleStreams(b, c.streams, c.promptBytes)
+		})
+	}
+}
+
+func idleStreams(b *testing.B, streams, promptBytes int) {
 	event := `data: {"id":"c","object":"chat.completion.chunk","model":"quote","choices":[{"index":0,"delta":{"content":"a"},"finish_reason":null}]}`
 	p := &pipeEngine{hold: true, answer: func(id string) []byte {
 		chunk := "id: 1\n" + event + "\n\n"
 		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", id, len(chunk), chunk)
 	}}
+	body := strings.Replace(fmt.Sprintf(chatBody, true, 16), "hello", "hello"+strings.Repeat("x", promptBytes), 1)
 	for b.Loop() {
 		front, token := quietFront(b, p.dial, "engine:1")
 		l := pipeListener{make(chan net.Conn)}
@@ -228,15 +235,15 @@
 		go func() { _ = server.Serve(l) }()
 		memory, goroutines := usage()
 		var callers []net.Conn
-		for range idleStreams {
+		for range streams {
 			near, far := net.Pipe()
 			l.conns <- far
 			callers = append(callers, near)
-			openStream(b, near, token)
+			openStream(b, near, token, body)
 		}
 		memoryAfter, goroutinesAfter := usage()
-		b.ReportMetric(float64(memoryAfter-memory)/idleStreams, "bytes/stream")
-		b.ReportMetric(float64(goroutinesAfter-goroutines)/idleStreams, "goroutines/stream")
+		b.ReportMetric(float64(memoryAfter-memory)/float64(streams), "bytes/stream")
+		b.ReportMetric(float64(goroutinesAfter-goroutines)/float64(streams), "goroutines/stream")
 		for _, c := range callers {
 			_ = c.Close()
 		}
@@ -246,9 +253,8 @@
 }
 
 // openStream sends a request and reads up to the first event.
-func openStream(b *testing.B, conn net.Conn, token string) {
+func openStream(b *testing.B, conn net.Conn, token, body string) {
 	b.Helper()
-	body := fmt.Sprintf(chatBody, true, 16)
 	request := "POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nContent-Type: application/json\r\nAuthorization: Bearer " + token +
 		"\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 	_, err := conn.Write([]byte(request))
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -65,7 +65,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &completion{model: f.model, adapter: f.adapter, stream: f.stream, body: body}
+	// The fields are parts of a copy of the whole body, which must not be kept for them.
+	c := &completion{model: strings.Clone(f.model), adapter: strings.Clone(f.adapter), stream: f.stream, body: body}
 	if err := c.setPrompt(f, chat); err != nil {
 		return nil, err
 	}
@@ -245,19 +246,18 @@
 	engineapi.Extra
 }
 
-// bodyFor returns the body as an engine gets it.
-func (c *completion) bodyFor(extra engineapi.Extra) ([]byte, error) {
+// bodyFor returns the body as an engine gets it, in two parts; the first is the
+// caller's own, not copied.
+func (c *completion) bodyFor(extra engineapi.Extra) (body, tail []byte, err error) {
 	fields := checkedFields{Model: c.model, Stream: c.stream, MaxTokens: c.perPick, MaxCompletionTokens: c.perPick, Extra: extra}
 	if c.choices > 1 {
 		fields.N = c.choices
 	}
-	tail, err := json.Marshal(fields)
+	tail, err = json.Marshal(fields)
 	if err != nil {
-		return nil, errkind.Wrap(err, errkind.Internal, "request cannot be encoded")
+		return nil, nil, errkind.Wrap(err, errkind.Internal, "request cannot be encoded")
 	}
 	// A valid object with a model ends with a brace and is not empty.
-	out := make([]byte, 0, len(c.body)+len(tail))
-	out = append(out, c.body[:len(c.body)-1]...)
-	out = append(out, ',')
-	return append(out, tail[1:]...), nil
+	tail[0] = ','
+	return c.body[:len(c.body)-1], tail, nil
 }
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"testing"
 
@@ -32,8 +33,9 @@
 			return
 		}
 		assert.Equal(t, string(c.prompt), string(promptOf(t, body, chat)))
-		sent, err := c.bodyFor(extra)
+		head, tail, err := c.bodyFor(extra)
 		assert.NilError(t, err)
+		sent := append(bytes.Clone(head), tail...)
 		var read struct {
 			Model     string `json:"model"`
 			MaxTokens int    `json:"max_tokens"`
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -123,3 +125,43 @@
 	}
 	assert.Equal(t, len(firsts), 4)
 }
+
+// TestStopUnderLoadLosesNothing stops a front while orders come without pause: each
+// was run once and answered, or is refused as not run and did not run.
+func TestStopUnderLoadLosesNothing(t *testing.T) {
+	b := newBench(t, func(s *Settings, _ *engine.Settings) { s.LookupKeep = 50 * time.Millisecond })
+	p := b.addPlain()
+	outcomes := map[string]errkind.Outcome{}
+	var mu sync.Mutex
+	var workers sync.WaitGroup
+	stopped := make(chan struct{})
+	for w := range 20 {
+		workers.Go(func() {
+			for i := 0; ; i++ {
+				id := fmt.Sprintf("order-%d-%d", w, i)
+				answer, _ := b.do("POST", "/orders", `{}`, "Idempotency-Key", id)
+				mu.Lock()
+				outcomes[id] = errkind.Outcome(answer.Header.Get(errkind.HeaderName))
+				mu.Unlock()
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, b.front.Drain(context.Background()))
+	close(stopped)
+	workers.Wait()
+	var stats standin.PlainStats
+	assert.NilError(t, json.Unmarshal([]byte(get(t, p.URL+"/admin/stats")), &stats))
+	counts := map[errkind.Outcome]int{}
+	for id, outcome := range outcomes {
+		counts[outcome]++
+		assert.Equal(t, stats.Runs[id] == 1, outcome == errkind.Completed, "%s: %s, %d runs", id, outcome, stats.Runs[id])
+	}
+	assert.Assert(t, counts[errkind.Completed] > 0 && counts[errkind.NotRun] > 0)
+	assert.Equal(t, counts[errkind.Completed]+counts[errkind.NotRun], len(outcomes))
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -69,12 +69,12 @@
 	if j.delivered > 0 {
 		extra.ResumeFrom = j.delivered + 1
 	}
-	body, err := j.bodyFor(extra)
+	body, tail, err := j.bodyFor(extra)
 	if err != nil {
 		return err
 	}
 	call := engine.Call{
-		Address: d.Address, ID: j.id, Method: http.MethodPost, Path: j.path, Body: body,
+		Address: d.Address, ID: j.id, Method: http.MethodPost, Path: j.path, Body: body, Tail: tail,
 		Header: http.Header{"Content-Type": {"application/json"}}, BareRefusals: true,
 	}
 	if !j.stream {
@@ -182,6 +182,7 @@
 	}
 	if a.job.firstAt == 0 {
 		a.job.firstAt = time.Since(a.job.start)
+		a.job.prompt = nil // its weights are settled, and streams are many
 	}
 }
 
