Mend a roll of weights over real processes

Cause: a scenario with three engines showed that (1) requests asked for the new weights before any engine had them, as the router had not read the new view or no report yet, and got 502; (2) an engine whose drain order could not be given yet (it checks no fencing numbers and the leader was new) was never drained. Change: the split reads the newest view and counts unknown endpoints as unchanged; an endpoint's load is read as soon as it is owned; a lost drain order is given again.

--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -40,6 +40,7 @@
 	now     time.Time
 	most    int // loads at a time
 	least   int // engines that served at once
+	lost    func(Action) bool
 }
 
 type fataler interface {
@@ -103,6 +104,10 @@
 	}
 	f.most, f.least = max(f.most, loads), min(f.least, serving)
 	for _, a := range f.planner.Step(f.now, f.world()) {
+		if f.lost != nil && f.lost(a) {
+			f.planner.Failed(a.Endpoint)
+			continue
+		}
 		f.obey(a)
 	}
 }
@@ -191,6 +196,16 @@
 	assert.Assert(t, f.most <= 2)
 }
 
+func TestOrdersThatCannotBeGivenYetAreGivenLater(t *testing.T) {
+	f := newFakeFleet(t, 3, "v1")
+	f.models = []Model{{Name: "m", Version: "v2", MinEndpoints: 1}}
+	f.lost = func(a Action) bool { return a.Endpoint == "e1" && f.now.Before(start.Add(10*time.Second)) }
+	for range 100 {
+		f.step()
+	}
+	assert.Equal(t, f.on("v2"), 3)
+}
+
 // Crashes, a new version in mid-roll and a change of the sender come at any step.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -209,6 +224,8 @@
 					dead++
 				}
 			}
+			lose := rapid.IntRange(0, 9).Draw(t, "lose") == 0
+			f.lost = func(Action) bool { return lose }
 			before := f.on("v1") + f.on("v2") + f.on("v3")
 			f.step()
 			after := f.on("v1") + f.on("v2") + f.on("v3")
@@ -216,6 +233,7 @@
 				t.Fatalf("taken down to %d of %d needed", after, f.planner.Need(f.models[0]))
 			}
 		}
+		f.lost = nil
 		for range 300 {
 			f.step()
 		}
--- a/internal/placement/roll.go
+++ b/internal/placement/roll.go
@@ -136,11 +136,23 @@
 	return true
 }
 
+// redrain gives the order to drain again.
+func (r *round) redrain(e *Endpoint, d drain) {
+	o := engineapi.Order{Op: engineapi.OrderSetRole, Role: engineapi.RoleDrain}
+	if r.order(e, o, "drain to %s", d.reason) {
+		r.planner.drains[e.Name] = drain{since: r.now, role: d.role, reason: d.reason}
+	}
+}
+
 // changeDrained loads the wanted weights where the endpoint has run dry.
 func (r *round) changeDrained() {
 	for _, e := range r.live {
 		d, ok := r.planner.drains[e.Name]
-		if !ok || e.Load.Role != engineapi.RoleDrain {
+		if !ok {
+			continue
+		}
+		if _, old := r.outdated(e); old && e.Load.Role != engineapi.RoleDrain {
+			r.redrain(e, d) // the order was lost, or could not be given yet
 			continue
 		}
 		dry := e.Load.Running+e.Load.Waiting == 0
--- a/internal/routing/sources.go
+++ b/internal/routing/sources.go
@@ -66,19 +66,26 @@
 }
 
 func (r *readers) loads(ctx context.Context, e readKey) {
-	for pause(ctx, r.module.settings.LoadEvery) {
-		callCtx, cancel := context.WithTimeout(ctx, digestTimeout)
-		load, err := r.source.Load(callCtx, e.address)
-		cancel()
-		if err != nil {
-			continue
+	for {
+		r.load(ctx, e)
+		if !pause(ctx, r.module.settings.LoadEvery) {
+			return
 		}
-		r.module.mu.Lock()
-		r.module.core.Report(time.Now(), e.name, load)
-		r.module.mu.Unlock()
 	}
 }
 
+func (r *readers) load(ctx context.Context, e readKey) {
+	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
+	defer cancel()
+	load, err := r.source.Load(ctx, e.address)
+	if err != nil {
+		return
+	}
+	r.module.mu.Lock()
+	defer r.module.mu.Unlock()
+	r.module.core.Report(time.Now(), e.name, load)
+}
+
 func (r *readers) events(ctx context.Context, e readKey) {
 	var after uint64
 	var incarnation string
--- a/internal/routing/versions.go
+++ b/internal/routing/versions.go
@@ -18,7 +18,9 @@
 func (m *Module) Serving(model, wanted string, key uint64) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.core.Serving(time.Now(), model, wanted, key)
+	now := time.Now()
+	m.refresh(now) // the version before is known from the view before
+	return m.core.Serving(now, model, wanted, key)
 }
 
 // SetVersions tells the wanted version of every model; the one wanted before is
@@ -32,10 +34,24 @@
 	c.wanted = wanted
 }
 
+// before is the version that was wanted before, or for a VM that has started since
+// another one that a report names; "" when there is none.
+func (c *Core) before(now time.Time, model, wanted string) string {
+	if v := c.previous[model]; v != "" && v != wanted {
+		return v
+	}
+	for _, s := range c.byModel[model] {
+		if v := s.Load.Versions[model]; v != "" && v != wanted && s.reported(now) {
+			return v
+		}
+	}
+	return ""
+}
+
 // Serving implements Versioner over what is known of the endpoints.
 func (c *Core) Serving(now time.Time, model, wanted string, key uint64) string {
-	before := c.previous[model]
-	if before == "" || before == wanted {
+	before := c.before(now, model, wanted)
+	if before == "" {
 		return wanted
 	}
 	newer, older := 0, 0
@@ -46,8 +62,8 @@
 		switch {
 		case s.confirmed(model, wanted, now):
 			newer++
-		case s.confirmed(model, before, now):
-			older++
+		case s.confirmed(model, before, now) || !s.reported(now) && !s.hearsay(now):
+			older++ // what is not known yet has not changed yet
 		}
 	}
 	if older == 0 {
--- a/internal/routing/versions_test.go
+++ b/internal/routing/versions_test.go
@@ -30,7 +30,9 @@
 
 func TestRequestsFollowTheRoll(t *testing.T) {
 	c := newCore(4, 8)
+	c.SetVersions(map[string]string{"m": "v0"})
 	c.SetVersions(map[string]string{"m": "v1"})
+	assert.Equal(t, share(c, epoch, "v1"), 0.0, "no report yet: nothing has changed yet")
 	serving(c, epoch, "v1", "v1", "v1", "v1")
 	assert.Equal(t, share(c, epoch, "v1"), 1.0)
 	c.SetVersions(map[string]string{"m": "v2"})
@@ -42,6 +44,14 @@
 	assert.Equal(t, share(c, epoch, "v2"), 1.0)
 }
 
+func TestAVMThatStartedInMidRollSplitsToo(t *testing.T) {
+	c := newCore(4, 8)
+	c.SetVersions(map[string]string{"m": "v2"})
+	serving(c, epoch, "v2", "v2", "v1", "v1")
+	got := share(c, epoch, "v2")
+	assert.Assert(t, got > 0.45 && got < 0.55, "%v", got)
+}
+
 func TestADrainingEndpointGetsNothingAndPeersHearOfIt(t *testing.T) {
 	c, peer := newCore(2, 8), newCore(2, 8)
 	drain := engineapi.Load{Incarnation: "i", Role: engineapi.RoleDrain, Versions: map[string]string{"m": "v1"}}
