--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -71,6 +71,8 @@
 	applied     uint64
 	appliedTerm uint64
 	snapAt      uint64
+	snapBytes   int // size of the last snapshot
+	logBytes    int // applied since
 	draining    atomic.Bool
 	published   atomic.Pointer[Published]
 	fatal       atomic.Pointer[errkind.Error]
@@ -121,7 +123,7 @@
 			return nil, errors.Wrap(err, "restore snapshot")
 		}
 	}
-	r.applied, r.appliedTerm, r.snapAt = snap.Index, snap.Term, snap.Index
+	r.applied, r.appliedTerm, r.snapAt, r.snapBytes = snap.Index, snap.Term, snap.Index, len(snap.Data)
 	r.published.Store(&Published{Status: Status{ID: opt.Core.ID, Members: snap.Membership}, Applied: r.applied})
 	return r, nil
 }
@@ -223,6 +225,7 @@
 		return errors.Wrap(err, "install snapshot")
 	}
 	r.applied, r.appliedTerm, r.snapAt = s.Index, s.Term, s.Index
+	r.snapBytes, r.logBytes = len(s.Data), 0
 	r.opt.Log.Info("snapshot installed", zap.Uint64("index", s.Index))
 	return nil
 }
@@ -233,6 +236,7 @@
 		data = r.opt.Machine.Apply(e.Index, e.Data)
 	}
 	r.applied, r.appliedTerm = e.Index, e.Term
+	r.logBytes += len(e.Data)
 	w, ok := r.waiting[e.Index]
 	if !ok {
 		return
@@ -276,8 +280,11 @@
 	}
 }
 
+// snapshotIfDue takes a snapshot once enough entries were applied, and no more often
+// than the log grows by the size of a snapshot, so that large states are not written
+// over and over.
 func (r *Replica) snapshotIfDue() error {
-	if r.applied < r.snapAt+r.opt.SnapshotEvery {
+	if r.applied < r.snapAt+r.opt.SnapshotEvery || r.logBytes < r.snapBytes {
 		return nil
 	}
 	var b bytes.Buffer
@@ -290,7 +297,7 @@
 		return errkind.Wrap(err, errkind.Corrupt, "write snapshot")
 	}
 	r.core.Compact(dropTo, r.core.MembershipAt(dropTo))
-	r.snapAt = r.applied
+	r.snapAt, r.snapBytes, r.logBytes = r.applied, len(s.Data), 0
 	return nil
 }
 
--- a/internal/state/bench_test.go
+++ b/internal/state/bench_test.go
@@ -65,8 +65,9 @@
 			assert.Assert(b, ok)
 			var image bytes.Buffer
 			assert.NilError(b, m.Snapshot(&image))
+			view := NewView(before)
 			for b.Loop() {
-				NewView(ApplyDelta(before, d))
+				view.After(d)
 			}
 			b.ReportMetric(float64(proto.Size(d)), "delta-B")
 			b.ReportMetric(float64(proto.Size(before)), "configuration-B")
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -41,7 +41,7 @@
 	order      []operationKey // of operations, oldest first
 	deletions  []*pb.DeletionRecord
 	floor      uint64 // deletions up to here are no longer known
-	view       *View  // of objects, or nil after a change
+	view       *View  // as last asked for, or nil
 }
 
 // NewMachine returns an empty configuration at revision 0.
@@ -134,7 +134,6 @@
 
 func (m *Machine) accept(cmd *pb.StateCommand, d *draft) {
 	m.deletions = append(m.deletions, d.commit()...)
-	m.view = nil
 	if n := len(m.deletions) - maxDeletions; n > 0 {
 		m.floor = m.deletions[n-1].GetRevision()
 		m.deletions = append([]*pb.DeletionRecord(nil), m.deletions[n:]...)
@@ -200,19 +199,31 @@
 // View returns the configuration at the newest revision.
 func (m *Machine) View() *View {
 	m.mu.RLock()
-	v := m.view
+	v, revision := m.view, m.objects.revision
 	m.mu.RUnlock()
-	if v != nil {
+	if v != nil && v.Revision() == revision {
 		return v
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.view == nil {
-		m.view = NewView(m.objects.configuration(0))
-	}
+	m.refreshView()
 	return m.view
 }
 
+// refreshView brings the view up to the objects. The mutex is held.
+func (m *Machine) refreshView() {
+	if m.view != nil && m.view.Revision() == m.objects.revision {
+		return
+	}
+	if m.view != nil {
+		if d, ok := m.delta(m.view.Revision()); ok {
+			m.view = m.view.After(d)
+			return
+		}
+	}
+	m.view = NewView(m.objects.configuration(0))
+}
+
 // Revision returns the newest revision.
 func (m *Machine) Revision() uint64 {
 	m.mu.RLock()
@@ -238,6 +249,10 @@
 func (m *Machine) Delta(from uint64) (d *pb.Delta, ok bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	return m.delta(from)
+}
+
+func (m *Machine) delta(from uint64) (d *pb.Delta, ok bool) {
 	if from < m.floor || from > m.objects.revision {
 		return nil, false
 	}
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"testing"
 
 	pb "eelgrasshollow/gen/eelgrass/v1"
@@ -184,12 +185,18 @@
 			}
 			seen[m.Revision()] = m.View().Configuration()
 		}
-		now := m.View().Configuration()
+		now := m.objects.configuration(0)
+		if !proto.Equal(now, m.View().Configuration()) {
+			t.Fatalf("the view differs from the objects")
+		}
 		for from, c := range seen {
 			d, ok := m.Delta(from)
 			if !ok || !proto.Equal(ApplyDelta(c, d), now) {
 				t.Fatalf("delta from %d does not lead to %d", from, now.GetRevision())
 			}
+			if !reflect.DeepEqual(NewView(c).After(d), NewView(ApplyDelta(c, d))) {
+				t.Fatalf("view after the delta from %d differs from a new one", from)
+			}
 		}
 		var b, b2 bytes.Buffer
 		if err := m.Snapshot(&b); err != nil {
--- a/internal/state/objects.go
+++ b/internal/state/objects.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"maps"
 	"slices"
 
 	pb "eelgrasshollow/gen/eelgrass/v1"
@@ -17,12 +16,17 @@
 
 // sorted lists the objects changed after a revision, by name.
 func (t table[T]) sorted(after uint64) []T {
-	var out []T
-	for _, name := range slices.Sorted(maps.Keys(t)) {
-		if t[name].GetRevision() > after {
-			out = append(out, t[name])
+	var names []string
+	for name, x := range t {
+		if x.GetRevision() > after {
+			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
+	out := make([]T, len(names))
+	for i, name := range names {
+		out[i] = t[name]
+	}
 	return out
 }
 
@@ -68,25 +72,3 @@
 		Endpoints:      o.endpoints.sorted(after),
 	}
 }
-
-// ApplyDelta returns the configuration after a delta. Neither argument is changed.
-func ApplyDelta(c *pb.Configuration, d *pb.Delta) *pb.Configuration {
-	o, n := objectsOf(c), objectsOf(d.GetChanged())
-	o.revision = d.GetToRevision()
-	dropNames(o.accounts, d.GetDeletedClientAccounts())
-	dropNames(o.routes, d.GetDeletedRoutes())
-	dropNames(o.models, d.GetDeletedModels())
-	dropNames(o.endpoints, d.GetDeletedEndpoints())
-	maps.Copy(o.accounts, n.accounts)
-	maps.Copy(o.keys, n.keys)
-	maps.Copy(o.routes, n.routes)
-	maps.Copy(o.models, n.models)
-	maps.Copy(o.endpoints, n.endpoints)
-	return o.configuration(0)
-}
-
-func dropNames[T object](t table[T], names []string) {
-	for _, name := range names {
-		delete(t, name)
-	}
-}
--- a/internal/watch/client.go
+++ b/internal/watch/client.go
@@ -343,5 +343,5 @@
 	if d.GetFromRevision() > old.Revision() || d.GetToRevision() <= old.Revision() {
 		return old, nil
 	}
-	return state.NewView(state.ApplyDelta(old.Configuration(), &d)), nil
+	return old.After(&d), nil
 }
