--- a/internal/consensus/chaos_test.go
+++ b/internal/consensus/chaos_test.go
@@ -46,8 +46,8 @@
 	case 7:
 		n.core = nil
 	case 8, 9, 10:
-		for _, x := range c.nodes {
-			if x.core == nil && !x.fatal && !x.gone {
+		for _, id := range slices.Sorted(maps.Keys(c.nodes)) {
+			if x := c.nodes[id]; x.core == nil && !x.fatal && !x.gone {
 				c.boot(x)
 			}
 		}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -137,8 +137,9 @@
 func (c *Core) Successor() uint64 {
 	var best uint64
 	var heard time.Time
-	for id, p := range c.progress {
-		if id != c.id && c.members.isVoter(id) && p.match == c.log.last() && p.heard.After(heard) {
+	for _, id := range c.members.voters() {
+		p := c.progress[id]
+		if id != c.id && p != nil && p.match == c.log.last() && p.heard.After(heard) {
 			best, heard = id, p.heard
 		}
 	}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -29,6 +29,7 @@
 	statemachine.Proposer
 	statemachine.Leadership
 	Published() *consensus.Published
+	Changed() <-chan struct{}
 	AddReplica(ctx context.Context, id uint64, address string) (uint64, error)
 	RemoveReplica(ctx context.Context, id uint64) (uint64, error)
 	TransferLeadership(ctx context.Context, to uint64) error
@@ -132,9 +133,27 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
 	defer cancel()
+	go c.whileLeads(ctx, cancel, address)
 	return c.calls.Call(ctx, address, ServiceName+"."+method, args, reply)
 }
 
+// whileLeads ends a call to a leader that is believed to lead no more, as it may be
+// silent for long.
+func (c *leaderClient) whileLeads(ctx context.Context, cancel context.CancelFunc, address string) {
+	for {
+		changed := c.replica.Changed()
+		if c.replica.Leader() != address {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // notRun says that a call certainly was not carried out.
 func notRun(err error) bool {
 	e := errkind.Of(err)
