--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -131,8 +131,9 @@
 func (p *parts) addServices() {
 	bucket := grants.NewMachine()
 	p.mux.Add(grants.Namespace, bucket)
-	p.kernel.Register("control.grants", grants.NewOwnerModule(p.settings.Grants, bucket), consensus.ModuleName, state.ModuleName, peer.ServerName)
-	p.mux.Add(journal.Namespace, journal.NewMachine())
-	p.kernel.Register("control.journal", journal.NewOwnerModule(p.settings.Journal), consensus.ModuleName, peer.ServerName)
+	p.kernel.Register(grants.OwnerName, grants.NewOwnerModule(p.settings.Grants, bucket), consensus.ModuleName, state.ModuleName, peer.ServerName)
+	records := journal.NewMachine()
+	p.mux.Add(journal.Namespace, records)
+	p.kernel.Register(journal.OwnerName, journal.NewOwnerModule(p.settings.Journal, records), consensus.ModuleName, peer.ServerName)
 	p.kernel.Register(placement.ModuleName, placement.NewModule(p.settings.Placement), consensus.ModuleName, state.ModuleName)
 }
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"eelgrasshollow/internal/consensus"
+	"eelgrasshollow/internal/grants"
+	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/state"
 
@@ -45,6 +47,14 @@
 	if err != nil {
 		return err
 	}
+	records, err := kernel.Lookup[*journal.OwnerModule](k, journal.OwnerName)
+	if err != nil {
+		return err
+	}
+	bucket, err := kernel.Lookup[*grants.OwnerModule](k, grants.OwnerName)
+	if err != nil {
+		return err
+	}
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	gauge := func(name, help string, f func() float64) {
@@ -60,6 +70,11 @@
 		}
 		return 0
 	})
+	gauge("journal_records", "Requests with a record in the journal.", func() float64 { return float64(records.Stats().Records) })
+	gauge("journal_claims", "Records whose request is claimed and not settled.", func() float64 { return float64(records.Stats().Claims) })
+	gauge("journal_expired_ids", "Request IDs kept after the retention.", func() float64 { return float64(records.Stats().Expired) })
+	gauge("journal_answer_bytes", "Bytes of stored answers.", func() float64 { return float64(records.Stats().AnswerBytes) })
+	gauge("grant_accounts", "Client accounts whose grants this replica owns.", func() float64 { return float64(bucket.Accounts()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
--- a/internal/grants/module.go
+++ b/internal/grants/module.go
@@ -88,6 +88,9 @@
 	return m.client.Reserve(ctx, account, tokens)
 }
 
+// OwnerName is the owner's module in the kernel.
+const OwnerName = "control.grants"
+
 // OwnerModule is control.grants.
 type OwnerModule struct {
 	cfg     OwnerSettings
@@ -143,6 +146,9 @@
 	return nil
 }
 
+// Accounts counts the client accounts whose grants this replica owns now.
+func (m *OwnerModule) Accounts() int { return m.service.accounts() }
+
 // Endpoint offers the owner's methods over net/rpc.
 type Endpoint struct{ service *Service }
 
--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -116,6 +116,16 @@
 	s.promise(ctx)
 }
 
+// accounts counts the accounts of the owner, if this replica runs it.
+func (s *Service) accounts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owner == nil {
+		return 0
+	}
+	return len(s.owner.accounts)
+}
+
 func (s *Service) stopServing() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/journal/module.go
+++ b/internal/journal/module.go
@@ -65,17 +65,26 @@
 	return m.client.Claim(ctx, r)
 }
 
+// OwnerName is the owner's module in the kernel.
+const OwnerName = "control.journal"
+
 // OwnerModule is control.journal.
 type OwnerModule struct {
 	cfg     OwnerSettings
+	machine *Machine
 	service *Service
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 }
 
-// NewOwnerModule returns the journal's service on a control VM. A Machine must be in
-// the replica's log under Namespace.
-func NewOwnerModule(cfg OwnerSettings) *OwnerModule { return &OwnerModule{cfg: cfg} }
+// NewOwnerModule returns the journal's service on a control VM; machine is the one in
+// the replica's log.
+func NewOwnerModule(cfg OwnerSettings, machine *Machine) *OwnerModule {
+	return &OwnerModule{cfg: cfg, machine: machine}
+}
+
+// Stats counts what the journal holds on this replica.
+func (m *OwnerModule) Stats() Stats { return m.machine.Stats() }
 
 // Provision implements kernel.Module.
 func (m *OwnerModule) Provision(k *kernel.Kernel) error {
