Refund by windows instead of holding slices open

Change: the owner keeps a fill per span of window starts; a refund lowers the fills of the windows that hold the admission, and no others.

--- a/internal/grants/experiment_test.go
+++ b/internal/grants/experiment_test.go
@@ -15,6 +15,40 @@
 //
 //	go test -run '^$' -bench Experiment -benchtime 1x ./internal/grants
 
+// bucket is the level of a token bucket with exact integer refill.
+type bucket struct {
+	level int64 // tokens
+	part  int64 // part of a token, in tokens × nanoseconds a second
+	last  time.Duration
+}
+
+// refill adds what the rate gave since the last refill, but no more than room tokens.
+// It counts the clock as fast by the drift bound, so that the true rate is kept.
+func (b *bucket) refill(now time.Duration, rate, room int64) {
+	elapsed := now - b.last
+	if elapsed <= 0 {
+		return
+	}
+	b.last = now
+	elapsed -= elapsed / (ppm / DriftPPM)
+	if room <= 0 {
+		b.part = 0
+		return
+	}
+	if elapsed.Seconds()*float64(rate) >= float64(room)+1 {
+		b.level += room
+		b.part = 0
+		return
+	}
+	b.part += int64(elapsed) * rate
+	add := b.part / int64(time.Second)
+	b.part %= int64(time.Second)
+	if add >= room {
+		add, b.part = room, 0
+	}
+	b.level += add
+}
+
 // reference is one bucket for all VMs, asked without any delay.
 type reference struct {
 	bucket bucket
@@ -308,8 +342,8 @@
 func BenchmarkReserve(b *testing.B) {
 	h := NewHolder(HolderOptions{Name: "a", Interval: time.Second, Horizon: time.Second, Queue: time.Second, MaxQueue: 1})
 	a := h.holding(0, "a")
-	a.current = &slice{granted: 1 << 60, end: time.Hour}
-	a.known, a.burst, a.refundCap = true, 1<<60, 1000
+	a.current = &slice{account: "a", granted: 1 << 60, end: time.Hour}
+	a.known, a.burst = true, 1<<60
 	b.ReportAllocs()
 	for b.Loop() {
 		r, _, _ := h.Reserve(1, "a", 100)
@@ -327,3 +361,53 @@
 	}
 	fmt.Fprintln(io.Discard, w.Worst())
 }
+
+// BenchmarkExperimentStreams measures accounts at 0.8 of their rate by what they use,
+// whose requests reserve more and last long, against one bucket that refunds at the end.
+func BenchmarkExperimentStreams(b *testing.B) {
+	for b.Loop() {
+		fmt.Println("\n| requests last, mean | reserved over used | requests inside | refused by grants | tokens over |")
+		fmt.Println("|---|---|---|---|---|")
+		for _, hold := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second} {
+			for _, over := range []float64{1.25, 1.67, 3} {
+				s, sc := streams(hold, over)
+				fmt.Printf("| %v | %.2f | %d | %.2f %% | %d |\n", hold, over, sc.inside, 100*float64(sc.refused)/float64(sc.inside), s.excess("a", s.limits["a"]).Tokens)
+			}
+		}
+	}
+}
+
+func streams(hold time.Duration, over float64) (*sim, score) {
+	limit := Limit{Rate: 20000, Burst: 200000}
+	s := newSim(defaultSim(), map[string]Limit{"a": limit})
+	ref := newReference(limit)
+	var sc score
+	const mean = 1500
+	var next func()
+	next = func() {
+		if s.now >= 120*time.Second {
+			return
+		}
+		used := 1 + int64(min(s.rng.ExpFloat64()*mean, 4*mean))
+		tokens := int64(float64(used)*over) + 1
+		last := time.Duration(s.rng.ExpFloat64() * float64(hold))
+		inside := ref.admit(s.now, tokens)
+		if inside {
+			s.after(last, func() { ref.bucket.level = min(limit.Burst, ref.bucket.level+tokens-used) })
+		}
+		i := len(s.arrivals)
+		s.request(s.rng.IntN(s.opt.holders), "a", tokens, used, last)
+		if inside && s.now > 20*time.Second {
+			sc.inside++
+			s.after(s.opt.outage, func() {
+				if s.arrivals[i].refused {
+					sc.refused++
+				}
+			})
+		}
+		s.after(time.Duration(s.rng.ExpFloat64()*mean/(0.8*float64(limit.Rate))*float64(time.Second)), next)
+	}
+	s.at(time.Second, next)
+	s.runUntil(180 * time.Second)
+	return s, sc
+}
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -42,8 +42,10 @@
 		for node := range opt.holders {
 			s.waves(node, "a", 5*time.Second, limit)
 		}
-		s.runUntil(7 * time.Second)
-		assert.Equal(t, s.excess("a", limit).Tokens, int64(0))
+		for at := time.Duration(0); at <= 7*time.Second; at += 250 * time.Millisecond {
+			s.runUntil(at) // what is not settled counts in full
+			assert.Equal(t, s.excess("a", limit).Tokens, int64(0), "at %v", at)
+		}
 	})
 }
 
@@ -286,13 +288,13 @@
 		o.Sync(0, &SyncRequest{Holder: "h", Seq: seq, Term: 1, Entries: []SyncEntry{{Account: "a", Gone: gone, Returned: returned, Want: want, Need: want}}})
 	}
 	sync(1, 0, 0, 400)
-	assert.Equal(t, o.accounts["a"].bucket.level, int64(600))
+	assert.Equal(t, o.accounts["a"].level(), int64(600))
 	sync(2, 300, 300, 0)
-	assert.Equal(t, o.accounts["a"].bucket.level, int64(900))
+	assert.Equal(t, o.accounts["a"].level(), int64(900))
 	sync(3, 400, 300, 0)
 	sync(2, 300, 300, 0)
 	sync(3, 400, 300, 0)
-	assert.Equal(t, o.accounts["a"].bucket.level, int64(900))
+	assert.Equal(t, o.accounts["a"].level(), int64(900))
 	assert.Equal(t, o.accounts["a"].outstanding, int64(0))
 }
 
--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -25,24 +25,23 @@
 	opt      HolderOptions
 	seq      uint64
 	term     uint64
+	epoch    int64 // of the owner, as last heard
 	accounts map[string]*holding
 }
 
 // holding is what the holder has of one account.
 type holding struct {
-	current   *slice
-	former    *slice // of the last owner, until its lease ends
-	refundCap int64
-	rate      int64
-	burst     int64
-	known     bool          // the owner has answered for this account
-	answered  time.Duration // when it last did
-	blocked   time.Duration // the owner has nothing before then
-	demand    float64       // tokens a second
-	asked     int64         // tokens asked for since the last report
-	size      float64       // tokens of a usual request
-	since     time.Duration // the last report
-	queue     []*waiter
+	current  *slice
+	former   *slice // of the last owner, until its lease ends
+	burst    int64
+	known    bool          // the owner has answered for this account
+	answered time.Duration // when it last did
+	blocked  time.Duration // the owner has nothing before then
+	demand   float64       // tokens a second
+	asked    int64         // tokens asked for since the last report
+	size     float64       // tokens of a usual request
+	since    time.Duration // the last report
+	queue    []*waiter
 }
 
 // waiter is a request that waits for tokens.
@@ -76,7 +75,7 @@
 		return nil, nil, err
 	}
 	if len(a.queue) == 0 {
-		if r := a.reserve(now, tokens); r != nil {
+		if r := a.reserve(now, tokens, h.epoch); r != nil {
 			return r, nil, nil
 		}
 	}
@@ -119,15 +118,15 @@
 }
 
 // reserve takes tokens from the former owner's slice first, as that ends earlier.
-func (a *holding) reserve(now time.Duration, tokens int64) *reservation {
+func (a *holding) reserve(now time.Duration, tokens, epoch int64) *reservation {
 	if a.former != nil {
 		if now >= a.former.end {
 			a.former = nil
-		} else if r := a.former.reserve(now, tokens, 0); r != nil {
+		} else if r := a.former.reserve(now, tokens, epoch); r != nil {
 			return r
 		}
 	}
-	return a.current.reserve(now, tokens, a.refundCap)
+	return a.current.reserve(now, tokens, epoch)
 }
 
 // Settle ends a reservation with the tokens used, and reports whether that is worth a
@@ -189,7 +188,6 @@
 		a.current.expire(now)
 		a.measure(now)
 		if a.idle() {
-			delete(h.accounts, name)
 			continue
 		}
 		req.Entries = append(req.Entries, h.entry(now, name, a))
@@ -214,12 +212,8 @@
 	} else if spare := a.current.unspent() - 2*target; spare > 0 {
 		a.current.giveBack(now, a.current.unspent()-target)
 	}
-	if a.blocked > 0 {
-		a.current.close(now, a.rate)
-	}
-	a.current.trim(a.refundCap)
 	return SyncEntry{
-		Account: name, Gone: a.current.gone(), Returned: a.current.returned,
+		Account: name, Gone: a.current.gone(), Returned: a.current.returned, Refunds: a.current.report(h.epoch),
 		Want: max(0, target+waiting-a.current.unspent()), Need: need,
 	}
 }
@@ -266,7 +260,7 @@
 // idle says that nothing is left to report for the account: all is given back and
 // the owner knows.
 func (a *holding) idle() bool {
-	return a.demand == 0 && len(a.queue) == 0 && a.current.unspent() == 0 && a.current.held == 0 && a.current.reported == a.current.gone()
+	return a.demand == 0 && len(a.queue) == 0 && a.current.unspent() == 0 && a.current.pending() == 0 && a.current.reported == a.current.gone()
 }
 
 // Answer takes the owner's answer to a report sent at the given time, and serves or
@@ -278,16 +272,17 @@
 	if reply.Term > h.term {
 		h.changeTerm(reply.Term)
 	}
+	h.epoch = reply.Epoch
 	for i, e := range req.Entries {
 		a := h.accounts[e.Account]
 		if a == nil {
 			continue
 		}
-		reported := e.Gone
 		if req.Term != reply.Term {
-			reported = 0
+			e = SyncEntry{Account: e.Account}
 		}
-		h.take(now, e.Account, a, reply.Entries[i], reported, sent+reply.Lease)
+		a.current.renew(reply.Entries[i], e, sent+reply.Lease)
+		h.take(now, e.Account, a, reply.Entries[i])
 	}
 }
 
@@ -295,32 +290,29 @@
 func (h *Holder) changeTerm(term uint64) {
 	h.term = term
 	for _, a := range h.accounts {
-		a.current.trim(0)
 		a.former = a.current
 		a.current = &slice{account: a.former.account, term: term}
 	}
 }
 
-func (h *Holder) take(now time.Duration, name string, a *holding, g SyncGrant, reported int64, end time.Duration) {
-	a.current.renew(g, reported, end)
-	a.current.reported = reported
-	a.known, a.rate, a.burst, a.refundCap = true, g.Rate, g.Burst, g.RefundCap
+func (h *Holder) take(now time.Duration, name string, a *holding, g SyncGrant) {
+	a.known, a.burst = true, g.Burst
 	a.answered = now
 	a.blocked = 0
 	if g.RetryAfter > 0 {
 		a.blocked = now + g.RetryAfter
 	}
-	a.serve(now, name)
+	a.serve(now, name, h.epoch)
 }
 
 // serve admits those who wait in their order, and refuses those for whom waiting is
 // in vain.
-func (a *holding) serve(now time.Duration, name string) {
+func (a *holding) serve(now time.Duration, name string, epoch int64) {
 	for len(a.queue) > 0 {
 		w := a.queue[0]
 		err := a.check(name, w.tokens)
 		if err == nil {
-			if r := a.reserve(now, w.tokens); r != nil {
+			if r := a.reserve(now, w.tokens, epoch); r != nil {
 				a.pop(outcome{reservation: r})
 				continue
 			}
@@ -346,7 +338,8 @@
 	if a.burst == 0 || len(a.queue) > 0 {
 		return false
 	}
-	return a.current.gone()-a.current.reported > large || a.current.unspent() > large+2*a.target(horizon)
+	return a.current.gone()-a.current.reported > large || a.current.pending() > large ||
+		a.current.unspent() > large+2*a.target(horizon)
 }
 
 // reportShare of the burst is reported ahead of the regular report once it is spent.
@@ -372,7 +365,6 @@
 func (h *Holder) GiveBackAll(now time.Duration) {
 	for _, a := range h.accounts {
 		a.demand, a.asked = 0, 0
-		a.current.trim(0)
 		a.current.giveBack(now, a.current.unspent())
 	}
 }
--- a/internal/grants/owner.go
+++ b/internal/grants/owner.go
@@ -36,6 +36,7 @@
 	granted  int64
 	gone     int64
 	returned int64
+	refunded map[int64]int64 // by epoch
 	expires  time.Duration
 }
 
@@ -45,9 +46,8 @@
 type account struct {
 	name        string
 	limit       Limit
-	bucket      bucket
+	fills       fills
 	outstanding int64 // over all holders
-	holders     int   // holders with a slice that is not used up
 	unknown     int64 // what a former owner may have outstanding
 	unknownEnd  time.Duration
 	promises    promises
@@ -70,13 +70,13 @@
 		a.limit = limit
 		return
 	}
-	a := &account{name: name, limit: limit, bucket: bucket{level: limit.Burst, last: now}}
+	a := &account{name: name, limit: limit, fills: newFills(now, 0)}
 	if promised != nil {
 		a.promises.committed = *promised
 		a.promises.any = true
 		a.unknown = promised.Cap
 		a.unknownEnd = now + OwnerLease(o.opt.Lease)
-		a.bucket.level = max(0, min(promised.Floor, limit.Burst-a.unknown))
+		a.fills = newFills(now, limit.Burst-a.unknown-promised.Floor)
 	}
 	o.accounts[name] = a
 }
@@ -96,6 +96,7 @@
 	late := req.Seq <= h.seq // repeated or overtaken: nothing is renewed or granted
 	h.seq = max(h.seq, req.Seq)
 	h.seen = now
+	reply.Epoch = int64(now / epochLength)
 	for i, e := range req.Entries {
 		if req.Term != o.term {
 			e.Gone, e.Returned = 0, 0
@@ -128,14 +129,14 @@
 	}
 	o.expire(now, a, s)
 	a.report(s, e)
+	a.refund(s, e.Refunds)
 	var retry time.Duration
 	if !late {
 		retry = o.grant(now, a, s, e)
 		s.expires = now + OwnerLease(o.opt.Lease)
 	}
 	return SyncGrant{
-		Granted: s.granted, Gone: s.gone, RefundCap: a.refundCap(now),
-		Rate: a.limit.Rate, Burst: a.limit.Burst, RetryAfter: retry,
+		Granted: s.granted, Gone: s.gone, Burst: a.limit.Burst, RetryAfter: retry,
 	}
 }
 
@@ -145,11 +146,34 @@
 	gone := min(max(s.gone, e.Gone), s.granted)
 	freed := gone - s.gone
 	back := min(max(0, e.Returned-s.returned), freed)
-	before := s.outstanding()
 	s.gone, s.returned = gone, max(s.returned, e.Returned)
 	a.outstanding -= freed
-	a.bucket.level += back
-	a.countHolder(before, s.outstanding())
+	a.fills.add(freed - back)
+}
+
+// refund takes back what requests did not use. Totals that came before count once.
+func (a *account) refund(s *ownedSlice, refunds []Refund) {
+	for _, r := range refunds {
+		more := r.Total - s.refunded[r.Epoch]
+		if more <= 0 || r.Epoch < a.fills.epoch-refundEpochs {
+			continue
+		}
+		if s.refunded == nil {
+			s.refunded = map[int64]int64{}
+		}
+		s.refunded[r.Epoch] = r.Total
+		a.fills.refund(r.Epoch, more)
+	}
+	for epoch := range s.refunded {
+		if epoch < a.fills.epoch-refundEpochs {
+			delete(s.refunded, epoch)
+		}
+	}
+}
+
+// level is what the bucket has.
+func (a *account) level() int64 {
+	return a.limit.Burst - a.fills.tokens() - a.outstanding - a.unknown
 }
 
 // grant hands out tokens and returns when a need that was not met can be.
@@ -164,42 +188,30 @@
 	}
 	// Ahead of need, one holder gets half of what is plentiful at most: the others
 	// must find some.
-	plenty := min(free, a.bucket.level-a.limit.Burst/reserveShare)
+	plenty := min(free, a.level()-a.limit.Burst/reserveShare)
 	give := min(want, max(e.Need, plenty/2))
 	if give <= 0 {
 		return 0
 	}
-	before := s.outstanding()
 	s.granted += give
-	a.bucket.level -= give
 	a.outstanding += give
-	a.countHolder(before, s.outstanding())
 	return 0
 }
 
 // reserveShare of the burst is kept for requests that wait.
 const reserveShare = 4
 
-func (a *account) countHolder(before, after int64) {
-	switch {
-	case before == 0 && after > 0:
-		a.holders++
-	case before > 0 && after == 0:
-		a.holders--
-	}
-}
-
 // available is what may be granted under every promise that may be in force.
 func (a *account) available() int64 {
 	p := a.promises.strictest()
-	return min(a.bucket.level-p.Floor, p.Cap-a.outstanding-a.unknown)
+	return min(a.level()-p.Floor, p.Cap-a.outstanding-a.unknown)
 }
 
 // refuse returns when a need can be met. Where the level is there and only a promise
 // is in the way, the promise is changed.
 func (o *Owner) refuse(now time.Duration, a *account, need, free int64) time.Duration {
-	if a.bucket.level < need {
-		return wait(need-a.bucket.level, a.limit.Rate)
+	if a.level() < need {
+		return wait(need-a.level(), a.limit.Rate)
 	}
 	a.largeUntil = now + o.opt.Lease
 	if a.promises.strictest() == a.desired(now) {
@@ -208,33 +220,21 @@
 	return minWait
 }
 
-// refundCap is the most tokens that one holder may keep open for refunds. They are part
-// of the outstanding slices; as long as large requests wait, those may be the whole burst.
-func (a *account) refundCap(now time.Duration) int64 {
-	if now < a.largeUntil {
-		return a.limit.Burst
-	}
-	return a.limit.Burst / 4 / int64(max(1, a.holders))
-}
-
-// advance ends what has run out and refills the bucket.
+// advance refills the bucket and counts a former owner's slices as spent at their end.
 func (o *Owner) advance(now time.Duration, a *account) {
+	a.fills.drain(now, a.limit.Rate)
 	if a.unknown > 0 && now >= a.unknownEnd {
+		a.fills.add(a.unknown)
 		a.unknown = 0
 	}
-	room := a.limit.Burst - a.bucket.level - a.outstanding - a.unknown
-	a.bucket.refill(now, a.limit.Rate, room)
-	if room < 0 { // the burst was lowered; what is promised as floor goes once that is changed
-		a.bucket.level = max(a.bucket.level+room, min(a.bucket.level, a.promises.strictest().Floor))
-	}
 }
 
 func (o *Owner) expire(now time.Duration, a *account, s *ownedSlice) {
 	if now < s.expires {
 		return
 	}
-	a.countHolder(s.outstanding(), 0)
 	a.outstanding -= s.outstanding()
+	a.fills.add(s.outstanding())
 	s.gone = s.granted
 }
 
@@ -246,18 +246,19 @@
 	for name, h := range o.holders {
 		for of, s := range h.slices {
 			o.expire(now, o.accounts[of], s)
-			if s.outstanding() == 0 && now >= s.expires {
+			if s.outstanding() == 0 && now >= s.expires+keepFor {
 				delete(h.slices, of)
 			}
 		}
-		if now-h.seen > forgetAfter*o.opt.Lease {
+		if now-h.seen > keepFor+OwnerLease(o.opt.Lease) {
 			delete(o.holders, name)
 		}
 	}
 }
 
-// forgetAfter leases without a message, a holder's record is dropped.
-const forgetAfter = 20
+// keepFor is how long records are kept that hold nothing: as long as a refund of theirs
+// may be repeated.
+const keepFor = (refundEpochs + 2) * epochLength
 
 // names lists the accounts in order.
 func (o *Owner) names() []string {
--- a/internal/grants/promise.go
+++ b/internal/grants/promise.go
@@ -90,8 +90,8 @@
 	top := max(0, burst-limit)
 	floor := min(a.promises.committed.Floor, top)
 	step := burst / 8
-	if spare := a.bucket.level - floor; spare < step || spare > 4*step {
-		floor = min(top, max(0, a.bucket.level-2*step))
+	if spare := a.level() - floor; spare < step || spare > 4*step {
+		floor = min(top, max(0, a.level()-2*step))
 	}
 	return Promise{Floor: floor, Cap: limit}
 }
--- a/internal/grants/wire.go
+++ b/internal/grants/wire.go
@@ -24,13 +24,22 @@
 	Gone     int64 // total of tokens spent for good, returned or forfeited
 	Returned int64 // total of tokens given back, part of Gone
 	Want     int64 // further tokens that demand asks for
+	Refunds  []Refund
 	Need     int64 // fewest further tokens that serve the first waiting request
 }
 
+// Refund is the total of tokens that requests admitted in an epoch, or later, had
+// reserved and did not use.
+type Refund struct {
+	Epoch int64
+	Total int64
+}
+
 // SyncReply answers every entry in order.
 type SyncReply struct {
 	Term    uint64
 	Lease   time.Duration // from the moment the request was sent
+	Epoch   int64         // the owner's epoch; what is admitted after this answer is not older
 	Entries []SyncGrant
 }
 
@@ -38,8 +47,6 @@
 type SyncGrant struct {
 	Granted    int64         // total of tokens granted
 	Gone       int64         // total gone as the owner counts, at least what was reported
-	RefundCap  int64         // most tokens that may wait for a refund
-	Rate       int64         // tokens a second
 	Burst      int64         // 0 says that the account has no grant
 	RetryAfter time.Duration // when the need can be met; 0 when nothing was refused
 }
