Refund just the windows that hold the admission

Cause: spans of whole seconds kept a request's tokens in the windows that start in the second of its admission, so an account of large requests waited for them to drain; test services outlived their bubble now and then. Change: a new span after every report that adds tokens; a refund names the span in which its tokens were counted; old spans merge in pairs. Test services are waited for.

--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -25,7 +25,6 @@
 	opt      HolderOptions
 	seq      uint64
 	term     uint64
-	epoch    int64 // of the owner, as last heard
 	accounts map[string]*holding
 }
 
@@ -75,7 +74,7 @@
 		return nil, nil, err
 	}
 	if len(a.queue) == 0 {
-		if r := a.reserve(now, tokens, h.epoch); r != nil {
+		if r := a.reserve(now, tokens); r != nil {
 			return r, nil, nil
 		}
 	}
@@ -118,15 +117,15 @@
 }
 
 // reserve takes tokens from the former owner's slice first, as that ends earlier.
-func (a *holding) reserve(now time.Duration, tokens, epoch int64) *reservation {
+func (a *holding) reserve(now time.Duration, tokens int64) *reservation {
 	if a.former != nil {
 		if now >= a.former.end {
 			a.former = nil
-		} else if r := a.former.reserve(now, tokens, epoch); r != nil {
+		} else if r := a.former.reserve(now, tokens); r != nil {
 			return r
 		}
 	}
-	return a.current.reserve(now, tokens, epoch)
+	return a.current.reserve(now, tokens)
 }
 
 // Settle ends a reservation with the tokens used, and reports whether that is worth a
@@ -213,7 +212,7 @@
 		a.current.giveBack(now, a.current.unspent()-target)
 	}
 	return SyncEntry{
-		Account: name, Gone: a.current.gone(), Returned: a.current.returned, Refunds: a.current.report(h.epoch),
+		Account: name, Gone: a.current.gone(), Returned: a.current.returned, Refunds: a.current.report(),
 		Want: max(0, target+waiting-a.current.unspent()), Need: need,
 	}
 }
@@ -272,7 +271,6 @@
 	if reply.Term > h.term {
 		h.changeTerm(reply.Term)
 	}
-	h.epoch = reply.Epoch
 	for i, e := range req.Entries {
 		a := h.accounts[e.Account]
 		if a == nil {
@@ -302,17 +300,17 @@
 	if g.RetryAfter > 0 {
 		a.blocked = now + g.RetryAfter
 	}
-	a.serve(now, name, h.epoch)
+	a.serve(now, name)
 }
 
 // serve admits those who wait in their order, and refuses those for whom waiting is
 // in vain.
-func (a *holding) serve(now time.Duration, name string, epoch int64) {
+func (a *holding) serve(now time.Duration, name string) {
 	for len(a.queue) > 0 {
 		w := a.queue[0]
 		err := a.check(name, w.tokens)
 		if err == nil {
-			if r := a.reserve(now, w.tokens, epoch); r != nil {
+			if r := a.reserve(now, w.tokens); r != nil {
 				a.pop(outcome{reservation: r})
 				continue
 			}
--- a/internal/grants/owner.go
+++ b/internal/grants/owner.go
@@ -96,7 +96,6 @@
 	late := req.Seq <= h.seq // repeated or overtaken: nothing is renewed or granted
 	h.seq = max(h.seq, req.Seq)
 	h.seen = now
-	reply.Epoch = int64(now / epochLength)
 	for i, e := range req.Entries {
 		if req.Term != o.term {
 			e.Gone, e.Returned = 0, 0
@@ -136,7 +135,7 @@
 		s.expires = now + OwnerLease(o.opt.Lease)
 	}
 	return SyncGrant{
-		Granted: s.granted, Gone: s.gone, Burst: a.limit.Burst, RetryAfter: retry,
+		Granted: s.granted, Gone: s.gone, Epoch: a.fills.epoch(), Burst: a.limit.Burst, RetryAfter: retry,
 	}
 }
 
@@ -155,7 +154,7 @@
 func (a *account) refund(s *ownedSlice, refunds []Refund) {
 	for _, r := range refunds {
 		more := r.Total - s.refunded[r.Epoch]
-		if more <= 0 || r.Epoch < a.fills.epoch-refundEpochs {
+		if more <= 0 {
 			continue
 		}
 		if s.refunded == nil {
@@ -164,8 +163,12 @@
 		s.refunded[r.Epoch] = r.Total
 		a.fills.refund(r.Epoch, more)
 	}
+}
+
+// forget drops totals of refunds that could lower no span any more.
+func (a *account) forget(s *ownedSlice) {
 	for epoch := range s.refunded {
-		if epoch < a.fills.epoch-refundEpochs {
+		if epoch < a.fills.spans[0].epoch {
 			delete(s.refunded, epoch)
 		}
 	}
@@ -246,19 +249,19 @@
 	for name, h := range o.holders {
 		for of, s := range h.slices {
 			o.expire(now, o.accounts[of], s)
-			if s.outstanding() == 0 && now >= s.expires+keepFor {
+			o.accounts[of].forget(s)
+			if s.outstanding() == 0 && now >= s.expires && len(s.refunded) == 0 {
 				delete(h.slices, of)
 			}
 		}
-		if now-h.seen > keepFor+OwnerLease(o.opt.Lease) {
+		if now-h.seen > keepFor && len(h.slices) == 0 {
 			delete(o.holders, name)
 		}
 	}
 }
 
-// keepFor is how long records are kept that hold nothing: as long as a refund of theirs
-// may be repeated.
-const keepFor = (refundEpochs + 2) * epochLength
+// keepFor is how long a holder that has nothing is remembered.
+const keepFor = time.Minute
 
 // names lists the accounts in order.
 func (o *Owner) names() []string {
--- a/internal/grants/service_test.go
+++ b/internal/grants/service_test.go
@@ -65,7 +65,7 @@
 type fleet struct {
 	replica *replica
 	client  *Client
-	stop    context.CancelFunc
+	stop    func()
 }
 
 func newFleet(t *testing.T, rate, burst int64) *fleet {
@@ -77,10 +77,14 @@
 	c := NewClient(HolderOptions{
 		Name: "vm", Interval: time.Second, Horizon: 2 * time.Second, Queue: 300 * time.Millisecond, Outage: 2 * time.Second, MaxQueue: 8,
 	}, near{s}, zap.NewNop())
-	go s.Run(ctx)
-	go c.Run(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { s.Run(ctx) })
+	running.Go(func() { c.Run(ctx) })
 	time.Sleep(200 * time.Millisecond)
-	return &fleet{replica: r, client: c, stop: cancel}
+	return &fleet{replica: r, client: c, stop: func() {
+		cancel()
+		running.Wait()
+	}}
 }
 
 func TestServiceGrantsRefusesAndRefunds(t *testing.T) {
--- a/internal/grants/wire.go
+++ b/internal/grants/wire.go
@@ -28,8 +28,8 @@
 	Need     int64 // fewest further tokens that serve the first waiting request
 }
 
-// Refund is the total of tokens that requests admitted in an epoch, or later, had
-// reserved and did not use.
+// Refund is the total of tokens that requests had reserved and did not use, which the
+// owner counted as gone in an epoch of the account, or later.
 type Refund struct {
 	Epoch int64
 	Total int64
@@ -39,7 +39,6 @@
 type SyncReply struct {
 	Term    uint64
 	Lease   time.Duration // from the moment the request was sent
-	Epoch   int64         // the owner's epoch; what is admitted after this answer is not older
 	Entries []SyncGrant
 }
 
@@ -47,6 +46,7 @@
 type SyncGrant struct {
 	Granted    int64         // total of tokens granted
 	Gone       int64         // total gone as the owner counts, at least what was reported
+	Epoch      int64         // of the account, in which the report was counted
 	Burst      int64         // 0 says that the account has no grant
 	RetryAfter time.Duration // when the need can be met; 0 when nothing was refused
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -106,16 +106,20 @@
 	log    *fakeLog
 	direct *direct
 	client *Client
-	stop   context.CancelFunc
+	stop   func()
 }
 
 func newBench(t testing.TB, l Limits) *bench {
 	log := &fakeLog{machine: NewMachine(), delay: time.Millisecond}
 	s := NewService(l, log)
 	ctx, cancel := context.WithCancel(t.Context())
-	go s.Run(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { s.Run(ctx) })
 	d := &direct{endpoint: &Endpoint{s}}
-	return &bench{log: log, direct: d, client: NewClient(l.BeginLease, d, zap.NewNop()), stop: cancel}
+	return &bench{log: log, direct: d, client: NewClient(l.BeginLease, d, zap.NewNop()), stop: func() {
+		cancel()
+		running.Wait()
+	}}
 }
 
 func request(id string) Request {
