Let open streams outlive a short loss of control; run the module over TLS

Cause: a stale configuration ended every open stream at once; TLS, HTTP/2 and the module's start and stop had no test. Change: open requests go on for stale_open; module test over TLS with a reload.

--- a/internal/entry/front_test.go
+++ b/internal/entry/front_test.go
@@ -201,6 +201,34 @@
 	assert.Assert(t, strings.Contains(list[len(list)-1], `"outcome":"outcome-unknown"`))
 }
 
+func TestStaleVMEndsOpenStreamsOnlyAfterAWhile(t *testing.T) {
+	b := newBench(t, func(s *Settings, _ *engine.Settings) {
+		s.StaleOpen, s.RecheckKeys = 400*time.Millisecond, 20*time.Millisecond
+	})
+	b.addEngine(20 * time.Millisecond)
+	type answer struct {
+		text string
+		took time.Duration
+	}
+	done := make(chan answer)
+	start := time.Now()
+	go func() {
+		_, text := b.do("POST", "/v1/chat/completions", fmt.Sprintf(chatBody, true, 1000))
+		done <- answer{text, time.Since(start)}
+	}()
+	for len(b.front.open.list()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond)
+	b.directory.set(b.directory.View(), errkind.New(errkind.Stale, "too old"))
+	refusal, text := b.do("POST", "/v1/chat/completions", fmt.Sprintf(chatBody, true, 4))
+	refused(t, refusal, text, errkind.Stale, errkind.NotRun)
+	a := <-done
+	list := events(t, a.text, 0)
+	assert.Assert(t, strings.Contains(list[len(list)-1], `"code":"stale"`), list[len(list)-1])
+	assert.Assert(t, a.took >= b.front.settings.StaleOpen)
+}
+
 func TestCallerResumesAtAnotherVM(t *testing.T) {
 	b := newBench(t, nil)
 	b.addEngine(0)
--- /dev/null
+++ b/internal/entry/module_test.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"eelgrasshollow/internal/engine"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/tlsconf"
+	"eelgrasshollow/internal/watch"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// part makes a kernel module of a fake.
+type part struct{}
+
+func (part) Provision(*kernel.Kernel) error { return nil }
+func (part) Start(context.Context) error    { return nil }
+func (part) Stop(context.Context) error     { return nil }
+
+type (
+	directoryPart struct {
+		part
+		*fakeDirectory
+	}
+	limiterPart struct {
+		part
+		*fakeLimiter
+	}
+	journalPart struct {
+		part
+		*fakeJournal
+	}
+	routerPart struct {
+		part
+		*fakeRouter
+	}
+)
+
+// writePair writes a certificate of 127.0.0.1 with a serial number, and its key.
+func writePair(t *testing.T, s tlsconf.Settings, serial int64) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	certificate, err := x509.CreateCertificate(rand.Reader, &template, &template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	private, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(t, err)
+	for path, block := range map[string]*pem.Block{
+		s.KeyFile: {Type: "EC PRIVATE KEY", Bytes: private}, s.CertificateFile: {Type: "CERTIFICATE", Bytes: certificate},
+	} {
+		assert.NilError(t, os.WriteFile(path, pem.EncodeToMemory(block), 0o600))
+		stamp := time.Now().Add(time.Duration(serial) * time.Second) // one that no earlier write had
+		assert.NilError(t, os.Chtimes(path, stamp, stamp))
+	}
+}
+
+// startModule runs entry.http under a kernel, before the bench's fakes and stand-ins.
+func startModule(t *testing.T, b *bench, s tlsconf.Settings) (*kernel.Kernel, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	_, engineSettings := defaults(t)
+	k := kernel.New(zap.NewNop())
+	k.Register("entry.directory", directoryPart{fakeDirectory: b.directory})
+	k.Register("entry.grants", limiterPart{fakeLimiter: b.limiter})
+	k.Register("entry.journal", journalPart{fakeJournal: b.journal})
+	k.Register("entry.routing", routerPart{fakeRouter: b.router})
+	k.Register("entry.engine", engine.NewModule(engineSettings))
+	k.Register("entry.http", NewModule(Config{
+		Settings: b.front.settings, TLS: s, Hasher: keys.NewHasher(testHashKey), Self: watch.VM{Name: "e1", Address: address},
+	}), Needs()...)
+	assert.NilError(t, k.Start(t.Context()))
+	return k, address
+}
+
+func TestModuleServesHTTP2OverTLSAndReloadsItsCertificate(t *testing.T) {
+	b := newBench(t, nil)
+	b.addEngine(0)
+	dir := t.TempDir()
+	s := tlsconf.Settings{CertificateFile: filepath.Join(dir, "c"), KeyFile: filepath.Join(dir, "k"), ReloadEvery: time.Nanosecond}
+	writePair(t, s, 1)
+	k, address := startModule(t, b, s)
+	for serial := int64(1); serial <= 2; serial++ {
+		writePair(t, s, serial)
+		client := http.Client{Transport: &http.Transport{
+			ForceAttemptHTTP2: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}, // the serial number is checked instead
+		}}
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "https://"+address+"/v1/chat/completions", strings.NewReader(fmt.Sprintf(chatBody, true, 5)))
+		assert.NilError(t, err)
+		r.Header.Set("Authorization", "Bearer "+b.token)
+		r.Header.Set("Content-Type", "application/json")
+		answer, err := client.Do(r)
+		assert.NilError(t, err)
+		text, err := io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, answer.Body.Close())
+		client.CloseIdleConnections()
+		assert.Equal(t, answer.ProtoMajor, 2)
+		assert.Equal(t, answer.TLS.PeerCertificates[0].SerialNumber.Int64(), serial)
+		list := events(t, string(text), 0)
+		assert.Equal(t, list[len(list)-1], "[DONE]")
+	}
+	assert.Equal(t, len(k.Health()), 0)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	assert.NilError(t, k.Stop(ctx))
+	_, err := net.DialTimeout("tcp", address, time.Second)
+	assert.ErrorContains(t, err, "refused")
+}
--- a/internal/entry/open.go
+++ b/internal/entry/open.go
@@ -102,18 +102,28 @@
 }
 
 // recheck checks the keys of open requests at every change of the configuration or of
-// its freshness, and at least once in every pause, until ctx ends.
+// its freshness, and at least once in every pause, until ctx ends. While the
+// configuration is not attested as fresh, open requests go on for a bounded time: a
+// short loss of the control VMs must not end every stream.
 func (f *Front) recheck(ctx context.Context) {
 	ticker := time.NewTicker(f.settings.RecheckKeys)
 	defer ticker.Stop()
 	var checked *state.View
+	lastFresh := time.Now()
 	for {
 		changed := f.directory.Changed()
 		view, err := f.currentView()
-		if err != nil || view != checked {
+		switch {
+		case err == nil:
+			lastFresh = time.Now()
+			if view != checked {
+				f.open.end(f.stillAllowed)
+			}
+			checked = view
+		case time.Since(lastFresh) > f.settings.StaleOpen:
 			f.open.end(f.stillAllowed)
+			checked = nil
 		}
-		checked = view
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -28,6 +28,7 @@
 	StreamGrace    time.Duration  `ini:"stream_grace" default:"30s" min:"10ms" max:"1h" doc:"Time open requests have to finish when the daemon stops."`
 	PlainEmptyOK   bool           `ini:"plain_empty_ok" default:"false" doc:"Take an empty 200 of a plain service for an answer."`
 	RecheckKeys    time.Duration  `ini:"recheck_keys" default:"1s" min:"10ms" max:"10s" doc:"Longest pause between two checks of the keys of open requests."`
+	StaleOpen      time.Duration  `ini:"stale_open" default:"5s" min:"0s" max:"1m" doc:"Time that open requests go on after the configuration was last attested as fresh; new ones are refused at once."`
 	MaxIDBytes     int            `ini:"max_request_id" default:"200" min:"1" max:"4096" doc:"Greatest Idempotency-Key, in bytes."`
 	JournalTimeout time.Duration  `ini:"journal_timeout" default:"3s" min:"10ms" max:"1m" doc:"Time for one call to the request journal."`
 }
