End the write bound with the write

Cause: over HTTP/2 a write deadline that passes while the engine is quiet resets the stream, though the caller had taken everything (shown by the new test, HTTP/2 case). Change: the bound is set before and lifted after each event, and lifted at the start of a request.

--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -95,3 +95,38 @@
 	defer func() { _ = answer.Body.Close() }()
 	assert.Equal(t, answer.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
 }
+
+func TestWriteBoundCountsNoPauses(t *testing.T) {
+	for _, proto := range []int{1, 2} {
+		t.Run(fmt.Sprintf("HTTP/%d", proto), func(t *testing.T) {
+			b := newBench(t, func(s *Settings, _ *engine.Settings) { s.Write = 100 * time.Millisecond })
+			b.addEngine(150 * time.Millisecond)
+			var protocols http.Protocols
+			protocols.SetHTTP1(proto == 1)
+			protocols.SetUnencryptedHTTP2(proto == 2)
+			client := http.Client{Transport: &http.Transport{Protocols: &protocols, MaxConnsPerHost: 1}}
+			defer client.CloseIdleConnections()
+			send := func(method, path, body string) string {
+				r, err := http.NewRequestWithContext(t.Context(), method, b.server.URL+path, strings.NewReader(body))
+				assert.NilError(t, err)
+				r.Header.Set("Authorization", "Bearer "+b.token)
+				r.Header.Set("Content-Type", "application/json")
+				answer, err := client.Do(r)
+				assert.NilError(t, err)
+				defer func() { _ = answer.Body.Close() }()
+				assert.Equal(t, answer.ProtoMajor, proto)
+				text, err := io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				return string(text)
+			}
+			for _, stream := range []bool{true, false} {
+				text := send("POST", "/v1/chat/completions", fmt.Sprintf(chatBody, stream, 3))
+				assert.Assert(t, strings.Contains(text, `"finish_reason":"length"`), text)
+			}
+			time.Sleep(2 * b.front.settings.Write)
+			assert.Equal(t, send("GET", "/healthz", ""), "ok\n")
+			time.Sleep(2 * b.front.settings.Write)
+			assert.Assert(t, strings.Contains(send("GET", "/metrics", ""), "eelgrass_entry_requests_total"))
+		})
+	}
+}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -95,6 +95,8 @@
 	plain := f.serve(f.plain)
 	// The mux would redirect an unclean path; a refusal is plainer.
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A connection keeps the deadline of its last request.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		if strings.HasPrefix(r.URL.Path, "/v1/") || r.URL.Path == "/metrics" || r.URL.Path == "/healthz" {
 			mux.ServeHTTP(w, r)
 			return
@@ -188,6 +190,9 @@
 	_ = x.control.SetWriteDeadline(time.Now().Add(f.settings.Write))
 }
 
+// unbound ends the limit of bound: what follows is a wait for an endpoint.
+func (f *Front) unbound(x *exchange) { _ = x.control.SetWriteDeadline(time.Time{}) }
+
 // readBody reads the body within the limits of size and time.
 func (f *Front) readBody(x *exchange) ([]byte, error) {
 	_ = x.control.SetReadDeadline(time.Now().Add(f.settings.ReadBody))
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -207,6 +207,7 @@
 	if err := j.control.Flush(); err != nil {
 		return errkind.Wrap(err, errkind.Canceled, "caller does not take the stream")
 	}
+	f.unbound(j.exchange)
 	j.delivered++
 	return nil
 }
