--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -20,6 +20,7 @@
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/prefix"
 	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/standin"
 	"eelgrasshollow/internal/state"
@@ -190,6 +191,41 @@
 	b.ReportMetric(float64(b.N)/(processorTime(b)-before).Seconds(), "requests/core-s")
 }
 
+// BenchmarkTokens reports streamed tokens a second of processor time, with the caller's
+// side and the prepared engine counted in.
+func BenchmarkTokens(b *testing.B) {
+	const tokens = 1000
+	p := &pipeEngine{answer: func(id string) []byte {
+		out := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+		for i := 1; i <= tokens+2; i++ {
+			event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, tokenEvent(i, tokens))
+			out = fmt.Appendf(out, "%x\r\n%s\r\n", len(event), event)
+		}
+		return append(out, "0\r\n\r\n"...)
+	}}
+	defer p.close()
+	front, token := quietFront(b, p.dial, "engine:1")
+	routed := serveOn(b, front.Server(zap.NewNop()))
+	body := fmt.Sprintf(chatBody, true, tokens)
+	before := processorTime(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		timeStream(b, routed, token, body)
+	}
+	b.ReportMetric(float64(b.N)*tokens/(processorTime(b)-before).Seconds(), "tokens/core-s")
+}
+
+// tokenEvent is the data of the event at a position.
+func tokenEvent(position, tokens int) string {
+	switch position {
+	case tokens + 1:
+		return `{"choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":10,"completion_tokens":1000,"total_tokens":1010}}`
+	case tokens + 2:
+		return "[DONE]"
+	}
+	return `{"id":"c","object":"chat.completion.chunk","model":"quote","choices":[{"index":0,"delta":{"content":"fideos"},"finish_reason":null}]}`
+}
+
 func processorTime(b *testing.B) time.Duration {
 	b.Helper()
 	var u syscall.Rusage
@@ -276,3 +312,16 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc + m.StackInuse, runtime.NumGoroutine()
 }
+
+// BenchmarkDecode reads a chat of 400 KiB and cuts its prompt into the chain of prefixes.
+func BenchmarkDecode(b *testing.B) {
+	s, _ := defaults(b)
+	body := []byte(strings.Replace(fmt.Sprintf(chatBody, true, 16), "hello", strings.Repeat("pasta al huevo, ", 25<<10), 1))
+	b.SetBytes(int64(len(body)))
+	b.ReportAllocs()
+	for b.Loop() {
+		c, err := decodeCompletion(body, true, s)
+		assert.NilError(b, err)
+		assert.Equal(b, len(prefix.Chain(1, c.prompt)), 102)
+	}
+}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -34,7 +34,8 @@
 	numbered  bool // the engine numbers its events, so the stream can be resumed
 	firstAt   time.Duration
 	usage     engineapi.Usage
-	events    int // events with content in this run, delivered by this VM
+	frame     []byte // the last event as it went to the caller
+	events    int    // events with content in this run, delivered by this VM
 }
 
 // completions serves chat or text completions.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -198,10 +198,8 @@
 		j.begun = true
 	}
 	f.bound(j.exchange)
-	position := strconv.AppendInt(make([]byte, 0, 64+len(data)), int64(j.delivered+1), 10)
-	frame := append([]byte("id: "), position...)
-	frame = append(append(append(frame, "\ndata: "...), bytes.ReplaceAll(data, []byte("\n"), []byte("\ndata: "))...), "\n\n"...)
-	if _, err := j.w.Write(frame); err != nil {
+	j.frame = appendEvent(j.frame[:0], j.delivered+1, data)
+	if _, err := j.w.Write(j.frame); err != nil {
 		return errkind.Wrap(err, errkind.Canceled, "caller does not take the stream")
 	}
 	if err := j.control.Flush(); err != nil {
@@ -212,6 +210,15 @@
 	return nil
 }
 
+// appendEvent appends an event as it goes to callers.
+func appendEvent(to []byte, position int, data []byte) []byte {
+	to = strconv.AppendInt(append(to, "id: "...), int64(position), 10)
+	for line := range bytes.SplitSeq(data, []byte("\n")) {
+		to = append(append(to, "\ndata: "...), line...)
+	}
+	return append(to, "\n\n"...)
+}
+
 // chunk is what the router reads of an event or answer.
 type chunk struct {
 	Choices []struct {
