--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,3 +131,60 @@
 		})
 	}
 }
+
+// swallow forwards connections to target until silent, and then takes every byte and
+// passes none on, acknowledging them all.
+func swallow(t *testing.T, target string, silent *atomic.Bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	pump := func(to, from net.Conn) {
+		buffer := make([]byte, 4096)
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				_ = to.Close()
+				return
+			}
+			if !silent.Load() {
+				_, _ = to.Write(buffer[:n])
+			}
+		}
+	}
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+			go pump(far, near)
+			go pump(near, far)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestSilentHTTP2CallerIsGivenUpThoughItsBytesAreAcknowledged(t *testing.T) {
+	b := newBench(t, func(s *Settings, _ *engine.Settings) { s.Acknowledge = 400 * time.Millisecond })
+	e := b.addEngine(20 * time.Millisecond)
+	var silent atomic.Bool
+	address := swallow(t, b.server.Listener.Addr().String(), &silent)
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	client := http.Client{Transport: &http.Transport{Protocols: &protocols}}
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(fmt.Sprintf(chatBody, true, 10_000)))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+b.token)
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := client.Do(r)
+	assert.NilError(t, err)
+	defer func() { _ = answer.Body.Close() }()
+	silent.Store(true)
+	b.waitForCancel(e)
+}
