Take digests in at a cost that grows with them, not with the fleet

Cause: each digest walked every endpoint and every peer's map. Change: endpoints by short name and by present run; a peer's loads are added and taken back one by one. A late answer of a removed endpoint touches nothing.

--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -80,19 +80,39 @@
 	}
 }
 
+// BenchmarkDigest sends and takes in a digest after each request.
 func BenchmarkDigest(b *testing.B) {
-	c, requests := warmCore(9, 10, 50)
-	peer, _ := warmCore(9, 10, 50)
-	now := epoch
-	bytes := 0
+	for _, endpoints := range []int{9, 170, 1000} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			c, requests := warmCore(endpoints, 10, 50)
+			peer, _ := warmCore(endpoints, 10, 50)
+			now := epoch
+			bytes := 0
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(100 * time.Millisecond)
+				p := submit(c, now, requests[i%len(requests)])
+				c.Finish(now, p, answer(p, "i", 0))
+				d := c.Digest("a", 1024)
+				bytes += d.Size()
+				peer.Absorb(now, d)
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "B/digest")
+		})
+	}
+}
+
+// BenchmarkAbsorb takes in a full digest of 1 KiB.
+func BenchmarkAbsorb(b *testing.B) {
+	c, requests := warmCore(1000, 10, 500)
+	peer, _ := warmCore(1000, 10, 50)
+	for _, r := range requests {
+		submit(c, epoch, r)
+	}
+	d := c.Digest("a", 1024)
 	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		now = now.Add(100 * time.Millisecond)
-		p := submit(c, now, requests[i%len(requests)])
-		c.Finish(now, p, answer(p, "i", 0))
-		d := c.Digest("a", 1024)
-		bytes += d.Size()
-		peer.Absorb(now, d)
+	for b.Loop() {
+		peer.Absorb(epoch, d)
 	}
-	b.ReportMetric(float64(bytes)/float64(b.N), "B/digest")
+	b.ReportMetric(float64(d.Size()), "B/digest")
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -32,6 +32,8 @@
 	index      *cacheindex.Index
 	byName     map[string]*State
 	fleet      []*State // in the order of the configuration
+	byID       map[digest.EndpointID]*State
+	byAt       map[digest.At]*State // by present run
 	byModel    map[string][]*State
 	byService  map[string][]*State
 	unused     []cacheindex.Endpoint
@@ -66,6 +68,7 @@
 func (c *Core) SetFleet(now time.Time, fleet []Endpoint) {
 	old := c.byName
 	c.byName, c.fleet = map[string]*State{}, nil
+	c.byID, c.byAt = map[digest.EndpointID]*State{}, map[digest.At]*State{}
 	c.byModel = map[string][]*State{}
 	c.byService = map[string][]*State{}
 	var moved []*Pending
@@ -79,6 +82,7 @@
 		s.Endpoint, s.id, s.hash = e, digest.Identify(e.Name), nameHash(e.Name)
 		c.byName[e.Name] = s
 		c.fleet = append(c.fleet, s)
+		c.byID[s.id], c.byAt[digest.Of(s.id, s.run)] = s, s
 		for _, m := range e.Models {
 			c.byModel[m] = append(c.byModel[m], s)
 		}
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -113,6 +113,9 @@
 // learn takes an answer into the index and the endpoint's measures.
 func (c *Core) learn(now time.Time, p *Pending, r Result) {
 	s := p.state
+	if s.gone {
+		return // its number may be another endpoint's by now
+	}
 	present := c.Incarnation(s, r.Incarnation)
 	if r.Err != nil {
 		c.learnFailure(now, s, r)
@@ -121,7 +124,7 @@
 	s.succeeded()
 	actual := max(r.PromptTokens-r.CachedTokens, 0)
 	s.observe(p.work-p.missed+actual, r.FirstToken, now.Sub(p.sent))
-	if len(p.Request.Chain) == 0 || !present || s.gone {
+	if len(p.Request.Chain) == 0 || !present {
 		return
 	}
 	if p.run == s.run {
@@ -152,6 +155,8 @@
 
 func (c *Core) adopt(s *State, run digest.Run) bool {
 	switch {
+	case s.gone:
+		return false
 	case s.run == run:
 		return true
 	case slices.Contains(s.ended[:], run):
@@ -161,6 +166,9 @@
 		copy(s.ended[1:], s.ended[:])
 		s.ended[0] = s.run
 	}
+	delete(c.byAt, digest.Of(s.id, s.run))
 	s.Incarnation, s.run, s.eventSeq, s.told = "", run, 0, false
+	s.PeerInFlight, s.PeerPending = 0, 0
+	c.byAt[digest.Of(s.id, run)] = s
 	return true
 }
--- a/internal/routing/isolation_test.go
+++ b/internal/routing/isolation_test.go
@@ -140,3 +140,18 @@
 	c.Event(now.Add(time.Second), "e0", CacheEvent{Incarnation: "i1", Seq: 6, Kind: engineapi.EventRemoved, Hashes: r.Chain})
 	assert.Equal(t, predicted(c, now.Add(time.Second), r), 9000, "a removal from before the last use changes nothing")
 }
+
+func TestLateAnswerOfARemovedEndpoint(t *testing.T) {
+	c := newCore(1, 8)
+	r := ask("a", "v1")
+	slow := submit(c, epoch, r)
+	next := engines(1, 8)
+	next[0].Name, next[0].Address = "other", "10.0.0.9:1"
+	c.SetFleet(epoch, next)
+	c.Finish(epoch.Add(time.Second), slow, answer(slow, "i1", 0))
+	teller := newCore(1, 8)
+	warm(teller, epoch, r, "i1")
+	warm(teller, epoch, r, "i1")
+	c.Absorb(epoch.Add(time.Second), teller.Digest("peer", 4096))
+	assert.Equal(t, predicted(c, epoch.Add(time.Second), r), 0, "neither its answer nor a peer's word counts for the newcomer")
+}
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -18,9 +17,17 @@
 // freshPlacements bounds the placements kept for the next digest.
 const freshPlacements = 512
 
+// peerView is what a peer's last digest added.
 type peerView struct {
 	heard time.Time
-	loads map[digest.EndpointID]digest.Load
+	loads []peerLoad
+}
+
+type peerLoad struct {
+	state    *State
+	run      digest.Run
+	inFlight int
+	pending  int
 }
 
 // remember notes for the next digest where a request's prefix went: the whole chain,
@@ -109,27 +116,14 @@
 	}
 }
 
-// Absorb takes in a peer's digest.
+// Absorb takes in a peer's digest. Its work grows with the digest, not with the fleet.
 func (c *Core) Absorb(now time.Time, d *digest.Digest) {
-	v := peerView{heard: now, loads: make(map[digest.EndpointID]digest.Load, len(d.Loads))}
-	for _, l := range d.Loads {
-		v.loads[l.Endpoint] = l
-	}
-	c.peers[d.From] = v
-	at := make(map[digest.At]*State, len(c.byName))
-	for _, s := range c.fleet {
-		if l, ok := v.loads[s.id]; ok && l.Run != 0 {
-			c.adopt(s, l.Run)
-		}
-		at[digest.Of(s.id, s.run)] = s
-	}
-	kept := make(map[digest.At]cacheindex.Endpoint, len(c.stores))
-	for _, s := range c.stores {
-		kept[s.at] = s.index
-	}
+	c.forgetPeer(d.From)
+	c.peers[d.From] = peerView{heard: now, loads: c.addLoads(d.Loads)}
+	c.vms = len(c.peers) + 1
 	told := map[*State][]digest.Weights{}
 	for _, l := range d.Loaded {
-		if s := at[l.At]; s != nil {
+		if s := c.byAt[l.At]; s != nil {
 			told[s] = append(told[s], l.Weights)
 		}
 	}
@@ -137,41 +131,64 @@
 		s.hearWeights(weights, now)
 	}
 	for _, p := range d.Gone {
-		if s := at[p.At]; s != nil {
+		if s := c.byAt[p.At]; s != nil {
 			c.index.Remove(s.index, []prefix.Hash{p.Prefix}, now.Add(-eventLag))
 		}
 	}
 	for _, p := range d.Placements {
-		if store, ok := kept[p.At]; ok {
-			c.index.Stored(store, []prefix.Hash{p.Prefix}, now)
+		if n, ok := c.numberAt(p.At); ok {
+			c.index.Stored(n, []prefix.Hash{p.Prefix}, now)
 		}
-		if s := at[p.At]; s != nil {
-			c.index.Stored(s.index, []prefix.Hash{p.Prefix}, now)
+	}
+}
+
+// numberAt finds the endpoint or store that a digest names.
+func (c *Core) numberAt(at digest.At) (cacheindex.Endpoint, bool) {
+	if s := c.byAt[at]; s != nil {
+		return s.index, true
+	}
+	for _, s := range c.stores {
+		if s.at == at {
+			return s.index, true
 		}
 	}
-	c.sumPeers()
+	return 0, false
 }
 
-// forgetSilent forgets peers whose digests have stopped.
-func (c *Core) forgetSilent(now time.Time) {
-	before := len(c.peers)
-	maps.DeleteFunc(c.peers, func(_ string, v peerView) bool { return now.Sub(v.heard) > peerSilence })
-	if len(c.peers) != before {
-		c.sumPeers()
+// addLoads adds what a peer has at the endpoints, as far as it means their present run.
+func (c *Core) addLoads(loads []digest.Load) []peerLoad {
+	var added []peerLoad
+	for _, l := range loads {
+		s := c.byID[l.Endpoint]
+		if s == nil || l.Run == 0 || !c.adopt(s, l.Run) {
+			continue
+		}
+		s.PeerInFlight += int(l.InFlight)
+		s.PeerPending += int(l.Pending)
+		s.note()
+		added = append(added, peerLoad{state: s, run: l.Run, inFlight: int(l.InFlight), pending: int(l.Pending)})
 	}
+	return added
 }
 
-// sumPeers adds the peers' loads up.
-func (c *Core) sumPeers() {
+// forgetPeer takes back what was added for a peer. What it had at a run that is over
+// went with the run.
+func (c *Core) forgetPeer(name string) {
+	for _, l := range c.peers[name].loads {
+		if l.state.run == l.run {
+			l.state.PeerInFlight -= l.inFlight
+			l.state.PeerPending -= l.pending
+		}
+	}
+	delete(c.peers, name)
 	c.vms = len(c.peers) + 1
-	for _, s := range c.fleet {
-		s.PeerInFlight, s.PeerPending = 0, 0
-		for _, v := range c.peers {
-			if l, ok := v.loads[s.id]; ok && l.Run == s.run {
-				s.PeerInFlight += int(l.InFlight)
-				s.PeerPending += int(l.Pending)
-			}
+}
+
+// forgetSilent forgets peers whose digests have stopped.
+func (c *Core) forgetSilent(now time.Time) {
+	for name, v := range c.peers {
+		if now.Sub(v.heard) > peerSilence {
+			c.forgetPeer(name)
 		}
-		s.note()
 	}
 }
