Move waiting requests on, retry in another failure domain

Cause: with a failure domain gone, requests waited 5 s in one endpoint's queue for the share that peers left, while others became free, and were given up; retries met another dead engine of the same domain until the budget was spent. Change: a request that has waited 200 ms is reconsidered; endpoints without room give way to others; a second try prefers another failure domain; retry burst 10 -> 32; peers' loads count also while neither side knows an endpoint's run.

--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -20,9 +20,13 @@
 
 // DefaultLimits are the limits of an entry VM.
 func DefaultLimits() Limits {
-	return Limits{QueuePerEndpoint: 64, LongestWait: 5 * time.Second, TrackedPrefixes: 100_000, RetryShare: 0.1, RetryBurst: 10}
+	return Limits{QueuePerEndpoint: 64, LongestWait: 5 * time.Second, TrackedPrefixes: 100_000, RetryShare: 0.1, RetryBurst: 32}
 }
 
+// reconsiderAfter is how long a request waits in a queue before another endpoint is
+// considered for it.
+const reconsiderAfter = 200 * time.Millisecond
+
 // Core decides on endpoints and admission. It is a plain state machine: inputs and
 // time in, decisions out through Pending. It is not safe for concurrent use.
 type Core struct {
@@ -144,36 +148,52 @@
 		c.park(now, p)
 		return
 	}
-	s := best.State
-	if !c.admit(now, p, s) {
-		return
+	if c.admit(p, best.State) {
+		c.assign(now, p, best)
 	}
+}
+
+// assign queues a request at its endpoint.
+func (c *Core) assign(now time.Time, p *Pending, best *Candidate) {
+	s := best.State
 	p.state, p.match, p.missed = s, best.Match, best.Missed-best.Import
 	p.Decision = Decision{
 		Endpoint: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
 		CachedTokens: max(p.Request.PromptTokens-best.Missed, 0),
 		ImportFrom:   best.ImportFrom, Parts: c.parts(best),
 	}
+	p.queued = now
 	s.queue.Push(p)
 	c.pump(now, s)
 }
 
+// moveOn takes the next request of a queue to another endpoint when it has waited there
+// for a while and the other is the better one by now and has a place.
+func (c *Core) moveOn(now time.Time, s *State) {
+	p := s.queue.Peek()
+	if p == nil || now.Sub(p.queued) < reconsiderAfter {
+		return
+	}
+	best := c.decide(now, p)
+	if best == nil || best.State == s || best.State.InFlight >= best.State.limit(c.vms) || best.State.queue.Len() > 0 {
+		p.queued = now
+		return
+	}
+	s.queue.Remove(p)
+	c.assign(now, p, best)
+}
+
 // admit sheds early: by the predicted wait in fair order, and by the queue's bound,
 // where the account that waits with the most tokens gives way.
-func (c *Core) admit(now time.Time, p *Pending, s *State) bool {
-	limit := s.limit(now, c.vms)
-	if s.InFlight < limit && s.queue.Len() == 0 {
+func (c *Core) admit(p *Pending, s *State) bool {
+	if c.roomy(&p.Request, s) {
 		return true
 	}
-	ahead := s.queue.Ahead(p.Request.Account, p.Request.Priority)
-	wait := time.Duration(ahead+1) * s.Service / time.Duration(limit)
+	wait := c.wait(&p.Request, s)
 	if wait > c.limits.LongestWait {
 		c.refuse(p, overloaded(wait))
 		return false
 	}
-	if s.queue.Len() < c.limits.QueuePerEndpoint {
-		return true
-	}
 	victim := s.queue.Longest(p.Request.Priority)
 	if victim == nil || victim.Request.Account == p.Request.Account && victim.Request.Priority == p.Request.Priority {
 		c.refuse(p, overloaded(wait))
@@ -184,6 +204,21 @@
 	return true
 }
 
+// roomy reports whether the endpoint has a place, or one in its queue that comes up in
+// time.
+func (c *Core) roomy(r *Request, s *State) bool {
+	if s.InFlight < s.limit(c.vms) && s.queue.Len() == 0 {
+		return true
+	}
+	return s.queue.Len() < c.limits.QueuePerEndpoint && c.wait(r, s) <= c.limits.LongestWait
+}
+
+// wait predicts how long a newcomer waits for a place, in fair order.
+func (c *Core) wait(r *Request, s *State) time.Duration {
+	ahead := s.queue.Ahead(r.Account, r.Priority)
+	return time.Duration(ahead+1) * s.Service / time.Duration(s.limit(c.vms))
+}
+
 func overloaded(wait time.Duration) *errkind.Error {
 	return errkind.New(errkind.Overloaded, "every place is taken").WithRetryAfter(max(wait, 100*time.Millisecond))
 }
@@ -195,7 +230,7 @@
 
 // pump sends waiting requests while there are places.
 func (c *Core) pump(now time.Time, s *State) {
-	for s.InFlight < s.limit(now, c.vms) {
+	for s.InFlight < s.limit(c.vms) {
 		p := s.queue.Pop()
 		if p == nil {
 			return
@@ -265,6 +300,7 @@
 			c.refuse(p, overloaded(s.Service))
 		}
 		c.pump(now, s)
+		c.moveOn(now, s)
 	}
 }
 
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -168,3 +168,37 @@
 		assert.Assert(t, submit(c, epoch, request("a")).Decision.Endpoint != s.Name)
 	}
 }
+
+func TestAWaitingRequestMovesToAnEndpointThatBecameFree(t *testing.T) {
+	c := newCore(2, 1)
+	warmed := warm(c, epoch, request("a", 1, 2, 3, 4), "i")
+	home := warmed.Decision.Endpoint
+	now := epoch.Add(2 * time.Second)
+	running := submit(c, now, request("a", 1, 2, 3, 4))
+	queued := submit(c, now, request("a", 1, 2, 3, 4))
+	assert.Equal(t, running.Decision.Endpoint, home)
+	assert.Equal(t, queued.phase, waiting)
+	c.byName[home].Service = time.Minute // by now the wait is known to be long
+	c.Tick(now.Add(reconsiderAfter - time.Millisecond))
+	assert.Equal(t, queued.phase, waiting)
+	c.Tick(now.Add(reconsiderAfter))
+	assert.Equal(t, queued.phase, sent)
+	assert.Assert(t, queued.Decision.Endpoint != home)
+}
+
+func TestASecondTryGoesToAnotherFailureDomain(t *testing.T) {
+	fleet := engines(4, 8)
+	for i := range fleet {
+		fleet[i].FailureDomain = fmt.Sprintf("fd-%d", i/2)
+	}
+	c := NewCore(Ours(DefaultTuning()), DefaultLimits(), epoch)
+	c.SetFleet(epoch, fleet)
+	r := request("a", 1, 2, 3)
+	warm(c, epoch, r, "i")
+	r.Exclude = []string{"e0"}
+	for range 3 {
+		assert.Equal(t, submit(c, epoch, r).Decision.FailureDomain, "fd-1")
+	}
+	c.SetFleet(epoch, fleet[:2])
+	assert.Equal(t, submit(c, epoch, r).Decision.Endpoint, "e1", "rather the same domain than none")
+}
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -24,14 +24,16 @@
 		c.matches = c.index.Find(r.Chain, now, c.matches)
 		k.Kept = c.kept()
 	}
+	k.FailedDomains = c.failedDomains(r)
 	c.filter(&k, group)
-	if len(c.candidates) == 0 && len(r.Exclude) > 0 {
-		k.LastResort = true
+	for len(c.candidates) == 0 && len(r.Exclude) > 0 && k.Relax < Anywhere {
+		k.Relax++
 		c.filter(&k, group)
 	}
 	if len(c.candidates) == 0 {
 		return nil
 	}
+	c.preferRoomy(r)
 	for i := range c.candidates {
 		k.Held = max(k.Held, c.candidates[i].Match.Depth)
 	}
@@ -46,6 +48,17 @@
 	return &c.candidates[c.policy.Picker.Pick(&k, c.candidates)]
 }
 
+// failedDomains lists the failure domains of the endpoints that failed the request.
+func (c *Core) failedDomains(r *Request) []string {
+	var domains []string
+	for _, name := range r.Exclude {
+		if s := c.byName[name]; s != nil && s.FailureDomain != "" {
+			domains = append(domains, s.FailureDomain)
+		}
+	}
+	return domains
+}
+
 func (c *Core) group(r *Request) []*State {
 	if r.Service != "" {
 		return c.byService[r.Service]
@@ -62,6 +75,20 @@
 	}
 }
 
+// preferRoomy drops candidates that would refuse the request while others would not.
+func (c *Core) preferRoomy(r *Request) {
+	roomy := 0
+	for i := range c.candidates {
+		if c.roomy(r, c.candidates[i].State) {
+			c.candidates[roomy], c.candidates[i] = c.candidates[i], c.candidates[roomy]
+			roomy++
+		}
+	}
+	if roomy > 0 {
+		c.candidates = c.candidates[:roomy]
+	}
+}
+
 func (c *Core) keep(k *Case, s *State) bool {
 	for _, f := range c.policy.Filters {
 		if !f.Keep(k, s) {
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -72,13 +72,13 @@
 
 // limit is the number of own requests that may run there now: what the peers leave,
 // but never less than an equal share.
-func (s *State) limit(now time.Time, vms int) int {
+func (s *State) limit(vms int) int {
 	most := s.MaxConcurrent
 	if most <= 0 {
 		most = DefaultConcurrent
 	}
 	share := (most + vms - 1) / max(vms, 1)
-	return max(most-s.PeerInFlight-s.foreign(now), share)
+	return max(most-s.PeerInFlight, share)
 }
 
 // note keeps the peak of the requests known to be there.
--- a/internal/routing/filter_available.go
+++ b/internal/routing/filter_available.go
@@ -14,7 +14,7 @@
 	if s.Leaving || s.gone || c.Now.Before(s.downUntil) {
 		return false
 	}
-	if !c.LastResort && slices.Contains(c.Request.Exclude, s.Name) {
+	if c.Relax < Anywhere && slices.Contains(c.Request.Exclude, s.Name) {
 		return false
 	}
 	return s.runs(c.Request.Model, c.Request.Version, c.Now)
--- a/internal/routing/pending.go
+++ b/internal/routing/pending.go
@@ -22,6 +22,7 @@
 	run       digest.Run // of the endpoint, as far as known when it was sent
 	work      int        // uncached tokens ahead at the endpoint when it was sent, own included
 	submitted time.Time
+	queued    time.Time // at this endpoint, or reconsidered
 	sent      time.Time
 	phase     phase
 	settled   func() // told once: granted or refused
--- a/internal/routing/plugin.go
+++ b/internal/routing/plugin.go
@@ -31,10 +31,22 @@
 	Rate    float64 // requests per second of the first piece beyond, at this VM
 	VMs     int     // entry VMs that route to the same endpoints
 	Kept    Kept    // what the kept-cache stores hold
-	// LastResort is set when every endpoint left is one that the request excludes.
-	LastResort bool
+	// Relax says how many of the wishes of a second try are dropped as nothing is left.
+	Relax Relax
+	// FailedDomains are the failure domains of the endpoints that the request excludes.
+	FailedDomains []string
 }
 
+// Relax is how far a second try's wishes are dropped.
+type Relax int
+
+// A second try goes to another failure domain, else to another endpoint, else anywhere.
+const (
+	OtherDomain Relax = iota
+	OtherEndpoint
+	Anywhere
+)
+
 // Filter drops endpoints that may not get a request.
 type Filter interface {
 	Name() string
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -33,7 +33,7 @@
 // Ours is the policy of the entry VMs.
 func Ours(t Tuning) Policy {
 	return Policy{
-		Filters: []Filter{available{}},
+		Filters: []Filter{available{}, otherDomain{}},
 		Scorers: []Scorer{
 			queueScorer{}, prefillScorer{t.Prefill, milliseconds(t.MostExtra)}, homeScorer{t.Home, t.PerCopyRate},
 			importScorer{fixed: importFixed, perToken: importPerToken, prefill: t.Prefill},
--- a/internal/routing/queue.go
+++ b/internal/routing/queue.go
@@ -70,6 +70,17 @@
 	return nil
 }
 
+// Peek returns what Pop would take, or nil.
+func (q *fairQueue) Peek() *Pending {
+	for _, c := range q.classes {
+		if len(c.accounts) > 0 {
+			_, a := c.next()
+			return a.waiting[0]
+		}
+	}
+	return nil
+}
+
 // next finds the account with the fewest tokens had; ties go by name.
 func (c *priorityClass) next() (string, *accountQueue) {
 	var name string
--- a/internal/routing/score_queue.go
+++ b/internal/routing/score_queue.go
@@ -17,7 +17,7 @@
 
 // admissionWait is the wait for a place, with those queued ahead.
 func admissionWait(c *Case, s *State) float64 {
-	limit := s.limit(c.Now, c.VMs)
+	limit := s.limit(c.VMs)
 	ahead := s.InFlight + s.queue.Len() + s.foreign(c.Now) - limit + 1
 	if ahead <= 0 {
 		return 0
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -160,7 +160,7 @@
 	var added []peerLoad
 	for _, l := range loads {
 		s := c.byID[l.Endpoint]
-		if s == nil || l.Run == 0 || !c.adopt(s, l.Run) {
+		if s == nil || !c.sameRun(s, l.Run) {
 			continue
 		}
 		s.PeerInFlight += int(l.InFlight)
@@ -171,6 +171,14 @@
 	return added
 }
 
+// sameRun reports whether a peer means the present run; while neither knows one, it does.
+func (c *Core) sameRun(s *State, run digest.Run) bool {
+	if run == 0 {
+		return s.run == 0
+	}
+	return c.adopt(s, run)
+}
+
 // forgetPeer takes back what was added for a peer. What it had at a run that is over
 // went with the run.
 func (c *Core) forgetPeer(name string) {
