--- a/internal/routing/exchange_test.go
+++ b/internal/routing/exchange_test.go
@@ -150,3 +150,18 @@
 		assert.Equal(t, second.Decision().CachedTokens, 9000)
 	})
 }
+
+func TestEventsAreReadWithinTheirBudget(t *testing.T) {
+	b := newByteBudget(100)
+	now := time.Unix(1_000_000, 0)
+	event := engineapi.Event{Hashes: make([]string, 10)}
+	read := 0
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		if b.take(eventBytes(event), now) {
+			read += eventBytes(event)
+		}
+	}
+	assert.Assert(t, read <= 100*(30+10), "%d bytes in 10 s", read)
+	assert.Assert(t, read > 100*30)
+}
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -29,6 +29,7 @@
 	DigestEvery      time.Duration `ini:"digest_every" default:"250ms" min:"20ms" max:"10s" doc:"Time between two digests to the other entry VMs; news of a prefix that is being computed goes sooner."`
 	DigestBytes      int           `ini:"digest_bytes" default:"1024" min:"128" max:"65536" doc:"Greatest size of a digest."`
 	LoadEvery        time.Duration `ini:"load_every" default:"500ms" min:"50ms" max:"1m" doc:"Time between two reads of an endpoint's load report."`
+	EventBytes       int           `ini:"event_bytes" default:"4096" min:"0" max:"100000000" doc:"Bytes of cache events per second that this VM reads from the endpoints it owns. Endpoints whose events exceed it are routed without them."`
 	RetryShare       float64       `ini:"retry_share" default:"0.1" min:"0" max:"1" doc:"Second tries allowed per first try."`
 }
 
@@ -132,7 +133,7 @@
 		m.group.Go(func() error { return newExchange(m, m.pool).run(ctx) })
 	}
 	if m.source != nil {
-		r := &readers{module: m, source: m.source, stop: map[string]context.CancelFunc{}}
+		r := &readers{module: m, source: m.source, budget: newByteBudget(m.settings.EventBytes), stop: map[string]context.CancelFunc{}}
 		m.group.Go(func() error { return r.run(ctx) })
 	}
 	return nil
--- a/internal/routing/sources.go
+++ b/internal/routing/sources.go
@@ -8,8 +8,10 @@
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/prefix"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -23,9 +25,34 @@
 type readers struct {
 	module *Module
 	source Source
+	budget *byteBudget
 	stop   map[string]context.CancelFunc // by endpoint name and address
 }
 
+// errBudget ends the reading of an endpoint's events: routing does about as well
+// without them, and events read late would be wrong.
+var errBudget = errors.New("budget of cache events is spent")
+
+// eventBytes is about what an event takes on the wire.
+func eventBytes(e engineapi.Event) int {
+	const frame, hash = 120, 19
+	return frame + hash*len(e.Hashes)
+}
+
+// eventBurst is the time over which the budget of cache events is averaged.
+const eventBurst = 30 * time.Second
+
+// byteBudget bounds the bytes of cache events that a VM reads.
+type byteBudget struct {
+	limiter *rate.Limiter
+}
+
+func newByteBudget(perSecond int) *byteBudget {
+	return &byteBudget{rate.NewLimiter(rate.Limit(perSecond), perSecond*int(eventBurst/time.Second))}
+}
+
+func (b *byteBudget) take(n int, now time.Time) bool { return b.limiter.AllowN(now, n) }
+
 func (r *readers) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	ticker := time.NewTicker(ownerCheckEvery)
@@ -91,6 +118,9 @@
 	var incarnation string
 	for pause(ctx, eventsRetry) {
 		err := r.source.Events(ctx, e.address, after, func(event engineapi.Event) error {
+			if !r.budget.take(eventBytes(event), time.Now()) {
+				return errBudget
+			}
 			if event.Incarnation != incarnation {
 				incarnation, after = event.Incarnation, 0
 			}
@@ -98,6 +128,10 @@
 			r.module.event(e.name, event)
 			return nil
 		})
+		if errors.Is(err, errBudget) {
+			r.module.log.Warn("cache events exceed their budget and are no longer read", zap.String("endpoint", e.name))
+			return
+		}
 		if err != nil && ctx.Err() == nil {
 			r.module.log.Debug("cache events ended", zap.String("endpoint", e.name), zap.Error(err))
 		}
