--- a/internal/state/bench_test.go
+++ b/internal/state/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"runtime"
 	"testing"
 
 	pb "eelgrasshollow/gen/eelgrass/v1"
@@ -74,3 +75,48 @@
 		})
 	}
 }
+
+// BenchmarkEndpointDelta measures what a watcher does with one delta of an endpoint,
+// which rebuilds the endpoints' indexes.
+func BenchmarkEndpointDelta(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			m := filled(b, n)
+			before := m.View().Configuration()
+			mut := &pb.Mutation{AnyRevision: true, Change: &pb.Mutation_PutEndpoint{PutEndpoint: &pb.Endpoint{Name: "engine0",
+				Address: "10.0.0.1:8000", Role: pb.EndpointRole_ENDPOINT_ROLE_ENGINE, Models: []string{"model0"}, Leaving: true}}}
+			_, err := apply(b, m, "op", mut)
+			assert.NilError(b, err)
+			d, ok := m.Delta(before.GetRevision())
+			assert.Assert(b, ok)
+			view := NewView(before)
+			for b.Loop() {
+				view.After(d)
+			}
+		})
+	}
+}
+
+// BenchmarkViewMemory reports the heap that a watcher's view holds for each endpoint,
+// with its share of accounts and keys.
+func BenchmarkViewMemory(b *testing.B) {
+	const n = 12_000
+	configuration := filled(b, n).View().Configuration()
+	raw, err := proto.Marshal(configuration)
+	assert.NilError(b, err)
+	for b.Loop() {
+		before := heapBytes()
+		own := &pb.Configuration{}
+		assert.NilError(b, proto.Unmarshal(raw, own))
+		view := NewView(own)
+		b.ReportMetric(float64(heapBytes()-before)/n, "B/endpoint")
+		runtime.KeepAlive(view)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
