--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -103,7 +103,7 @@
 	gauge := f.metrics.inFlight.WithLabelValues(x.account, x.route)
 	gauge.Inc()
 	defer gauge.Dec()
-	f.budget.request()
+	f.budget.Earn()
 	err = f.run(j)
 	used := j.used()
 	reservation.Settle(used)
@@ -282,7 +282,7 @@
 	}
 	switch errkind.Of(err).Kind {
 	case errkind.EndpointFailed, errkind.StreamBroken, errkind.Overloaded:
-		return f.budget.retry()
+		return f.budget.Spend()
 	}
 	return false
 }
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"eelgrasshollow/internal/budget"
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
@@ -65,7 +66,7 @@
 	fleet     watch.Fleet
 	log       *zap.Logger
 	metrics   *metrics
-	budget    *retryBudget
+	budget    *budget.Budget
 	open      *openRequests
 }
 
@@ -74,7 +75,7 @@
 	return &Front{
 		settings: s, directory: d.Directory, limiter: d.Limiter, journal: d.Journal, router: d.Router,
 		engine: d.Engine, hasher: d.Hasher, fleet: d.Fleet, log: d.Log,
-		metrics: newMetrics(), budget: newRetryBudget(s.RetryShare, s.RetryBurst), open: newOpenRequests(),
+		metrics: newMetrics(), budget: budget.New(s.RetryShare, s.RetryBurst), open: newOpenRequests(),
 	}
 }
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -93,7 +93,7 @@
 
 // repeatable runs an idempotent call, at another endpoint after a failure.
 func (f *Front) repeatable(p *plainCall) error {
-	f.budget.request()
+	f.budget.Earn()
 	for attempt := 1; ; attempt++ {
 		ticket, err := f.pickAgain(p.ctx, &p.tries)
 		if err != nil {
@@ -107,7 +107,7 @@
 			return nil
 		}
 		p.failed(ticket, err)
-		if p.ctx.Err() != nil || attempt >= f.settings.Attempts || !f.budget.retry() {
+		if p.ctx.Err() != nil || attempt >= f.settings.Attempts || !f.budget.Spend() {
 			return p.ended(err, false)
 		}
 		f.metrics.retries.WithLabelValues(p.account, p.route).Inc()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -21,7 +21,7 @@
 	Attempts       int            `ini:"attempts" default:"4" min:"1" max:"20" doc:"Endpoints an idempotent request is tried at."`
 	RetryPause     time.Duration  `ini:"retry_pause" default:"300ms" min:"1ms" max:"10s" doc:"Pause before a request goes back to an endpoint that failed it, when there is no other."`
 	RetryShare     float64        `ini:"retry_share" default:"0.1" min:"0" max:"1" doc:"Retries per request, on average."`
-	RetryBurst     float64        `ini:"retry_burst" default:"100" min:"1" max:"100000" doc:"Retries at once."`
+	RetryBurst     int            `ini:"retry_burst" default:"100" min:"1" max:"100000" doc:"Retries at once."`
 	DefaultOutput  int            `ini:"default_output" default:"512" min:"1" max:"1000000" doc:"Output tokens of a request that names no bound."`
 	MaxOutput      int            `ini:"max_output" default:"131072" min:"1" max:"10000000" doc:"Greatest output that a request may ask for, in tokens."`
 	LookupKeep     time.Duration  `ini:"lookup_keep" default:"5s" min:"10ms" max:"10m" doc:"Time callers may keep the answer of GET /v1/entries."`
