--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -77,8 +77,8 @@
 		fmt.Fprintf(t, "%s\t%.4g\n", f.name, f.of(r))
 	}
 	for _, a := range r.Accounts {
-		fmt.Fprintf(t, "account %s\trequests=%d answered=%d refused=%d refused-inside-rate=%d tokens=%d share-of-grant=%.3f\n",
-			a.Name, a.Requests, a.OK, a.Refused, a.RefusedInRate, a.Tokens, a.ShareOfGrant)
+		fmt.Fprintf(t, "account %s\trequests=%d answered=%d refused=%d refused-inside-rate=%d tokens=%d share-of-grant=%.3f first-token-p50=%.1fms p99=%.1fms\n",
+			a.Name, a.Requests, a.OK, a.Refused, a.RefusedInRate, a.Tokens, a.ShareOfGrant, a.First.P50, a.First.P99)
 	}
 	for code, n := range r.Codes {
 		fmt.Fprintf(t, "attempts without an answer: %s\t%d\n", code, n)
--- a/internal/load/html.go
+++ b/internal/load/html.go
@@ -16,6 +16,7 @@
 const (
 	plotWidth  = 18 * vg.Centimeter
 	plotHeight = 7 * vg.Centimeter
+	legendRoom = 1.4 // height of a plot over its greatest value
 )
 
 var plotColors = []color.Color{
@@ -107,7 +108,7 @@
 func drawLines(title, unit string, lines ...line) (plotImage, error) {
 	p := plot.New()
 	p.X.Label.Text, p.Y.Label.Text = "seconds since the start", unit
-	p.Y.Min = 0
+	p.Legend.Top = true
 	for _, l := range lines {
 		drawn, err := plotter.NewLine(l.points)
 		if err != nil {
@@ -117,6 +118,7 @@
 		p.Add(drawn)
 		p.Legend.Add(l.name, drawn)
 	}
+	p.Y.Min, p.Y.Max = 0, p.Y.Max*legendRoom
 	to, err := p.WriterTo(plotWidth, plotHeight, "png")
 	if err != nil {
 		return plotImage{}, errors.Wrap(err, "plot")
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -223,7 +223,7 @@
 }
 
 func timeline(t *Trace) []Second {
-	seconds := make([]Second, int(t.Settings.Run.Duration/time.Second)+1)
+	seconds := make([]Second, max(1, int(t.Settings.Run.Duration/time.Second)))
 	histograms := make([]*hdrhistogram.Histogram, len(seconds))
 	for i := range seconds {
 		seconds[i].At, histograms[i] = i, newHistogram()
