Let links to a dead process refuse, as its VM would

Cause: the forwarder took the connection and closed it, so an order to a dead service was rightly reported as unknown, and not-run failed now and then.

--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -31,11 +31,11 @@
 
 func table() map[string]command {
 	return map[string]command{
-		"start":    onProcesses((*process).start),
-		"shutdown": onProcesses((*process).shutdown),
-		"crash":    onProcesses((*process).crash),
-		"pause":    onProcesses(func(p *process) error { return p.signal(syscall.SIGSTOP) }),
-		"resume":   onProcesses(func(p *process) error { return p.signal(syscall.SIGCONT) }),
+		"start":    onProcesses((*process).start, (*link).accept),
+		"shutdown": onProcesses((*process).shutdown, (*link).dead),
+		"crash":    onProcesses((*process).crash, (*link).dead),
+		"pause":    onProcesses(func(p *process) error { return p.signal(syscall.SIGSTOP) }, nil),
+		"resume":   onProcesses(func(p *process) error { return p.signal(syscall.SIGCONT) }, nil),
 		"cut":      onLinks(func(k *link, _ bool) { k.cut(true, true) }),
 		"cut-out":  onLinks(func(k *link, dialled bool) { k.cut(!dialled, dialled) }),
 		"heal":     onLinks(func(k *link, _ bool) { k.heal() }),
@@ -183,7 +183,8 @@
 	return bound, pattern, func() (string, error) { return c(f, args[3:]) }
 }
 
-func onProcesses(do func(*process) error) command {
+// onProcesses does something to processes, then to the links that lead to them.
+func onProcesses(do func(*process) error, then func(*link) error) command {
 	return func(f *fleet, args []string) (string, error) {
 		for _, n := range args {
 			p := f.processes[n]
@@ -193,11 +194,29 @@
 			if err := do(p); err != nil {
 				return "", err
 			}
+			if err := f.onLinksTo(n, then); err != nil {
+				return "", err
+			}
 		}
 		return "", nil
 	}
 }
 
+func (f *fleet) onLinksTo(name string, do func(*link) error) error {
+	if do == nil {
+		return nil
+	}
+	for key, k := range f.allLinks() {
+		if !strings.HasSuffix(key, ">"+name) {
+			continue
+		}
+		if err := do(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // onLinks works on every link between FROM and TO, whichever dials; TO may be a
 // pattern such as "control-*".
 // dialled says that TO is the side that dials.
--- a/internal/scenario/link_test.go
+++ b/internal/scenario/link_test.go
@@ -39,15 +39,31 @@
 	}
 	k := &link{listener: l, target: target, forward: true, back: true, pipes: map[*pipe]bool{}}
 	k.changed = sync.NewCond(&k.mu)
-	go k.serve()
+	go k.serve(l)
 	return k, nil
 }
 
 func (k *link) address() string { return k.listener.Addr().String() }
 
-func (k *link) serve() {
+// dead makes dialling fail, as it does when no process listens.
+func (k *link) dead() error { return k.listener.Close() }
+
+// accept takes connections again after dead.
+func (k *link) accept() error {
+	l, err := net.Listen("tcp", k.address())
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.listener = l
+	k.mu.Unlock()
+	go k.serve(l)
+	return nil
+}
+
+func (k *link) serve(l net.Listener) {
 	for {
-		c, err := k.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
