--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -65,6 +65,7 @@
 	LookupPath  string  `ini:"lookup_path" default:"/stock" doc:"Path of idempotent plain calls."`
 	OrderShare  float64 `ini:"order_share" default:"0.1" min:"0" max:"1" doc:"Share of calls that are non-idempotent plain ones."`
 	OrderPath   string  `ini:"order_path" default:"/orders" doc:"Path of non-idempotent plain calls."`
+	CallTokens  int64   `ini:"call_tokens" default:"0" min:"0" max:"1000000" doc:"What the routes of plain calls cost in tokens."`
 	ResendShare float64 `ini:"resend_share" default:"0.1" min:"0" max:"1" doc:"Share of non-idempotent calls that the caller sends again although answered."`
 }
 
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -79,6 +79,7 @@
 lookup_path = /stock
 order_share = 0.25
 order_path = /orders
+call_tokens = 10
 resend_share = 0.2
 [greedy]
 account = markets
