--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/settings"
 	"eelgrasshollow/internal/standin"
@@ -198,3 +199,21 @@
 	assert.ErrorContains(t, err, "[target] entries: names no address")
 	assert.ErrorContains(t, err, "load.ini:9: [mix] order_share: with lookup_share is above 1")
 }
+
+func TestReferenceBucketKnowsNoMoreThanARealOne(t *testing.T) {
+	second := time.Second
+	account := Account{Name: "a", Rate: 100, Burst: 1000}
+	usage := func(total int) (u engineapi.Usage) { u.TotalTokens = total; return u }
+	refused := func(at time.Duration, asked int64) Attempt {
+		return Attempt{Account: "a", Kind: Chat, Start: at, End: at, Asked: asked, Code: errkind.RateLimited.String()}
+	}
+	trace := &Trace{Attempts: []Attempt{
+		{Account: "a", Kind: Chat, OK: true, Start: 0, End: 4 * second, Asked: 900, Usage: usage(100)},
+		refused(second, 300),   // 100 + 100 held: rightly refused
+		refused(3*second, 300), // 100 + 300: wrongly
+		refused(5*second, 900), // all but 100 given back, refilled: wrongly
+	}}
+	used, wrongly := againstCentralBucket(trace, account)
+	assert.Equal(t, used, int64(100))
+	assert.Equal(t, wrongly, 2)
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -197,25 +197,41 @@
 	return reports
 }
 
+// bucketEvent is a change of the level of the reference bucket, or a question to it.
+type bucketEvent struct {
+	at     time.Duration
+	tokens float64 // given back; negative: taken
+	asked  float64 // of a refused attempt
+}
+
 // againstCentralBucket returns the tokens an account used and how many of its refused
-// attempts one central token bucket would have admitted.
+// attempts one central token bucket would have admitted. The bucket knows no more than
+// a real one: an attempt takes what it asks for, and gives back the rest at its end.
 func againstCentralBucket(t *Trace, account Account) (used int64, refused int) {
-	var attempts []Attempt
+	var events []bucketEvent
 	for _, a := range t.Attempts {
-		if a.Account == account.Name && a.Kind == Chat {
-			attempts = append(attempts, a)
+		if a.Account != account.Name {
+			continue
+		}
+		asked, spent := float64(a.Asked), float64(a.Usage.TotalTokens)
+		if a.Kind != Chat {
+			asked = float64(t.Settings.Mix.CallTokens)
+			spent = asked
 		}
-	}
-	slices.SortFunc(attempts, func(a, b Attempt) int { return cmp.Compare(a.Start, b.Start) })
-	level, last := account.Burst, time.Duration(0)
-	for _, a := range attempts {
-		level = min(account.Burst, level+account.Rate*(a.Start-last).Seconds())
-		last = a.Start
 		switch {
 		case a.OK:
-			used += int64(a.Usage.TotalTokens)
-			level -= float64(a.Usage.TotalTokens)
-		case a.Code == errkind.RateLimited.String() && float64(a.Asked) <= level:
+			used += int64(spent)
+			events = append(events, bucketEvent{at: a.Start, tokens: -asked}, bucketEvent{at: a.End, tokens: asked - spent})
+		case a.Code == errkind.RateLimited.String():
+			events = append(events, bucketEvent{at: a.Start, asked: asked})
+		}
+	}
+	slices.SortStableFunc(events, func(a, b bucketEvent) int { return cmp.Compare(a.at, b.at) })
+	level, last := account.Burst, time.Duration(0)
+	for _, e := range events {
+		level = min(account.Burst, level+account.Rate*(e.at-last).Seconds()+e.tokens)
+		last = e.at
+		if e.asked > 0 && e.asked <= level {
 			refused++
 		}
 	}
@@ -223,7 +239,7 @@
 }
 
 func timeline(t *Trace) []Second {
-	seconds := make([]Second, int(t.Settings.Run.Duration/time.Second)+1)
+	seconds := make([]Second, max(1, int(t.Settings.Run.Duration/time.Second)))
 	histograms := make([]*hdrhistogram.Histogram, len(seconds))
 	for i := range seconds {
 		seconds[i].At, histograms[i] = i, newHistogram()
--- a/internal/scenario/load_test.go
+++ b/internal/scenario/load_test.go
@@ -38,6 +38,7 @@
 [mix]
 model = %s
 order_share = 0.25
+call_tokens = 1
 resend_share = 0.3
 [greedy]
 account = %s
