Give who waited for a changing owner the usual time from its answer

Cause: the first answer of a new owner found requests past their time, which were then refused although the tokens came 5 ms later. Change: the time to wait starts anew with the first answer.

--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -30,17 +30,16 @@
 
 // holding is what the holder has of one account.
 type holding struct {
-	current  *slice
-	former   *slice // of the last owner, until its lease ends
-	burst    int64
-	known    bool          // the owner has answered for this account
-	answered time.Duration // when it last did
-	blocked  time.Duration // the owner has nothing before then
-	demand   float64       // tokens a second
-	asked    int64         // tokens asked for since the last report
-	size     float64       // tokens of a usual request
-	since    time.Duration // the last report
-	queue    []*waiter
+	current *slice
+	former  *slice // of the last owner, until its lease ends
+	burst   int64
+	known   bool          // the owner has answered for this account
+	blocked time.Duration // the owner has nothing before then
+	demand  float64       // tokens a second
+	asked   int64         // tokens asked for since the last report
+	size    float64       // tokens of a usual request
+	since   time.Duration // the last report
+	queue   []*waiter
 }
 
 // waiter is a request that waits for tokens.
@@ -49,6 +48,7 @@
 	tokens   int64
 	since    time.Duration
 	deadline time.Duration // with an owner that answers
+	heard    bool          // the owner answered since it came
 	result   chan outcome  // takes one outcome without blocking
 }
 
@@ -139,8 +139,7 @@
 // Until returns how long a waiter waits: beyond its deadline while the owner, which may
 // be changing, has not answered since it came.
 func (h *Holder) Until(w *waiter) time.Duration {
-	a := h.accounts[w.account]
-	if a == nil || a.known && a.answered > w.since {
+	if w.heard {
 		return w.deadline
 	}
 	return max(w.deadline, w.since+h.opt.Outage)
@@ -295,17 +294,21 @@
 
 func (h *Holder) take(now time.Duration, name string, a *holding, g SyncGrant) {
 	a.known, a.burst = true, g.Burst
-	a.answered = now
 	a.blocked = 0
 	if g.RetryAfter > 0 {
 		a.blocked = now + g.RetryAfter
 	}
-	a.serve(now, name)
+	a.serve(now, name, h.opt.Queue)
 }
 
 // serve admits those who wait in their order, and refuses those for whom waiting is
-// in vain.
-func (a *holding) serve(now time.Duration, name string) {
+// in vain. Who waited for an owner that changed has the usual time from its first answer on.
+func (a *holding) serve(now time.Duration, name string, queue time.Duration) {
+	for _, w := range a.queue {
+		if !w.heard {
+			w.heard, w.deadline = true, now+queue
+		}
+	}
 	for len(a.queue) > 0 {
 		w := a.queue[0]
 		err := a.check(name, w.tokens)
@@ -349,7 +352,7 @@
 func (h *Holder) NextRetry() time.Duration {
 	next := time.Duration(0)
 	for _, a := range h.accounts {
-		if a.urgent(h.opt.Horizon) || len(a.queue) > 0 && a.answered <= a.queue[0].since {
+		if a.urgent(h.opt.Horizon) || len(a.queue) > 0 && !a.queue[0].heard {
 			return 1
 		}
 		if len(a.queue) > 0 && a.blocked > 0 && (next == 0 || a.blocked < next) {
--- a/internal/grants/limiter.go
+++ b/internal/grants/limiter.go
@@ -65,7 +65,7 @@
 
 // wait waits for a waiter's outcome, its deadline or the end of ctx.
 func (c *Client) wait(ctx context.Context, w *waiter) (Reservation, error) {
-	timer := time.NewTimer(w.deadline - c.now())
+	timer := time.NewTimer(c.opt.Queue)
 	defer timer.Stop()
 	for {
 		select {
@@ -76,7 +76,7 @@
 		case <-timer.C:
 		}
 		c.mu.Lock()
-		left, answered := c.holder.Until(w)-c.now(), c.holder.Until(w) == w.deadline
+		left, answered := c.holder.Until(w)-c.now(), w.heard
 		c.mu.Unlock()
 		switch {
 		case left > 0:
