Tell an account that the owner does not know yet from one without a grant

Cause: a request right after an account was created was refused as permission-denied: the owner looked at the configuration 20 times a second and told an unknown account as one with burst 0. Permission-denied only where the configuration gives no burst.

--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -293,14 +293,33 @@
 }
 
 func (h *Holder) take(now time.Duration, name string, a *holding, g SyncGrant) {
-	a.known, a.burst = true, g.Burst
+	a.known, a.burst = !g.Unknown, g.Burst
 	a.blocked = 0
-	if g.RetryAfter > 0 {
+	switch {
+	case g.Unknown:
+		a.blocked = now + askUnknown
+	case g.RetryAfter > 0:
 		a.blocked = now + g.RetryAfter
 	}
 	a.serve(now, name, h.opt.Queue)
 }
 
+// askUnknown is when to ask again for an account that the owner does not know.
+const askUnknown = 20 * time.Millisecond
+
+// late is the refusal of a request whose time to wait is over.
+func (a *holding) late(name string, after time.Duration) error {
+	if !a.known {
+		return errkind.New(errkind.Stale, "the owner of the grants does not know client account %s", name).WithRetryAfter(after)
+	}
+	return limited(name, after)
+}
+
+// Late is the refusal of a waiter whose deadline has passed.
+func (h *Holder) Late(w *waiter) error {
+	return h.accounts[w.account].late(w.account, h.opt.Queue)
+}
+
 // serve admits those who wait in their order, and refuses those for whom waiting is
 // in vain. Who waited for an owner that changed has the usual time from its first answer on.
 func (a *holding) serve(now time.Duration, name string, queue time.Duration) {
@@ -320,7 +339,7 @@
 			if a.blocked <= w.deadline && now < w.deadline {
 				return
 			}
-			err = limited(name, max(a.blocked-now, minWait))
+			err = a.late(name, max(a.blocked-now, minWait))
 		}
 		a.pop(outcome{err: err})
 	}
--- a/internal/grants/limiter.go
+++ b/internal/grants/limiter.go
@@ -76,13 +76,13 @@
 		case <-timer.C:
 		}
 		c.mu.Lock()
-		left, answered := c.holder.Until(w)-c.now(), w.heard
+		left, answered, late := c.holder.Until(w)-c.now(), w.heard, c.holder.Late(w)
 		c.mu.Unlock()
 		switch {
 		case left > 0:
 			timer.Reset(left)
 		case answered:
-			return c.giveUp(w, limited(w.account, c.opt.Queue))
+			return c.giveUp(w, late)
 		default:
 			return c.giveUp(w, errkind.New(errkind.NoQuorum, "the owner of the grants does not answer").WithRetryAfter(c.opt.Interval))
 		}
--- a/internal/grants/owner.go
+++ b/internal/grants/owner.go
@@ -46,6 +46,7 @@
 type account struct {
 	name        string
 	limit       Limit
+	removed     bool // it is not in the configuration
 	fills       fills
 	outstanding int64 // over all holders
 	unknown     int64 // what a former owner may have outstanding
@@ -67,7 +68,7 @@
 func (o *Owner) SetLimit(now time.Duration, name string, limit Limit, promised *Promise) {
 	if a := o.accounts[name]; a != nil {
 		o.advance(now, a)
-		a.limit = limit
+		a.limit, a.removed = limit, false
 		return
 	}
 	a := &account{name: name, limit: limit, fills: newFills(now, 0)}
@@ -86,6 +87,7 @@
 func (o *Owner) RemoveLimit(now time.Duration, name string) {
 	if o.accounts[name] != nil {
 		o.SetLimit(now, name, Limit{}, nil)
+		o.accounts[name].removed = true
 	}
 }
 
@@ -102,6 +104,7 @@
 		}
 		a := o.accounts[e.Account]
 		if a == nil {
+			reply.Entries[i] = SyncGrant{Unknown: true}
 			continue
 		}
 		o.advance(now, a)
@@ -135,7 +138,7 @@
 		s.expires = now + OwnerLease(o.opt.Lease)
 	}
 	return SyncGrant{
-		Granted: s.granted, Gone: s.gone, Epoch: a.fills.epoch(), Burst: a.limit.Burst, RetryAfter: retry,
+		Granted: s.granted, Gone: s.gone, Epoch: a.fills.epoch(), Burst: a.limit.Burst, Unknown: a.removed, RetryAfter: retry,
 	}
 }
 
--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -60,6 +60,7 @@
 	if s.owner == nil {
 		return peer.EncodeError(errkind.New(errkind.NotLeader, "this replica does not own the grants"))
 	}
+	s.followView() // a holder may know of an account from a moment ago
 	answer := s.owner.Sync(s.now(), req)
 	// A slice may only leave while the lease of leadership holds: a later owner waits
 	// for the slices' end from its own start on.
@@ -163,6 +164,7 @@
 	for _, c := range m.Promises() {
 		if o.accounts[c.Account] == nil {
 			o.SetLimit(now, c.Account, Limit{}, &c.Promise)
+			o.RemoveLimit(now, c.Account)
 		}
 	}
 	return o.Promises(now)
@@ -187,22 +189,26 @@
 
 // follow takes a newer configuration over.
 func (s *Service) follow() {
-	view := s.limits.View()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.owner == nil {
 		return
 	}
-	if view != nil && view.Revision() != s.revision {
-		s.owner.follow(s.now(), view, s.machine)
-		s.revision = view.Revision()
-	}
+	s.followView()
 	if now := s.now(); now-s.ticked >= expireEvery {
 		s.ticked = now
 		s.owner.Tick(now)
 	}
 }
 
+// followView sets the grants of a newer configuration. The caller holds the lock.
+func (s *Service) followView() {
+	if view := s.limits.View(); view != nil && view.Revision() != s.revision {
+		s.owner.follow(s.now(), view, s.machine)
+		s.revision = view.Revision()
+	}
+}
+
 // promise commits the promises that the owner wants.
 func (s *Service) promise(ctx context.Context) {
 	s.mu.Lock()
--- a/internal/grants/wire.go
+++ b/internal/grants/wire.go
@@ -48,5 +48,6 @@
 	Gone       int64         // total gone as the owner counts, at least what was reported
 	Epoch      int64         // of the account, in which the report was counted
 	Burst      int64         // 0 says that the account has no grant
+	Unknown    bool          // the owner's configuration does not have the account, yet or any more
 	RetryAfter time.Duration // when the need can be met; 0 when nothing was refused
 }
