Search agreement's random faults as widely as at first

Cause: seeds and events of the random-fault test had been cut from 120 and 250 to 40 and 150 to save time. Change: back to 120 and 250.

--- a/internal/consensus/chaos_test.go
+++ b/internal/consensus/chaos_test.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	chaosSeeds  = 40
-	chaosEvents = 150
+	chaosSeeds  = 120
+	chaosEvents = 250
 )
 
 // chaos draws faults from the simulation's own source, many more of them than the
