--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -30,6 +30,7 @@
 	Outcome   errkind.Outcome
 	Refused   bool // not run, as the answer says
 	OK        bool // the whole answer, and the right one
+	Streamed  bool // token by token, so that First is the first token's time
 	Violation string
 	Usage     engineapi.Usage
 	Asked     int64           // prompt and greatest output, in tokens
--- a/internal/load/progress.go
+++ b/internal/load/progress.go
@@ -47,7 +47,7 @@
 		p.violations++
 	case f.Last.OK:
 		p.ok++
-		if f.Kind == Chat {
+		if f.Last.Streamed {
 			record(p.first, f.Last.First-f.Due)
 		}
 	case f.Last.Refused:
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -108,7 +108,7 @@
 			r.Failed++
 		}
 		switch {
-		case f.Last.OK && f.Kind == Chat:
+		case f.Last.OK && f.Last.Streamed:
 			record(first, f.Last.First-f.Due)
 		case f.Last.OK && f.Kind == Order:
 			record(order, f.Last.End-f.Due)
@@ -176,7 +176,7 @@
 		switch {
 		case f.Last.OK:
 			r.OK++
-			if f.Kind == Chat {
+			if f.Last.Streamed {
 				record(histograms[index[f.Account]], f.Last.First-f.Due)
 			}
 		case f.Last.Refused:
@@ -249,7 +249,7 @@
 		switch {
 		case f.Last.OK:
 			seconds[i].OK++
-			if f.Kind == Chat {
+			if f.Last.Streamed {
 				record(histograms[i], f.Last.First-f.Due)
 			}
 		case f.Last.Refused:
--- a/internal/load/stream.go
+++ b/internal/load/stream.go
@@ -45,6 +45,7 @@
 }
 
 func (s *sender) readStream(response *http.Response, c call, out *Attempt) {
+	out.Streamed = true
 	r := streamReader{sender: s, out: out, lastID: c.last, resumed: c.last > 0}
 	r.text.WriteString(c.partial)
 	err := r.read(response.Body)
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -127,13 +127,13 @@
   for i in $(seq "$stores"); do run "store-$i" eelgrass-standin store --listen "127.0.0.1:$((7500 + i))"; done
 }
 
-fleet() { # model: puts routes and endpoints in place
+fleet() { # model [order path] [lookup path]: puts routes and endpoints in place
   local i
   until_ok "no control replica answers" ctl status
   until_ok "set the model" ctl model put "$1" --weights-version v1
   ctl route put "$1" --kind model --model "$1" --idempotent >/dev/null
-  ctl route put orders --kind plain --path-prefix /orders --service ordering --call-tokens 10 >/dev/null
-  ctl route put stock --kind plain --path-prefix /stock --service ordering --call-tokens 10 --idempotent >/dev/null
+  ctl route put orders --kind plain --path-prefix "${2:-/orders}" --service ordering --call-tokens 10 >/dev/null
+  ctl route put stock --kind plain --path-prefix "${3:-/stock}" --service ordering --call-tokens 10 --idempotent >/dev/null
   for i in $(seq "$engines"); do
     ctl endpoint put "engine-$i" --address "127.0.0.1:$((7300 + i))" --failure-domain "$(domain "$i")" \
       --role engine --models "$1" $( [ $((i % 3)) -eq 0 ] || echo --checks-fencing ) >/dev/null
@@ -154,6 +154,12 @@
   [ -n "$key" ] || fail "no key was issued: $(cat "$work/key")"
 }
 
+list() { # base port, count
+  local i text=""
+  for i in $(seq "$2"); do text+=${text:+, }127.0.0.1:$(($1 + i)); done
+  echo "$text"
+}
+
 in_force() { # revision: waits until every entry VM has it and serves
   ctl wait "$1" --timeout 20s >/dev/null
   local i
