--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,3 +96,96 @@
 	defer func() { _ = answer.Body.Close() }()
 	assert.Equal(t, answer.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
 }
+
+func TestWriteBoundCountsNoPauses(t *testing.T) {
+	for _, proto := range []int{1, 2} {
+		t.Run(fmt.Sprintf("HTTP/%d", proto), func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, func(s *Settings, _ *engine.Settings) { s.Write = 400 * time.Millisecond })
+			b.addEngine(600 * time.Millisecond)
+			var protocols http.Protocols
+			protocols.SetHTTP1(proto == 1)
+			protocols.SetUnencryptedHTTP2(proto == 2)
+			client := http.Client{Transport: &http.Transport{Protocols: &protocols, MaxConnsPerHost: 1}}
+			defer client.CloseIdleConnections()
+			send := func(method, path, body string) string {
+				r, err := http.NewRequestWithContext(t.Context(), method, b.server.URL+path, strings.NewReader(body))
+				assert.NilError(t, err)
+				r.Header.Set("Authorization", "Bearer "+b.token)
+				r.Header.Set("Content-Type", "application/json")
+				answer, err := client.Do(r)
+				assert.NilError(t, err)
+				defer func() { _ = answer.Body.Close() }()
+				assert.Equal(t, answer.ProtoMajor, proto)
+				text, err := io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				return string(text)
+			}
+			for _, stream := range []bool{true, false} {
+				text := send("POST", "/v1/chat/completions", fmt.Sprintf(chatBody, stream, 2))
+				assert.Assert(t, strings.Contains(text, `"finish_reason":"length"`), text)
+			}
+			time.Sleep(2 * b.front.settings.Write)
+			assert.Equal(t, send("GET", "/healthz", ""), "ok\n")
+			time.Sleep(2 * b.front.settings.Write)
+			assert.Assert(t, strings.Contains(send("GET", "/metrics", ""), "eelgrass_entry_requests_total"))
+		})
+	}
+}
+
+// swallow forwards connections to target until silent, and then takes every byte and
+// passes none on, acknowledging them all.
+func swallow(t *testing.T, target string, silent *atomic.Bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	pump := func(to, from net.Conn) {
+		buffer := make([]byte, 4096)
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				_ = to.Close()
+				return
+			}
+			if !silent.Load() {
+				_, _ = to.Write(buffer[:n])
+			}
+		}
+	}
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+			go pump(far, near)
+			go pump(near, far)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestSilentHTTP2CallerIsGivenUpThoughItsBytesAreAcknowledged(t *testing.T) {
+	b := newBench(t, func(s *Settings, _ *engine.Settings) { s.Acknowledge = 2 * time.Second })
+	e := b.addEngine(20 * time.Millisecond)
+	var silent atomic.Bool
+	address := swallow(t, b.server.Listener.Addr().String(), &silent)
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	client := http.Client{Transport: &http.Transport{Protocols: &protocols}}
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(fmt.Sprintf(chatBody, true, 10_000)))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+b.token)
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := client.Do(r)
+	assert.NilError(t, err)
+	defer func() { _ = answer.Body.Close() }()
+	silent.Store(true)
+	b.waitForCancel(e)
+}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -34,7 +34,8 @@
 	numbered  bool // the engine numbers its events, so the stream can be resumed
 	firstAt   time.Duration
 	usage     engineapi.Usage
-	events    int // events with content in this run, delivered by this VM
+	frame     []byte // the last event as it went to the caller
+	events    int    // events with content in this run, delivered by this VM
 }
 
 // completions serves chat or text completions.
@@ -102,7 +103,7 @@
 	gauge := f.metrics.inFlight.WithLabelValues(x.account, x.route)
 	gauge.Inc()
 	defer gauge.Dec()
-	f.budget.request()
+	f.budget.Earn()
 	err = f.run(j)
 	used := j.used()
 	reservation.Settle(used)
@@ -281,7 +282,7 @@
 	}
 	switch errkind.Of(err).Kind {
 	case errkind.EndpointFailed, errkind.StreamBroken, errkind.Overloaded:
-		return f.budget.retry()
+		return f.budget.Spend()
 	}
 	return false
 }
