--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 BIN     := bin
 TESTTIME := 8m
 
-.PHONY: all build test fmt vet lint unit check-model demo bench bench-routing slopes soak generate clean
+.PHONY: all build test fmt vet lint unit check-model demo soak generate clean \
+	bench bench-entry bench-control bench-grants bench-routing slopes
 
 all: build
 
@@ -37,12 +38,37 @@
 SEED    := 1
 soak: build
 	@./scripts/soak.sh $(MINUTES) $(SEED)
-# bench-routing   the routing policy against baselines, with plots
 
+# bench           every measurement, one after the other
+bench: bench-entry bench-control bench-grants bench-routing
+
+bench-entry:
+	$(GO) test -run '^$$' -bench 'Added|Requests|Tokens|Idle|Decode' -benchtime 200x ./internal/entry
+
+bench-control:
+	$(GO) test -run '^$$' -bench Commits -benchtime 3000x ./internal/controld
+	$(GO) test -run '^$$' -bench LeaderGap -benchtime 8x ./internal/controld
+	$(GO) test -run '^$$' -bench InForce -benchtime 40x ./internal/controld
+	$(GO) test -run '^$$' -bench Idle -benchtime 1x ./internal/controld
+	$(GO) test -run '^$$' -bench Recovery -benchtime 3x ./internal/controld
+
+bench-grants:
+	$(GO) test -run '^$$' -bench Experiment -benchtime 1x ./internal/grants
+	$(GO) test -run '^$$' -bench Claims -benchtime 2000x ./internal/journal
+
+# bench-routing   the routing policy against baselines, with plots
 bench-routing:
 	@mkdir -p docs/results
 	$(GO) run ./cmd/eelgrass-policybench --plots docs/results
-	$(GO) test -run '^$$' -bench . -benchmem ./internal/routing
+
+# slopes          what docs/CAPACITY.md is worked out from
+slopes:
+	$(GO) test -run '^$$' -bench 'Requests|Tokens|Decode' -benchtime 1s ./internal/entry
+	$(GO) test -run '^$$' -bench Idle -benchtime 1x ./internal/entry ./internal/controld
+	$(GO) test -run '^$$' -bench 'Change|View|EndpointDelta' -benchtime 100x ./internal/state
+	$(GO) test -run '^$$' -bench 'OwnerSync|Reserve' ./internal/grants
+	$(GO) test -run '^$$' -bench RecordMemory -benchtime 1x ./internal/journal
+	$(GO) test -run '^$$' -bench . -benchmem -benchtime 0.3s ./internal/routing
 
 generate:
 	./proto/generate.sh
