Tell peers of loaded weights again before they forget them

The renewal compared with the last report's time, which is always recent. Ruled out: the planner (its orders were all given and obeyed by then), the retry budget (spent on the refusals). Change: weights fall due to be told each quarter of the time they are kept.

--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -67,7 +67,8 @@
 	ended     [endedRuns]digest.Run // runs that are over, newest first
 	heard     []digest.Weights      // what peers say it serves
 	heardAt   time.Time
-	told      bool // the peers have heard of the last change
+	told      bool      // the peers have heard of the last change
+	retellAt  time.Time // when its weights last became due to be told
 }
 
 // limit is the number of own requests that may run there now: what the peers leave,
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -49,7 +49,10 @@
 	if s == nil || !c.Incarnation(s, l.Incarnation) {
 		return
 	}
-	s.told = s.told && s.Load.Role == l.Role && maps.Equal(s.Load.Versions, l.Versions) && now.Sub(s.LoadAt) < weightsKept/4
+	same := s.Load.Role == l.Role && maps.Equal(s.Load.Versions, l.Versions)
+	if !same || now.Sub(s.retellAt) >= weightsKept/4 {
+		s.told, s.retellAt = false, now // peers forget what is not repeated
+	}
 	s.report(l, now)
 }
 
--- a/internal/routing/versions_test.go
+++ b/internal/routing/versions_test.go
@@ -66,3 +66,17 @@
 	p := submit(peer, epoch.Add(time.Second), request("a"))
 	assert.Equal(t, p.Decision.Endpoint, "e0", "it serves again, and is the idle one")
 }
+
+// A VM that reads no report itself must not forget, long after a roll, what its peers
+// told it once: requests would go on asking for the old weights.
+func TestPeersAreToldOfWeightsAgain(t *testing.T) {
+	c, peer := newCore(4, 8), newCore(4, 8)
+	for _, version := range []string{"v1", "v2"} {
+		peer.SetVersions(map[string]string{"m": version})
+	}
+	for now := epoch; now.Before(epoch.Add(4 * weightsKept)); now = now.Add(500 * time.Millisecond) {
+		serving(c, now, "v2", "v2", "v2", "v2")
+		peer.Absorb(now, c.Digest("c", 1024))
+		assert.Equal(t, share(peer, now, "v2"), 1.0, "after %v", now.Sub(epoch))
+	}
+}
