--- a/internal/consensus/module.go
+++ b/internal/consensus/module.go
@@ -46,12 +46,11 @@
 
 // Provision opens the store and registers the net/rpc receiver.
 func (m *Module) Provision(k *kernel.Kernel) error {
-	server, err := kernel.Lookup[*peer.ServerModule](k, peer.ServerName)
-	if err != nil {
-		return err
-	}
-	pool, err := kernel.Lookup[*peer.PoolModule](k, peer.PoolName)
-	if err != nil {
+	var (
+		server *peer.ServerModule
+		pool   *peer.PoolModule
+	)
+	if err := k.Find(kernel.As(peer.ServerName, &server), kernel.As(peer.PoolName, &pool)); err != nil {
 		return err
 	}
 	store, stored, err := OpenStore(filepath.Join(m.cfg.DataDir, "replica-"+strconv.FormatUint(m.cfg.Replica, 10)), m.cfg.Replica, m.cfg.Initial)
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -48,23 +48,15 @@
 
 // Provision builds the handlers and registers the net/rpc receiver for followers.
 func (m *Module) Provision(k *kernel.Kernel) error {
-	replica, err := kernel.Lookup[*consensus.Module](k, consensus.ModuleName)
-	if err != nil {
-		return err
-	}
-	machine, err := kernel.Lookup[*state.Module](k, state.ModuleName)
-	if err != nil {
-		return err
-	}
-	w, err := kernel.Lookup[*watch.Module](k, watch.ModuleName)
-	if err != nil {
-		return err
-	}
-	pool, err := kernel.Lookup[*peer.PoolModule](k, peer.PoolName)
-	if err != nil {
-		return err
-	}
-	server, err := kernel.Lookup[*peer.ServerModule](k, peer.ServerName)
+	var (
+		replica *consensus.Module
+		machine *state.Module
+		w       *watch.Module
+		pool    *peer.PoolModule
+		server  *peer.ServerModule
+	)
+	err := k.Find(kernel.As(consensus.ModuleName, &replica), kernel.As(state.ModuleName, &machine),
+		kernel.As(watch.ModuleName, &w), kernel.As(peer.PoolName, &pool), kernel.As(peer.ServerName, &server))
 	if err != nil {
 		return err
 	}
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -32,50 +32,31 @@
 	replica Replica
 	machine *state.Machine
 	table   *membership.Table
-	cancel  context.CancelFunc
-	done    chan struct{}
+	kernel.Background
 }
 
 // NewPlatform returns a module that reads the list at address.
 func NewPlatform(address string, every time.Duration, log *zap.Logger) *Platform {
-	return &Platform{source: membership.NewPlatform(address), every: every, log: log, done: make(chan struct{})}
+	return &Platform{source: membership.NewPlatform(address), every: every, log: log}
 }
 
 // Provision looks up agreement, state and watch.
 func (p *Platform) Provision(k *kernel.Kernel) error {
-	replica, err := kernel.Lookup[*consensus.Module](k, consensus.ModuleName)
-	if err != nil {
-		return err
-	}
-	machine, err := kernel.Lookup[*state.Module](k, state.ModuleName)
-	if err != nil {
-		return err
-	}
-	w, err := kernel.Lookup[*watch.Module](k, watch.ModuleName)
+	var (
+		replica *consensus.Module
+		machine *state.Module
+		w       *watch.Module
+	)
+	err := k.Find(kernel.As(consensus.ModuleName, &replica), kernel.As(state.ModuleName, &machine), kernel.As(watch.ModuleName, &w))
 	if err != nil {
 		return err
 	}
 	p.replica, p.machine, p.table = replica, machine.Machine, w.Table()
-	return nil
-}
-
-// Start begins to read the list.
-func (p *Platform) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
-	go p.run(ctx)
-	return nil
-}
-
-// Stop ends the reading.
-func (p *Platform) Stop(context.Context) error {
-	p.cancel()
-	<-p.done
+	p.Run = p.run
 	return nil
 }
 
 func (p *Platform) run(ctx context.Context) {
-	defer close(p.done)
 	ticker := time.NewTicker(p.every)
 	defer ticker.Stop()
 	for {
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -39,19 +39,14 @@
 
 // Provision makes the collectors.
 func (m *metricsModule) Provision(k *kernel.Kernel) error {
-	replica, err := kernel.Lookup[*consensus.Module](k, consensus.ModuleName)
-	if err != nil {
-		return err
-	}
-	machine, err := kernel.Lookup[*state.Module](k, state.ModuleName)
-	if err != nil {
-		return err
-	}
-	records, err := kernel.Lookup[*journal.OwnerModule](k, journal.OwnerName)
-	if err != nil {
-		return err
-	}
-	bucket, err := kernel.Lookup[*grants.OwnerModule](k, grants.OwnerName)
+	var (
+		replica *consensus.Module
+		machine *state.Module
+		records *journal.OwnerModule
+		bucket  *grants.OwnerModule
+	)
+	err := k.Find(kernel.As(consensus.ModuleName, &replica), kernel.As(state.ModuleName, &machine),
+		kernel.As(journal.OwnerName, &records), kernel.As(grants.OwnerName, &bucket))
 	if err != nil {
 		return err
 	}
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -8,12 +8,9 @@
 
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/errkind"
-	"eelgrasshollow/internal/grants"
-	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/keys"
 	"eelgrasshollow/internal/liveness"
-	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/tlsconf"
 	"eelgrasshollow/internal/watch"
 
@@ -52,14 +49,10 @@
 func (m *Module) Provision(k *kernel.Kernel) error {
 	m.log = k.Log.Named("http")
 	d := Deps{Hasher: m.config.Hasher, Log: m.log, Fleet: selfOnly{m.config.Self}}
-	var errs [5]error
-	d.Directory, errs[0] = kernel.Lookup[watch.Directory](k, "entry.directory")
-	d.Limiter, errs[1] = kernel.Lookup[grants.Limiter](k, "entry.grants")
-	d.Journal, errs[2] = kernel.Lookup[journal.Journal](k, "entry.journal")
-	d.Router, errs[3] = kernel.Lookup[routing.Router](k, "entry.routing")
-	module, err := kernel.Lookup[*engine.Module](k, "entry.engine")
-	errs[4] = err
-	if err := errors.Join(errs[:]...); err != nil {
+	var module *engine.Module
+	err := k.Find(kernel.As("entry.directory", &d.Directory), kernel.As("entry.grants", &d.Limiter),
+		kernel.As("entry.journal", &d.Journal), kernel.As("entry.routing", &d.Router), kernel.As("entry.engine", &module))
+	if err != nil {
 		return err
 	}
 	d.Engine = module.Client()
--- a/internal/grants/module.go
+++ b/internal/grants/module.go
@@ -96,8 +96,7 @@
 	cfg     OwnerSettings
 	machine *Machine
 	service *Service
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	kernel.Background
 }
 
 // NewOwnerModule returns the owner's module; machine is the one in the replica's log.
@@ -110,42 +109,22 @@
 	if m.cfg.Lease <= 0 {
 		return errors.New("lease must be above 0")
 	}
-	proposer, err := kernel.Lookup[statemachine.Proposer](k, "control.consensus")
-	if err != nil {
-		return err
-	}
-	leads, err := kernel.Lookup[statemachine.Leadership](k, "control.consensus")
-	if err != nil {
-		return err
-	}
-	limits, err := kernel.Lookup[Limits](k, "control.state")
-	if err != nil {
-		return err
-	}
-	s, err := kernel.Lookup[server](k, "peer.server")
+	var (
+		proposer statemachine.Proposer
+		leads    statemachine.Leadership
+		limits   Limits
+		s        server
+	)
+	err := k.Find(kernel.As("control.consensus", &proposer), kernel.As("control.consensus", &leads),
+		kernel.As("control.state", &limits), kernel.As("peer.server", &s))
 	if err != nil {
 		return err
 	}
 	m.service = NewService(OwnerOptions{Lease: m.cfg.Lease}, limits, m.machine, proposer, leads, k.Log.Named("grants"))
+	m.Run = m.service.Run
 	return s.Register("Grants", &Endpoint{m.service})
 }
 
-// Start implements kernel.Module.
-func (m *OwnerModule) Start(ctx context.Context) error {
-	ctx, m.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	m.wg.Go(func() { m.service.Run(ctx) })
-	return nil
-}
-
-// Stop implements kernel.Module.
-func (m *OwnerModule) Stop(context.Context) error {
-	if m.cancel != nil {
-		m.cancel()
-		m.wg.Wait()
-	}
-	return nil
-}
-
 // Accounts counts the client accounts whose grants this replica owns now.
 func (m *OwnerModule) Accounts() int { return m.service.accounts() }
 
--- a/internal/journal/module.go
+++ b/internal/journal/module.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"eelgrasshollow/internal/kernel"
@@ -73,8 +72,7 @@
 	cfg     OwnerSettings
 	machine *Machine
 	service *Service
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	kernel.Background
 }
 
 // NewOwnerModule returns the journal's service on a control VM; machine is the one in
@@ -91,30 +89,14 @@
 	if m.cfg.AnswerSize > m.cfg.Bytes {
 		return errors.New("max_answer must not be above max_answers")
 	}
-	proposer, err := kernel.Lookup[statemachine.Proposer](k, "control.consensus")
-	if err != nil {
-		return err
-	}
-	s, err := kernel.Lookup[interface{ Register(string, any) error }](k, "peer.server")
-	if err != nil {
+	var (
+		proposer statemachine.Proposer
+		s        interface{ Register(string, any) error }
+	)
+	if err := k.Find(kernel.As("control.consensus", &proposer), kernel.As("peer.server", &s)); err != nil {
 		return err
 	}
 	m.service = NewService(m.cfg.limits(), proposer)
+	m.Run = m.service.Run
 	return s.Register("Journal", &Endpoint{m.service})
 }
-
-// Start implements kernel.Module.
-func (m *OwnerModule) Start(ctx context.Context) error {
-	ctx, m.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	m.wg.Go(func() { m.service.Run(ctx) })
-	return nil
-}
-
-// Stop implements kernel.Module.
-func (m *OwnerModule) Stop(context.Context) error {
-	if m.cancel != nil {
-		m.cancel()
-		m.wg.Wait()
-	}
-	return nil
-}
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -62,3 +62,33 @@
 	_, err := Lookup[Drainer](k, "none")
 	assert.ErrorContains(t, err, "no module")
 }
+
+func TestFindReportsAllThatIsMissing(t *testing.T) {
+	k := New(zap.NewNop())
+	k.Register("a", &probe{name: "a"})
+	var a Module
+	var b Drainer
+	assert.NilError(t, k.Find(As("a", &a), As("a", &b)))
+	assert.Assert(t, a != nil && b != nil)
+	err := k.Find(As("x", &a), As("y", &b))
+	assert.ErrorContains(t, err, `"x"`)
+}
+
+func TestBackgroundRunsFromStartToStop(t *testing.T) {
+	var b Background
+	ran := make(chan struct{})
+	b.Run = func(ctx context.Context) {
+		<-ctx.Done()
+		close(ran)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	assert.NilError(t, b.Start(ctx))
+	cancel() // the end of starting is not the end of the work
+	select {
+	case <-ran:
+		t.Fatal("ended with the context of Start")
+	default:
+	}
+	assert.NilError(t, b.Stop(t.Context()))
+	<-ran
+}
--- a/internal/watch/module.go
+++ b/internal/watch/module.go
@@ -32,19 +32,14 @@
 
 // Provision makes the server and registers its net/rpc receivers.
 func (m *Module) Provision(k *kernel.Kernel) error {
-	replica, err := kernel.Lookup[*consensus.Module](k, consensus.ModuleName)
-	if err != nil {
-		return err
-	}
-	machine, err := kernel.Lookup[*state.Module](k, state.ModuleName)
-	if err != nil {
-		return err
-	}
-	pool, err := kernel.Lookup[*peer.PoolModule](k, peer.PoolName)
-	if err != nil {
-		return err
-	}
-	server, err := kernel.Lookup[*peer.ServerModule](k, peer.ServerName)
+	var (
+		replica *consensus.Module
+		machine *state.Module
+		pool    *peer.PoolModule
+		server  *peer.ServerModule
+	)
+	err := k.Find(kernel.As(consensus.ModuleName, &replica), kernel.As(state.ModuleName, &machine),
+		kernel.As(peer.PoolName, &pool), kernel.As(peer.ServerName, &server))
 	if err != nil {
 		return err
 	}
