Reserve by the tokens that engines count, and charge what was used beyond

Cause: prompts were reserved at 4 bytes a token whatever the engine counts; the excess was charged once and forgotten when the account was at its limit, so an account with denser text got more than its grant for good. Change: reservations follow the densest text lately counted for the model, never below the fixed estimate; an excess is charged until the grant has it, in parts if above the burst. Conclusion: the overshoot is bound to the requests before the first count.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -18,7 +18,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 )
 
 // job is a completion on its way through one or more engines.
@@ -95,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	reserved := int64(j.request.PromptTokens + c.output)
+	size, reserved := len(c.prompt), int64(j.request.PromptTokens+c.output)
 	reservation, err := f.reserve(x, reserved)
 	if err != nil {
 		return err
@@ -108,8 +107,9 @@
 	used := j.used()
 	reservation.Settle(used)
 	if used > reserved {
-		go f.charge(x.account, used-reserved)
+		go f.charge(context.WithoutCancel(x.ctx), x.account, used-reserved)
 	}
+	f.tokens.observe(c.model, size, j.usage.PromptTokens)
 	f.measure(j, err)
 	return err
 }
@@ -137,7 +137,7 @@
 	}
 	j := &job{exchange: x, completion: c, path: path, weights: model, delivered: from}
 	j.request = routing.Request{
-		ID: x.id, Account: x.account, Model: c.model, Adapter: c.adapter, PromptTokens: prefix.Tokens(len(c.prompt)),
+		ID: x.id, Account: x.account, Model: c.model, Adapter: c.adapter, PromptTokens: f.tokens.estimate(c.model, len(c.prompt)),
 		MaxTokens: c.output, Priority: priority, Idempotent: true,
 	}
 	j.setVersion(version)
@@ -220,22 +220,6 @@
 	return f.limiter.Reserve(x.ctx, x.account, tokens)
 }
 
-// charge takes what a request used beyond its reservation, as an engine counts tokens
-// otherwise than prefix.Tokens, so that the account's next requests wait for it.
-func (f *Front) charge(account string, tokens int64) {
-	if account == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), f.settings.Queue)
-	defer cancel()
-	r, err := f.limiter.Reserve(ctx, account, tokens)
-	if err != nil {
-		f.log.Warn("tokens beyond a reservation not charged", zap.String("account", account), zap.Int64("tokens", tokens))
-		return
-	}
-	r.Settle(tokens)
-}
-
 type noReservation struct{}
 
 // Settle does nothing.
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -68,6 +68,7 @@
 	metrics   *metrics
 	budget    *budget.Budget
 	open      *openRequests
+	tokens    *tokenCounter
 }
 
 // NewFront returns a front.
@@ -75,7 +76,7 @@
 	return &Front{
 		settings: s, directory: d.Directory, limiter: d.Limiter, journal: d.Journal, router: d.Router,
 		engine: d.Engine, hasher: d.Hasher, fleet: d.Fleet, log: d.Log,
-		metrics: newMetrics(), budget: budget.New(s.RetryShare, s.RetryBurst), open: newOpenRequests(),
+		metrics: newMetrics(), budget: budget.New(s.RetryShare, s.RetryBurst), open: newOpenRequests(), tokens: newTokenCounter(),
 	}
 }
 
