Show live what each client account gets

Cause: the live view of the fleet was missing; a look at a fleet meant reading nine metrics pages. Change: eelctl top sums the VMs' metrics by client account, per VM between two looks.

--- /dev/null
+++ b/internal/eelctl/top_test.go
@@ -0,0 +1,52 @@
+package eelctl
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"gotest.tools/v3/assert"
+)
+
+// looked parses the metrics of VMs, the first named "a", the next "b".
+func looked(t *testing.T, vms ...string) map[string]totals {
+	all := map[string]totals{}
+	for i, text := range vms {
+		parser := expfmt.NewTextParser(model.UTF8Validation)
+		families, err := parser.TextToMetricFamilies(strings.NewReader(text))
+		assert.NilError(t, err)
+		all[string(rune('a'+i))] = totalsOf(families)
+	}
+	return all
+}
+
+func TestRatesAreSummedOverVMs(t *testing.T) {
+	const first = `# TYPE eelgrass_entry_requests_total counter
+eelgrass_entry_requests_total{client_account="litoral",route="quotes"} 10
+`
+	const later = `# TYPE eelgrass_entry_requests_total counter
+eelgrass_entry_requests_total{client_account="litoral",route="quotes"} 14
+eelgrass_entry_requests_total{client_account="litoral",route="stock"} 2
+# TYPE eelgrass_entry_prompt_tokens_total counter
+eelgrass_entry_prompt_tokens_total{client_account="litoral",route="quotes"} 1000
+# TYPE eelgrass_entry_cached_prompt_tokens_total counter
+eelgrass_entry_cached_prompt_tokens_total{client_account="litoral",route="quotes"} 900
+# TYPE eelgrass_entry_first_token_seconds histogram
+eelgrass_entry_first_token_seconds_bucket{client_account="litoral",route="quotes",le="0.1"} 3
+eelgrass_entry_first_token_seconds_bucket{client_account="litoral",route="quotes",le="0.41"} 4
+eelgrass_entry_first_token_seconds_bucket{client_account="litoral",route="quotes",le="+Inf"} 4
+eelgrass_entry_first_token_seconds_count{client_account="litoral",route="quotes"} 4
+eelgrass_entry_first_token_seconds_sum{client_account="litoral",route="quotes"} 1
+`
+	rates := grown(looked(t, first, first), looked(t, later, later)).rates(2 * time.Second)
+	assert.DeepEqual(t, rates, []Rate{{Account: "litoral", Requests: 6, HitRate: 0.9, FirstTokenP99: 0.41}})
+}
+
+func TestRestartedAndSilentVMsDoNotSpoilTheSum(t *testing.T) {
+	const text = "# TYPE eelgrass_entry_requests_total counter\neelgrass_entry_requests_total{client_account=\"x\",route=\"r\"} "
+	before := looked(t, text+"50\n", text+"50\n", text+"50\n")
+	now := looked(t, text+"1\n", text+"60\n") // the third does not answer
+	assert.Equal(t, grown(before, now).rates(time.Second)[0].Requests, 11.0)
+}
