Lead the callers of a client account to few VMs

Cause: at 1,400 VMs a lookup named them all, and an account's requests at every VM would make grants pass 6 KB/s (5.9 KB/s at 40 accounts in use at a VM). Ways weighed: naming a random sample (bounds the answer, not the accounts at a VM); fixed shards by failure domain (lose all of an account's VMs with the domain); rendezvous hashing over VMs, taken from the domains in turn (chosen). Change: GET /v1/entries names lookup_vms (16) at most, with a key those of the account, more for a large rate. Today's 6 to 9 VMs see no change.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -24,6 +24,7 @@
 	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/standin"
 	"eelgrasshollow/internal/state"
+	"eelgrasshollow/internal/watch"
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -325,3 +326,14 @@
 		assert.Equal(b, len(prefix.Chain(1, c.prompt)), 102)
 	}
 }
+
+// BenchmarkHomes measures one look-up for an account among 1,400 VMs.
+func BenchmarkHomes(b *testing.B) {
+	vms := make([]watch.VM, 1400)
+	for i := range vms {
+		vms[i] = watch.VM{Name: fmt.Sprint("e", i), FailureDomain: fmt.Sprint("d", i%23)}
+	}
+	for b.Loop() {
+		spread(homes(slices.Clone(vms), "account", 16))
+	}
+}
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -1,13 +1,17 @@
 package entry
 
 import (
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/watch"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 type entriesBody struct {
@@ -27,7 +31,7 @@
 	if _, err := f.currentView(); err != nil {
 		return err
 	}
-	list := spread(f.fleet.VMs())
+	list := f.leadTo(x.token)
 	if len(list) == 0 {
 		return errkind.New(errkind.Stale, "no entry VM is known")
 	}
@@ -39,36 +43,60 @@
 	return f.answerJSON(x, body)
 }
 
-// spread drops leaving VMs and orders the rest at random, so that each run of as many
-// VMs as there are failure domains names every domain that still has one.
+// leadTo names the VMs for a caller, as many as the settings say. Callers of one
+// client account are led to the same ones, so that few VMs hold tokens of its grant; an
+// account with a large rate gets more.
+func (f *Front) leadTo(token string) []watch.VM {
+	live := slices.DeleteFunc(slices.Clone(f.fleet.VMs()), func(vm watch.VM) bool { return vm.Leaving })
+	most := f.settings.LookupVMs
+	if account, err := f.directory.View().Authenticate(f.hasher, token); err == nil {
+		most = max(most, int(account.GetRateTokens()/f.settings.LookupTokens)+1)
+		live = homes(live, account.GetName(), most)
+	}
+	list := spread(live)
+	return list[:min(most, len(list))]
+}
+
+// homes keeps the first n VMs for an account by rendezvous hashing, taken from the
+// failure domains in turn: when a VM comes or goes, few of them change.
+func homes(vms []watch.VM, account string, n int) []watch.VM {
+	if len(vms) <= n {
+		return vms
+	}
+	rank := make(map[string]uint64, len(vms))
+	for _, vm := range vms {
+		rank[vm.Name] = xxhash.Sum64String(account + "\x00" + vm.Name)
+	}
+	slices.SortFunc(vms, func(a, b watch.VM) int { return cmp.Compare(rank[b.Name], rank[a.Name]) })
+	return inTurn(vms)[:n]
+}
+
+// spread orders VMs at random, so that each run of as many VMs as there are failure
+// domains names every domain that still has one.
 func spread(vms []watch.VM) []watch.VM {
+	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	return inTurn(vms)
+}
+
+// inTurn takes VMs from their failure domains in turn, each domain's in the given order.
+func inTurn(vms []watch.VM) []watch.VM {
 	byDomain := map[string][]watch.VM{}
 	var domains []string
 	for _, vm := range vms {
-		if vm.Leaving {
-			continue
-		}
 		if byDomain[vm.FailureDomain] == nil {
 			domains = append(domains, vm.FailureDomain)
 		}
 		byDomain[vm.FailureDomain] = append(byDomain[vm.FailureDomain], vm)
 	}
-	for _, list := range byDomain {
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	}
-	rand.Shuffle(len(domains), func(i, j int) { domains[i], domains[j] = domains[j], domains[i] })
-	var out []watch.VM
-	for round := 0; ; round++ {
-		before := len(out)
+	out := make([]watch.VM, 0, len(vms))
+	for round := 0; len(out) < len(vms); round++ {
 		for _, d := range domains {
 			if round < len(byDomain[d]) {
 				out = append(out, byDomain[d][round])
 			}
 		}
-		if len(out) == before {
-			return out
-		}
 	}
+	return out
 }
 
 // health tells whether this VM takes work.
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -112,9 +113,11 @@
 
 func TestLookupSpreadsOverFailureDomains(t *testing.T) {
 	vms := []watch.VM{{Name: "a1", FailureDomain: "a"}, {Name: "a2", FailureDomain: "a"}, {Name: "b1", FailureDomain: "b"}, {Name: "c1", FailureDomain: "c", Leaving: true}, {Name: "d1", FailureDomain: "d"}}
+	b := newBench(t, nil)
+	b.front.fleet = fixedFleet{vms: vms}
 	firsts := map[string]bool{}
 	for range 200 {
-		list := spread(vms)
+		list := b.front.leadTo("")
 		assert.Equal(t, len(list), 4)
 		domains := map[string]bool{}
 		for _, vm := range list[:3] {
@@ -126,6 +129,47 @@
 	assert.Equal(t, len(firsts), 4)
 }
 
+// fixedFleet is a list of VMs.
+type fixedFleet struct {
+	watch.Fleet
+	vms []watch.VM
+}
+
+func (f fixedFleet) VMs() []watch.VM { return f.vms }
+
+// TestLookupLeadsAnAccountToFewVMs looks at 700 VMs in 23 failure domains: an account
+// keeps its VMs, spread over domains, when another VM goes, and all VMs are used.
+func TestLookupLeadsAnAccountToFewVMs(t *testing.T) {
+	const count, domains, most = 700, 23, 16
+	vms := make([]watch.VM, count)
+	for i := range vms {
+		vms[i] = watch.VM{Name: fmt.Sprint("e", i), FailureDomain: fmt.Sprint("d", i%domains)}
+	}
+	names := func(vms []watch.VM, account string) []string {
+		var all []string
+		for _, vm := range homes(slices.Clone(vms), account, most) {
+			all = append(all, vm.Name)
+		}
+		slices.Sort(all)
+		return all
+	}
+	used := map[string]bool{}
+	for i := range 600 {
+		account := fmt.Sprint("account", i)
+		list := names(vms, account)
+		assert.Equal(t, len(list), most)
+		for _, name := range list {
+			used[name] = true
+		}
+	}
+	assert.Equal(t, len(used), count)
+	before := names(vms, "account0")
+	gone := slices.DeleteFunc(slices.Clone(vms), func(vm watch.VM) bool { return vm.Name == before[0] })
+	after := names(gone, "account0")
+	kept := slices.DeleteFunc(after, func(name string) bool { return !slices.Contains(before, name) })
+	assert.Equal(t, len(kept), most-1, "one VM went, one is new")
+}
+
 // TestStopUnderLoadLosesNothing stops a front while orders come without pause: each
 // was run once and answered, or is refused as not run and did not run.
 func TestStopUnderLoadLosesNothing(t *testing.T) {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -25,6 +25,8 @@
 	DefaultOutput  int            `ini:"default_output" default:"512" min:"1" max:"1000000" doc:"Output tokens of a request that names no bound."`
 	MaxOutput      int            `ini:"max_output" default:"131072" min:"1" max:"10000000" doc:"Greatest output that a request may ask for, in tokens."`
 	LookupKeep     time.Duration  `ini:"lookup_keep" default:"5s" min:"10ms" max:"10m" doc:"Time callers may keep the answer of GET /v1/entries."`
+	LookupVMs      int            `ini:"lookup_vms" default:"16" min:"1" max:"1000" doc:"VMs that GET /v1/entries names; callers of one client account are led to the same ones."`
+	LookupTokens   int64          `ini:"lookup_vm_tokens" default:"20000" min:"1" max:"1000000000" doc:"Tokens a second of a client account's rate for each VM that its callers are led to, beyond lookup_vms."`
 	StreamGrace    time.Duration  `ini:"stream_grace" default:"30s" min:"10ms" max:"1h" doc:"Time open requests have to finish when the daemon stops."`
 	PlainEmptyOK   bool           `ini:"plain_empty_ok" default:"false" doc:"Take an empty 200 of a plain service for an answer."`
 	RecheckKeys    time.Duration  `ini:"recheck_keys" default:"1s" min:"10ms" max:"10s" doc:"Longest pause between two checks of the keys of open requests."`
