Ask the owner for small requests though a large need was refused

Ruled out: order in the holder's queue (it lasts 300 ms). Change: a refusal blocks only requests above a sixteenth of the refused need; a smaller one is asked for, and its own refusal blocks its like.

--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -321,3 +321,31 @@
 	s.runUntil(10 * time.Second)
 	assert.Assert(t, !s.arrivals[2].refused)
 }
+
+// TestSmallRequestsBesideLargeOnes sends large requests at three times the rate, and
+// small ones beside them. One bucket for all VMs would have the few tokens of a small
+// one nearly always; that large ones are refused must not refuse them too.
+func TestSmallRequestsBesideLargeOnes(t *testing.T) {
+	limit := Limit{Rate: 1000, Burst: 4000}
+	opt := defaultSim()
+	opt.holders = 3
+	s := newSim(opt, map[string]Limit{"a": limit})
+	for node := range s.nodes {
+		s.poisson(node, "a", time.Second, 121*time.Second, float64(limit.Rate), func() int64 { return 3070 })
+	}
+	const small = 600
+	for i := range small {
+		at := time.Second + time.Duration(i)*200*time.Millisecond
+		s.at(at, func() { s.request(i%3, "a", 1, 1, 0) })
+	}
+	s.runUntil(125 * time.Second)
+	refused := 0
+	for _, a := range s.arrivals {
+		if a.tokens == 1 && a.refused {
+			refused++
+		}
+	}
+	t.Logf("%d of %d small requests refused", refused, small)
+	assert.Assert(t, refused <= small/100, "%d of %d small requests refused", refused, small)
+	assert.Equal(t, s.excess("a", limit).Tokens, int64(0))
+}
--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -35,11 +35,13 @@
 	burst   int64
 	known   bool          // the owner has answered for this account
 	blocked time.Duration // the owner has nothing before then
-	demand  float64       // tokens a second
-	asked   int64         // tokens asked for since the last report
-	size    float64       // tokens of a usual request
-	since   time.Duration // the last report
-	queue   []*waiter
+	// blockedNeed is the need that the owner refused; 0 blocks whatever it is.
+	blockedNeed int64
+	demand      float64       // tokens a second
+	asked       int64         // tokens asked for since the last report
+	size        float64       // tokens of a usual request
+	since       time.Duration // the last report
+	queue       []*waiter
 }
 
 // waiter is a request that waits for tokens.
@@ -79,8 +81,8 @@
 		}
 	}
 	deadline := now + h.opt.Queue
-	if a.blocked > deadline {
-		return nil, nil, limited(account, a.blocked-now)
+	if until := a.blockedFor(tokens); until > deadline {
+		return nil, nil, limited(account, until-now)
 	}
 	if len(a.queue) >= h.opt.MaxQueue {
 		return nil, nil, limited(account, h.opt.Queue)
@@ -165,12 +167,12 @@
 	if a.urgent(h.opt.Horizon) {
 		return true
 	}
+	if len(a.queue) > 0 {
+		return now >= a.blockedFor(a.queue[0].tokens)
+	}
 	if now < a.blocked {
 		return false
 	}
-	if len(a.queue) > 0 {
-		return true
-	}
 	low := a.current.unspent() < a.target(h.opt.Horizon)/lowShare
 	return low && now-a.since >= h.opt.Interval/lowShare
 }
@@ -279,7 +281,7 @@
 			e = SyncEntry{Account: e.Account}
 		}
 		a.current.renew(reply.Entries[i], e, sent+reply.Lease)
-		h.take(now, e.Account, a, reply.Entries[i])
+		h.take(now, e.Account, a, e.Need, reply.Entries[i])
 	}
 }
 
@@ -292,14 +294,14 @@
 	}
 }
 
-func (h *Holder) take(now time.Duration, name string, a *holding, g SyncGrant) {
+func (h *Holder) take(now time.Duration, name string, a *holding, need int64, g SyncGrant) {
 	a.known, a.burst = !g.Unknown, g.Burst
-	a.blocked = 0
+	a.blocked, a.blockedNeed = 0, 0
 	switch {
 	case g.Unknown:
 		a.blocked = now + askUnknown
 	case g.RetryAfter > 0:
-		a.blocked = now + g.RetryAfter
+		a.blocked, a.blockedNeed = now+g.RetryAfter, need
 	}
 	a.serve(now, name, h.opt.Queue)
 }
@@ -307,6 +309,18 @@
 // askUnknown is when to ask again for an account that the owner does not know.
 const askUnknown = 20 * time.Millisecond
 
+// smallShare: a request of this part of a refused need, or less, is asked for all the
+// same, as the bucket may well hold so little.
+const smallShare = 16
+
+// blockedFor is the time before which the owner need not be asked for the tokens.
+func (a *holding) blockedFor(tokens int64) time.Duration {
+	if tokens*smallShare <= a.blockedNeed {
+		return 0
+	}
+	return a.blocked
+}
+
 // late is the refusal of a request whose time to wait is over.
 func (a *holding) late(name string, after time.Duration) error {
 	if !a.known {
@@ -336,10 +350,11 @@
 				a.pop(outcome{reservation: r})
 				continue
 			}
-			if a.blocked <= w.deadline && now < w.deadline {
+			until := a.blockedFor(w.tokens)
+			if until <= w.deadline && now < w.deadline {
 				return
 			}
-			err = a.late(name, max(a.blocked-now, minWait))
+			err = a.late(name, max(until-now, minWait))
 		}
 		a.pop(outcome{err: err})
 	}
@@ -374,8 +389,15 @@
 		if a.urgent(h.opt.Horizon) || len(a.queue) > 0 && !a.queue[0].heard {
 			return 1
 		}
-		if len(a.queue) > 0 && a.blocked > 0 && (next == 0 || a.blocked < next) {
-			next = a.blocked
+		if len(a.queue) == 0 || a.blocked == 0 {
+			continue
+		}
+		until := a.blockedFor(a.queue[0].tokens)
+		if until == 0 {
+			return 1
+		}
+		if next == 0 || until < next {
+			next = until
 		}
 	}
 	return next
