Run a fleet over TLS between its processes

Cause: no scenario ran real processes over peer_tls. Change: fleets with tls=1 and scenario peer-tls: order runs once, a leader's crash, a restart, and a plain connection that is refused (the path scenario shows that it is taken without TLS).

--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -31,30 +31,31 @@
 
 func table() map[string]command {
 	return map[string]command{
-		"start":    onProcesses((*process).start, (*link).accept),
-		"shutdown": onProcesses((*process).shutdown, (*link).dead),
-		"crash":    onProcesses((*process).crash, (*link).dead),
-		"pause":    onProcesses(func(p *process) error { return p.signal(syscall.SIGSTOP) }, nil),
-		"resume":   onProcesses(func(p *process) error { return p.signal(syscall.SIGCONT) }, nil),
-		"cut":      onLinks(func(k *link, _ bool) { k.cut(true, true) }),
-		"cut-out":  onLinks(func(k *link, dialled bool) { k.cut(!dialled, dialled) }),
-		"heal":     onLinks(func(k *link, _ bool) { k.heal() }),
-		"silence":  onLinks(func(k *link, _ bool) { k.silence() }),
-		"ctl":      ctl,
-		"try":      func(f *fleet, args []string) (string, error) { out, _ := ctl(f, args); return out, nil },
-		"vm":       platformVM,
-		"call":     callNow,
-		"begin":    begin,
-		"reached":  reached,
-		"await":    await,
-		"runs":     runs,
-		"fault":    fault,
-		"stats":    stats,
-		"logged":   logged,
-		"sleep":    pauseScript,
-		"accounts": manyAccounts,
-		"load":     startLoad,
-		"finished": finished,
+		"start":     onProcesses((*process).start, (*link).accept),
+		"shutdown":  onProcesses((*process).shutdown, (*link).dead),
+		"crash":     onProcesses((*process).crash, (*link).dead),
+		"pause":     onProcesses(func(p *process) error { return p.signal(syscall.SIGSTOP) }, nil),
+		"resume":    onProcesses(func(p *process) error { return p.signal(syscall.SIGCONT) }, nil),
+		"cut":       onLinks(func(k *link, _ bool) { k.cut(true, true) }),
+		"cut-out":   onLinks(func(k *link, dialled bool) { k.cut(!dialled, dialled) }),
+		"heal":      onLinks(func(k *link, _ bool) { k.heal() }),
+		"silence":   onLinks(func(k *link, _ bool) { k.silence() }),
+		"ctl":       ctl,
+		"try":       func(f *fleet, args []string) (string, error) { out, _ := ctl(f, args); return out, nil },
+		"vm":        platformVM,
+		"call":      callNow,
+		"begin":     begin,
+		"reached":   reached,
+		"await":     await,
+		"runs":      runs,
+		"fault":     fault,
+		"stats":     stats,
+		"logged":    logged,
+		"sleep":     pauseScript,
+		"accounts":  manyAccounts,
+		"load":      startLoad,
+		"finished":  finished,
+		"plainpeer": plainPeer,
 	}
 }
 
@@ -88,7 +89,7 @@
 }
 
 // fleetCommand starts a fleet: fleet control=1 entry=2 engine=3 plain=1 store=0
-// weights=0 vms=0.
+// weights=0 vms=0 tls=0.
 func fleetCommand(ts *testscript.TestScript, _ bool, args []string) {
 	s := shape{control: 1, entry: 1, engine: 1, plain: 1}
 	for k, v := range options(args) {
@@ -109,6 +110,8 @@
 			s.weights = n
 		case "vms":
 			s.vms = n
+		case "tls":
+			s.tls = n
 		default:
 			ts.Fatalf("a fleet has no %q", k)
 		}
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -19,7 +19,7 @@
 )
 
 // shape says how many of each a fleet has.
-type shape struct{ control, entry, engine, plain, store, weights, vms int }
+type shape struct{ control, entry, engine, plain, store, weights, vms, tls int }
 
 // fleet is the processes of one scenario and the links between them.
 type fleet struct {
@@ -104,6 +104,9 @@
 	if err := f.write("operator-token", operatorToken+"\n"); err != nil {
 		return err
 	}
+	if err := f.writeCertificate(); err != nil {
+		return err
+	}
 	return f.write("operators", "scenario "+operatorToken+"\n")
 }
 
@@ -192,7 +195,7 @@
 		if f.shape.vms > 0 {
 			text = strings.Replace(text, "[control]\n", "[control]\nplatform_address = "+f.addresses["vms-1"]+"\n", 1)
 		}
-		if err := f.write(n+".ini", text); err != nil {
+		if err := f.write(n+".ini", text+f.peerTLS()); err != nil {
 			return err
 		}
 		f.add(n, "eelgrass-control", "--config", f.path(n+".ini"))
@@ -230,7 +233,7 @@
 			control = append(control, linked)
 		}
 		text := fmt.Sprintf(entrySettings, n, domain(i), f.addresses[n], freeAddress(), strings.Join(control, ","), f.path("hash-key"))
-		if err := f.write(n+".ini", text); err != nil {
+		if err := f.write(n+".ini", text+f.peerTLS()); err != nil {
 			return err
 		}
 		f.add(n, "eelgrass-entry", "--config", f.path(n+".ini"))
