--- a/internal/consensus/calls.go
+++ b/internal/consensus/calls.go
@@ -47,6 +47,10 @@
 	data := statemachine.Command(namespace, command)
 	reply := make(chan proposed, 1)
 	err := r.do(ctx, func() {
+		if !r.handing.IsZero() {
+			reply <- proposed{err: errkind.New(errkind.NotLeader, "replica %d hands over", r.opt.Core.ID)}
+			return
+		}
 		index, term, err := r.core.Propose(time.Now(), data)
 		if err != nil {
 			reply <- proposed{err: err}
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -73,6 +73,8 @@
 	snapAt      uint64
 	snapBytes   int // size of the last snapshot
 	logBytes    int // applied since
+	snapTook    time.Duration
+	handing     time.Time // since when leadership is being handed over for a snapshot
 	draining    atomic.Bool
 	published   atomic.Pointer[Published]
 	fatal       atomic.Pointer[errkind.Error]
@@ -124,6 +126,7 @@
 		}
 	}
 	r.applied, r.appliedTerm, r.snapAt, r.snapBytes = snap.Index, snap.Term, snap.Index, len(snap.Data)
+	r.snapTook = estimate(len(snap.Data))
 	r.published.Store(&Published{Status: Status{ID: opt.Core.ID, Members: snap.Membership}, Applied: r.applied})
 	return r, nil
 }
@@ -175,23 +178,35 @@
 		r.pending = false
 	}
 	r.core.FlushReads()
+	if err := r.carryOutAll(); err != nil {
+		return err
+	}
+	if r.snapshotDue() {
+		if err := r.snapshot(); err != nil {
+			return err
+		}
+		if err := r.carryOutAll(); err != nil {
+			return err
+		}
+	}
+	r.publish()
+	return nil
+}
+
+// carryOutAll carries out what the core asks until it asks nothing.
+func (r *Replica) carryOutAll() error {
 	for {
 		ready := r.core.Ready()
 		if ready.Fatal != nil {
 			return ready.Fatal
 		}
 		if ready.Empty() {
-			break
+			return nil
 		}
 		if err := r.carryOut(ready); err != nil {
 			return err
 		}
 	}
-	if err := r.snapshotIfDue(); err != nil {
-		return err
-	}
-	r.publish()
-	return nil
 }
 
 func (r *Replica) carryOut(ready Ready) error {
@@ -225,7 +240,7 @@
 		return errors.Wrap(err, "install snapshot")
 	}
 	r.applied, r.appliedTerm, r.snapAt = s.Index, s.Term, s.Index
-	r.snapBytes, r.logBytes = len(s.Data), 0
+	r.snapBytes, r.logBytes, r.snapTook = len(s.Data), 0, estimate(len(s.Data))
 	r.opt.Log.Info("snapshot installed", zap.Uint64("index", s.Index))
 	return nil
 }
@@ -280,27 +295,6 @@
 	}
 }
 
-// snapshotIfDue takes a snapshot once enough entries were applied, and no more often
-// than the log grows by the size of a snapshot, so that large states are not written
-// over and over.
-func (r *Replica) snapshotIfDue() error {
-	if r.applied < r.snapAt+r.opt.SnapshotEvery || r.logBytes < r.snapBytes {
-		return nil
-	}
-	var b bytes.Buffer
-	if err := r.opt.Machine.Snapshot(&b); err != nil {
-		return errors.Wrap(err, "take snapshot")
-	}
-	s := Snapshot{Index: r.applied, Term: r.appliedTerm, Membership: r.core.MembershipAt(r.applied), Data: b.Bytes()}
-	dropTo := r.applied - min(r.applied, r.opt.KeepEntries)
-	if err := r.opt.Storage.SaveSnapshot(s, dropTo); err != nil {
-		return errkind.Wrap(err, errkind.Corrupt, "write snapshot")
-	}
-	r.core.Compact(dropTo, r.core.MembershipAt(dropTo))
-	r.snapAt, r.snapBytes, r.logBytes = r.applied, len(s.Data), 0
-	return nil
-}
-
 // publish makes the state after a step known and wakes those who wait for it.
 func (r *Replica) publish() {
 	old := r.published.Load()
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -105,6 +106,8 @@
 type cluster struct {
 	t  *testing.T
 	mu sync.Mutex
+	// slow is how long a snapshot takes.
+	slow time.Duration
 	// cut holds the directions that are silent; "" as the sender is a watcher.
 	cut   map[[2]string]bool
 	nodes map[string]*node
@@ -133,6 +136,16 @@
 	return n
 }
 
+// slowMachine takes its time for a snapshot.
+type slowMachine struct{ c *cluster }
+
+func (slowMachine) Apply(uint64, []byte) []byte { return nil }
+func (slowMachine) Restore(io.Reader) error     { return nil }
+func (m slowMachine) Snapshot(io.Writer) error {
+	time.Sleep(m.c.slow)
+	return nil
+}
+
 // link is the network as one process sees it.
 type link struct {
 	c    *cluster
@@ -143,6 +156,7 @@
 	machine := state.NewMachine()
 	mux := statemachine.NewMux()
 	mux.Add(state.Namespace, machine)
+	mux.Add("slow", slowMachine{c})
 	net := link{c, addressOf(n.id)}
 	r, err := consensus.NewReplica(consensus.Options{
 		Core: consensus.Config{ID: n.id, ElectionTimeout: testElection, HeartbeatEvery: testBeat, MaxAppendBytes: 1 << 20,
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -339,3 +339,28 @@
 	assert.Equal(t, muts[0].GetExpectedRevision(), uint64(3))
 	assert.Assert(t, muts[1].GetPutEndpoint().GetLeaving())
 }
+
+// TestSlowSnapshotsDoNotStopChanges: after the first, which nobody has timed yet,
+// a leader hands over before it stands still.
+func TestSlowSnapshotsDoNotStopChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll()
+		c.leader()
+		c.slow = 2 * testElection
+		var worst time.Duration
+		handovers := map[string]bool{}
+		for i := range 1500 {
+			time.Sleep(200 * time.Millisecond)
+			start := time.Now()
+			_, err := c.change(c.nodes[addressOf(uint64(i%3+1))], fmt.Sprint("op", i), putAccount("a", int64(i), uint64(i)))
+			assert.NilError(t, err)
+			if i > 500 {
+				worst = max(worst, time.Since(start))
+				handovers[c.nodes[addressOf(1)].replica.Leader()] = true
+			}
+		}
+		assert.Assert(t, len(handovers) > 1)
+		assert.Assert(t, worst < testElection/2, "a change took %s", worst)
+	})
+}
