--- a/internal/grants/wire.go
+++ b/internal/grants/wire.go
@@ -24,9 +24,17 @@
 	Gone     int64 // total of tokens spent for good, returned or forfeited
 	Returned int64 // total of tokens given back, part of Gone
 	Want     int64 // further tokens that demand asks for
+	Refunds  []Refund
 	Need     int64 // fewest further tokens that serve the first waiting request
 }
 
+// Refund is the total of tokens that requests had reserved and did not use, which the
+// owner counted as gone in an epoch of the account, or later.
+type Refund struct {
+	Epoch int64
+	Total int64
+}
+
 // SyncReply answers every entry in order.
 type SyncReply struct {
 	Term    uint64
@@ -38,8 +46,7 @@
 type SyncGrant struct {
 	Granted    int64         // total of tokens granted
 	Gone       int64         // total gone as the owner counts, at least what was reported
-	RefundCap  int64         // most tokens that may wait for a refund
-	Rate       int64         // tokens a second
+	Epoch      int64         // of the account, in which the report was counted
 	Burst      int64         // 0 says that the account has no grant
 	RetryAfter time.Duration // when the need can be met; 0 when nothing was refused
 }
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -24,14 +24,16 @@
 		c.matches = c.index.Find(r.Chain, now, c.matches)
 		k.Kept = c.kept()
 	}
+	k.FailedDomains = c.failedDomains(r)
 	c.filter(&k, group)
-	if len(c.candidates) == 0 && len(r.Exclude) > 0 {
-		k.LastResort = true
+	for len(c.candidates) == 0 && len(r.Exclude) > 0 && k.Relax < Anywhere {
+		k.Relax++
 		c.filter(&k, group)
 	}
 	if len(c.candidates) == 0 {
 		return nil
 	}
+	c.preferRoomy(r)
 	for i := range c.candidates {
 		k.Held = max(k.Held, c.candidates[i].Match.Depth)
 	}
@@ -46,6 +48,17 @@
 	return &c.candidates[c.policy.Picker.Pick(&k, c.candidates)]
 }
 
+// failedDomains lists the failure domains of the endpoints that failed the request.
+func (c *Core) failedDomains(r *Request) []string {
+	var domains []string
+	for _, name := range r.Exclude {
+		if s := c.byName[name]; s != nil && s.FailureDomain != "" {
+			domains = append(domains, s.FailureDomain)
+		}
+	}
+	return domains
+}
+
 func (c *Core) group(r *Request) []*State {
 	if r.Service != "" {
 		return c.byService[r.Service]
@@ -62,6 +75,20 @@
 	}
 }
 
+// preferRoomy drops candidates that would refuse the request while others would not.
+func (c *Core) preferRoomy(r *Request) {
+	roomy := 0
+	for i := range c.candidates {
+		if c.roomy(r, c.candidates[i].State) {
+			c.candidates[roomy], c.candidates[i] = c.candidates[i], c.candidates[roomy]
+			roomy++
+		}
+	}
+	if roomy > 0 {
+		c.candidates = c.candidates[:roomy]
+	}
+}
+
 func (c *Core) keep(k *Case, s *State) bool {
 	for _, f := range c.policy.Filters {
 		if !f.Keep(k, s) {
@@ -113,6 +140,9 @@
 // learn takes an answer into the index and the endpoint's measures.
 func (c *Core) learn(now time.Time, p *Pending, r Result) {
 	s := p.state
+	if s.gone {
+		return // its number may be another endpoint's by now
+	}
 	present := c.Incarnation(s, r.Incarnation)
 	if r.Err != nil {
 		c.learnFailure(now, s, r)
@@ -121,7 +151,7 @@
 	s.succeeded()
 	actual := max(r.PromptTokens-r.CachedTokens, 0)
 	s.observe(p.work-p.missed+actual, r.FirstToken, now.Sub(p.sent))
-	if len(p.Request.Chain) == 0 || !present || s.gone {
+	if len(p.Request.Chain) == 0 || !present {
 		return
 	}
 	if p.run == s.run {
@@ -152,6 +182,8 @@
 
 func (c *Core) adopt(s *State, run digest.Run) bool {
 	switch {
+	case s.gone:
+		return false
 	case s.run == run:
 		return true
 	case slices.Contains(s.ended[:], run):
@@ -161,6 +193,9 @@
 		copy(s.ended[1:], s.ended[:])
 		s.ended[0] = s.run
 	}
+	delete(c.byAt, digest.Of(s.id, s.run))
 	s.Incarnation, s.run, s.eventSeq, s.told = "", run, 0, false
+	s.PeerInFlight, s.PeerPending = 0, 0
+	c.byAt[digest.Of(s.id, run)] = s
 	return true
 }
