--- a/internal/consensus/calls.go
+++ b/internal/consensus/calls.go
@@ -47,6 +47,10 @@
 	data := statemachine.Command(namespace, command)
 	reply := make(chan proposed, 1)
 	err := r.do(ctx, func() {
+		if !r.handing.IsZero() {
+			reply <- proposed{err: errkind.New(errkind.NotLeader, "replica %d hands over", r.opt.Core.ID)}
+			return
+		}
 		index, term, err := r.core.Propose(time.Now(), data)
 		if err != nil {
 			reply <- proposed{err: err}
@@ -236,7 +240,11 @@
 			if target == 0 {
 				target = r.core.Successor()
 			}
-			reply <- r.core.Transfer(time.Now(), target)
+			err := r.core.Transfer(time.Now(), target)
+			if err == nil {
+				r.publish() // before the successor hears of it, and may be elected within the lease
+			}
+			reply <- err
 		})
 		if err != nil {
 			return err
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"sync"
 	"testing"
@@ -105,6 +107,8 @@
 type cluster struct {
 	t  *testing.T
 	mu sync.Mutex
+	// slow is how long a snapshot takes.
+	slow time.Duration
 	// cut holds the directions that are silent; "" as the sender is a watcher.
 	cut   map[[2]string]bool
 	nodes map[string]*node
@@ -133,6 +137,16 @@
 	return n
 }
 
+// slowMachine takes its time for a snapshot.
+type slowMachine struct{ c *cluster }
+
+func (slowMachine) Apply(uint64, []byte) []byte { return nil }
+func (slowMachine) Restore(io.Reader) error     { return nil }
+func (m slowMachine) Snapshot(io.Writer) error {
+	time.Sleep(m.c.slow)
+	return nil
+}
+
 // link is the network as one process sees it.
 type link struct {
 	c    *cluster
@@ -143,6 +157,7 @@
 	machine := state.NewMachine()
 	mux := statemachine.NewMux()
 	mux.Add(state.Namespace, machine)
+	mux.Add("slow", slowMachine{c})
 	net := link{c, addressOf(n.id)}
 	r, err := consensus.NewReplica(consensus.Options{
 		Core: consensus.Config{ID: n.id, ElectionTimeout: testElection, HeartbeatEvery: testBeat, MaxAppendBytes: 1 << 20,
@@ -195,9 +210,11 @@
 	c.cut[[2]string{"", address}] = cut
 }
 
-// Call carries a call; a cut in either direction is silence.
+// Call carries a call; a cut in either direction is silence. As in peer.Pool, an answer
+// that comes late is not written to reply.
 func (l link) Call(ctx context.Context, address, method string, args, reply any) error {
 	done := make(chan error, 1)
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
 	go func() {
 		time.Sleep(testDelay)
 		if l.c.isCut(l.from, address) {
@@ -210,7 +227,7 @@
 			rpc = n.rpc
 		}
 		l.c.mu.Unlock()
-		err := dispatch(rpc, method, args, reply)
+		err := dispatch(rpc, method, args, answer.Interface())
 		time.Sleep(testDelay)
 		if !l.c.isCut(address, l.from) {
 			done <- err
@@ -218,6 +235,9 @@
 	}()
 	select {
 	case err := <-done:
+		if err == nil {
+			reflect.ValueOf(reply).Elem().Set(answer.Elem())
+		}
 		return err
 	case <-ctx.Done():
 		return errkind.Wrap(ctx.Err(), errkind.Timeout, "no answer")
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -54,7 +55,8 @@
 	return &Pool{opt: opt, conns: map[string]*clientConn{}}
 }
 
-// Call calls method at address. A failure to dial is errkind NoQuorum with outcome
+// Call calls method at address; reply points to the value that takes the answer, and is
+// written to only when Call returns nil. A failure to dial is errkind NoQuorum with outcome
 // not-run; a lost connection or an ended ctx after sending is Timeout with outcome
 // unknown; an answer of the handler keeps its kind.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
@@ -62,10 +64,14 @@
 	if err != nil {
 		return errkind.Wrap(err, errkind.NoQuorum, "cannot reach peer %s", address)
 	}
-	call := c.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// An answer may come after the caller has given up and uses reply for another try,
+	// so it is decoded apart.
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	call := c.rpc.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(answer.Elem())
 			return nil
 		}
 		if call.Error == rpc.ErrShutdown {
