--- /dev/null
+++ b/internal/grants/events_test.go
@@ -0,0 +1,23 @@
+package grants
+
+import "time"
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
--- a/internal/grants/sim_test.go
+++ b/internal/grants/sim_test.go
@@ -89,26 +89,6 @@
 	retry   time.Duration
 }
 
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newSim(opt simOptions, limits map[string]Limit) *sim {
 	s := &sim{rng: rand.New(rand.NewPCG(opt.seed, 2)), machine: NewMachine(), limits: limits, opt: opt}
 	for i := range opt.holders {
