Drain again by the one drain; share the replica commands' frame; connect once

Cause: a read of the whole change found three things written twice: redrain repeated drain's order and record, three eelctl replica commands repeated number and connection, and eelctl top read the token and connected anew at each look. Change: redrain asks spare and calls drain; numbered frames the three commands; top connects once. Conclusion: no behaviour meant to change but one edge: a drain adopted from an earlier sender whose order is given again goes back to the role that the endpoint reports, where it went back to an empty one.

--- a/internal/eelctl/fleet.go
+++ b/internal/eelctl/fleet.go
@@ -1,6 +1,7 @@
 package eelctl
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -117,39 +118,32 @@
 		}
 		return n, nil
 	}
-	add := leaf("add NUMBER PEER-ADDRESS", "Add a replica as a learner; it gets its vote by itself", 2, func(cmd *cobra.Command, args []string) error {
-		id, err := number(args[0])
-		if err != nil {
-			return err
-		}
-		c, err := a.connect()
-		if err != nil {
-			return err
-		}
-		return done(call(cmd.Context(), c, &pb.AddReplicaRequest{Id: id, Address: args[1]}, operatorClient.AddReplica))
-	})
-	remove := leaf("remove NUMBER", "Take a replica out of the group", 1, func(cmd *cobra.Command, args []string) error {
-		id, err := number(args[0])
-		if err != nil {
-			return err
-		}
-		c, err := a.connect()
-		if err != nil {
-			return err
-		}
-		return done(call(cmd.Context(), c, &pb.RemoveReplicaRequest{Id: id}, operatorClient.RemoveReplica))
-	})
-	transfer := leaf("transfer NUMBER", "Hand leadership over; 0 takes the best replica", 1, func(cmd *cobra.Command, args []string) error {
-		id, err := number(args[0])
-		if err != nil {
-			return err
-		}
-		c, err := a.connect()
-		if err != nil {
-			return err
-		}
-		return done(call(cmd.Context(), c, &pb.TransferLeadershipRequest{To: id}, operatorClient.TransferLeadership))
-	})
+	// numbered is a command whose first argument is a replica number.
+	numbered := func(use, short string, args int, do func(ctx context.Context, c *client, id uint64, args []string) (*pb.MembershipResponse, error)) *cobra.Command {
+		return leaf(use, short, args, func(cmd *cobra.Command, args []string) error {
+			id, err := number(args[0])
+			if err != nil {
+				return err
+			}
+			c, err := a.connect()
+			if err != nil {
+				return err
+			}
+			return done(do(cmd.Context(), c, id, args))
+		})
+	}
+	add := numbered("add NUMBER PEER-ADDRESS", "Add a replica as a learner; it gets its vote by itself", 2,
+		func(ctx context.Context, c *client, id uint64, args []string) (*pb.MembershipResponse, error) {
+			return call(ctx, c, &pb.AddReplicaRequest{Id: id, Address: args[1]}, operatorClient.AddReplica)
+		})
+	remove := numbered("remove NUMBER", "Take a replica out of the group", 1,
+		func(ctx context.Context, c *client, id uint64, _ []string) (*pb.MembershipResponse, error) {
+			return call(ctx, c, &pb.RemoveReplicaRequest{Id: id}, operatorClient.RemoveReplica)
+		})
+	transfer := numbered("transfer NUMBER", "Hand leadership over; 0 takes the best replica", 1,
+		func(ctx context.Context, c *client, id uint64, _ []string) (*pb.MembershipResponse, error) {
+			return call(ctx, c, &pb.TransferLeadershipRequest{To: id}, operatorClient.TransferLeadership)
+		})
 	return group("replica", "Replicas of the control state", add, remove, transfer)
 }
 
--- a/internal/eelctl/top.go
+++ b/internal/eelctl/top.go
@@ -46,7 +46,11 @@
 	if every <= 0 {
 		return errkind.New(errkind.InvalidRequest, "--every must be above 0")
 	}
-	before, _, err := a.look(ctx, every)
+	c, err := a.connect()
+	if err != nil {
+		return err
+	}
+	before, _, err := look(ctx, c, every)
 	if err != nil {
 		return err
 	}
@@ -56,7 +60,7 @@
 			return nil
 		case <-time.After(every):
 		}
-		now, silent, err := a.look(ctx, every)
+		now, silent, err := look(ctx, c, every)
 		if err != nil {
 			return err
 		}
@@ -70,11 +74,7 @@
 
 // look reads the metrics of every entry VM that control knows, by its name, and names
 // those that did not answer.
-func (a *app) look(ctx context.Context, bound time.Duration) (map[string]totals, []string, error) {
-	c, err := a.connect()
-	if err != nil {
-		return nil, nil, err
-	}
+func look(ctx context.Context, c *client, bound time.Duration) (map[string]totals, []string, error) {
 	status, err := call(ctx, c, &pb.StatusRequest{}, operatorClient.Status)
 	if err != nil {
 		return nil, nil, err
--- a/internal/placement/roll.go
+++ b/internal/placement/roll.go
@@ -144,12 +144,8 @@
 		return
 	}
 	delete(r.planner.drains, e.Name)
-	if !r.spare(e) {
-		return
-	}
-	o := engineapi.Order{Op: engineapi.OrderSetRole, Role: engineapi.RoleDrain}
-	if r.order(e, o, "drain to %s", d.reason) {
-		r.planner.drains[e.Name] = drain{since: r.now, role: d.role, reason: d.reason}
+	if r.spare(e) {
+		r.drain(e, d.reason)
 	}
 }
 
