--- a/cmd/eelgrass-control/main.go
+++ b/cmd/eelgrass-control/main.go
@@ -10,7 +10,9 @@
 
 	"eelgrasshollow/internal/controld"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/onplatform"
 	"eelgrasshollow/internal/settings"
+	"eelgrasshollow/platform"
 
 	"github.com/spf13/cobra"
 )
@@ -26,7 +28,7 @@
 }
 
 func command() *cobra.Command {
-	var config string
+	var config, metricsPort string
 	cmd := &cobra.Command{
 		Use:           "eelgrass-control",
 		Short:         "Run a control replica",
@@ -34,6 +36,12 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path, ok := platform.SettingsPath(); ok {
+				return onplatform.RunControl(cmd.Context(), path, metricsPort)
+			}
+			if config == "" {
+				return errkind.New(errkind.InvalidRequest, "required flag \"config\" not set")
+			}
 			var s controld.Settings
 			if err := settings.Load(config, &s); err != nil {
 				return err
@@ -42,6 +50,6 @@
 		},
 	}
 	cmd.Flags().StringVar(&config, "config", "", "settings file")
-	_ = cmd.MarkFlagRequired("config") // the flag exists
+	cmd.Flags().StringVar(&metricsPort, "metrics-port", "", "port of the metrics, on the users' platform")
 	return cmd
 }
--- a/cmd/eelgrass-entry/main.go
+++ b/cmd/eelgrass-entry/main.go
@@ -8,7 +8,9 @@
 	"syscall"
 
 	"eelgrasshollow/internal/entryd"
+	"eelgrasshollow/internal/onplatform"
 	"eelgrasshollow/internal/settings"
+	"eelgrasshollow/platform"
 
 	"github.com/spf13/cobra"
 )
@@ -23,10 +25,13 @@
 }
 
 func command() *cobra.Command {
-	var config string
+	var config, metricsPort string
 	root := &cobra.Command{
 		Use: "eelgrass-entry", Short: "Serve callers on an entry VM", SilenceUsage: true, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path, ok := platform.SettingsPath(); ok {
+				return onplatform.RunEntry(cmd.Context(), path, metricsPort)
+			}
 			var s entryd.Settings
 			if err := settings.Load(config, &s); err != nil {
 				return err
@@ -35,6 +40,7 @@
 		},
 	}
 	root.Flags().StringVar(&config, "config", "", "settings file")
+	root.Flags().StringVar(&metricsPort, "metrics-port", "", "port of the metrics, on the users' platform")
 	root.AddCommand(&cobra.Command{
 		Use: "reference", Short: "Print every setting", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/internal/consensus/calls.go
+++ b/internal/consensus/calls.go
@@ -32,7 +32,7 @@
 			if m.ReplyTo != "" {
 				r.addresses[m.From] = m.ReplyTo
 			}
-			r.core.Step(time.Now(), m)
+			r.core.Step(r.opt.Now(), m)
 		}
 	}:
 	default:
@@ -51,7 +51,7 @@
 			reply <- proposed{err: errkind.New(errkind.NotLeader, "replica %d hands over", r.opt.Core.ID)}
 			return
 		}
-		index, term, err := r.core.Propose(time.Now(), data)
+		index, term, err := r.core.Propose(r.opt.Now(), data)
 		if err != nil {
 			reply <- proposed{err: err}
 			return
@@ -89,7 +89,7 @@
 	refused := make(chan error, 1)
 	err := r.do(ctx, func() {
 		r.readID++
-		if err := r.core.Read(time.Now(), r.readID); err != nil {
+		if err := r.core.Read(r.opt.Now(), r.readID); err != nil {
 			refused <- err
 			return
 		}
@@ -174,7 +174,7 @@
 // Leading reports whether this replica holds the leader lease now, and its term.
 func (r *Replica) Leading() (uint64, bool) {
 	p := r.Published()
-	ok := p.Role == Leader && p.Serving && p.Applied >= p.TermStart && time.Now().Before(p.LeaseEnd)
+	ok := p.Role == Leader && p.Serving && p.Applied >= p.TermStart && r.opt.Now().Before(p.LeaseEnd)
 	return p.Term, ok
 }
 
@@ -240,7 +240,7 @@
 			if target == 0 {
 				target = r.core.Successor()
 			}
-			err := r.core.Transfer(time.Now(), target)
+			err := r.core.Transfer(r.opt.Now(), target)
 			if err == nil {
 				r.publish() // before the successor hears of it, and may be elected within the lease
 			}
--- a/internal/consensus/identity.go
+++ b/internal/consensus/identity.go
@@ -1,6 +1,13 @@
 package consensus
 
-import "eelgrasshollow/internal/errkind"
+import (
+	"eelgrasshollow/internal/errkind"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrStoreRefused is the reason of a replica whose store the others know otherwise.
+var ErrStoreRefused = errors.New("store refused by the group")
 
 // verdict on another replica's store.
 type verdict uint8
@@ -96,7 +103,7 @@
 		return
 	}
 	if m.Reject {
-		c.out.Fatal = errkind.New(errkind.Corrupt,
+		c.out.Fatal = errkind.Wrap(ErrStoreRefused, errkind.Corrupt,
 			"replica %d knows another state of this store: its disk was lost, replaced or rolled back; "+
 				"empty it and add it under a new replica number", m.From)
 		return
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -23,6 +23,8 @@
 	Commit, Last, Snap uint64
 	Members            Membership
 	Match              map[uint64]uint64
+	// Silent names the members that the leader has not heard for an election timeout.
+	Silent map[uint64]bool
 	// Serving: the term's own entry is committed, at TermStart.
 	Serving   bool
 	TermStart uint64
@@ -43,9 +45,12 @@
 		return s
 	}
 	s.Serving, s.TermStart, s.LeaseEnd = c.commit >= c.termStart, c.termStart, c.leaseEnd()
-	s.Match = map[uint64]uint64{}
+	s.Match, s.Silent = map[uint64]uint64{}, map[uint64]bool{}
 	for id, p := range c.progress {
 		s.Match[id] = p.match
+		if !c.now.Before(p.heard.Add(c.cfg.ElectionTimeout)) {
+			s.Silent[id] = true
+		}
 	}
 	s.Match[c.id] = c.durable
 	if s.Serving {
--- a/internal/consensus/module.go
+++ b/internal/consensus/module.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"eelgrasshollow/internal/clock"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/peer"
@@ -27,12 +28,14 @@
 	DataDir         string
 	ElectionTimeout time.Duration
 	HeartbeatEvery  time.Duration
+	TickEvery       time.Duration // 0 takes DefaultTickEvery
 	SnapshotEvery   uint64
 	KeepEntries     uint64
 	Batch           int
 	Machine         *statemachine.Mux
 	Log             *zap.Logger
 	OnFatal         func(error)
+	Now             clock.Clock // see Options.Now
 }
 
 // Module is the kernel's wrapper around a Replica.
@@ -53,7 +56,7 @@
 	if err := k.Find(kernel.As(peer.ServerName, &server), kernel.As(peer.PoolName, &pool)); err != nil {
 		return err
 	}
-	store, stored, err := OpenStore(filepath.Join(m.cfg.DataDir, "replica-"+strconv.FormatUint(m.cfg.Replica, 10)), m.cfg.Replica, m.cfg.Initial)
+	store, stored, err := OpenStore(StoreDir(m.cfg.DataDir, m.cfg.Replica), m.cfg.Replica, m.cfg.Initial)
 	if err != nil {
 		return err
 	}
@@ -61,7 +64,7 @@
 		Core: Config{ID: m.cfg.Replica, ElectionTimeout: m.cfg.ElectionTimeout, HeartbeatEvery: m.cfg.HeartbeatEvery,
 			MaxAppendBytes: DefaultAppendBytes, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		Storage: store, Stored: stored, Transport: NewPeerTransport(pool), Machine: m.cfg.Machine, Log: m.cfg.Log,
-		SnapshotEvery: m.cfg.SnapshotEvery, KeepEntries: m.cfg.KeepEntries, Batch: m.cfg.Batch, OnFatal: m.cfg.OnFatal,
+		SnapshotEvery: m.cfg.SnapshotEvery, KeepEntries: m.cfg.KeepEntries, Batch: m.cfg.Batch, OnFatal: m.cfg.OnFatal, Now: m.cfg.Now, TickEvery: m.cfg.TickEvery,
 	})
 	if err != nil {
 		return errors.CombineErrors(err, store.Close())
@@ -78,6 +81,30 @@
 // Stop ends the work; Drain has handed leadership over.
 func (m *Module) Stop(context.Context) error { return m.Replica.Stop() }
 
+// storePrefix begins the name of a replica's folder, which its number ends.
+const storePrefix = "replica-"
+
+// StoreDir is the folder of a replica's store below the data folder.
+func StoreDir(dataDir string, replica uint64) string {
+	return filepath.Join(dataDir, storePrefix+strconv.FormatUint(replica, 10))
+}
+
+// FindStore returns the number of the replica whose store the data folder holds, or 0
+// when it holds none.
+func FindStore(dataDir string) (uint64, error) {
+	found, err := filepath.Glob(filepath.Join(dataDir, storePrefix+"*", storeFile))
+	if err != nil {
+		return 0, errors.Wrap(err, "look for a store")
+	}
+	for _, path := range found {
+		number := strings.TrimPrefix(filepath.Base(filepath.Dir(path)), storePrefix)
+		if id, err := strconv.ParseUint(number, 10, 64); err == nil && id != 0 {
+			return id, nil
+		}
+	}
+	return 0, nil
+}
+
 // ParseMembers reads replicas written as "1=127.0.0.1:7101".
 func ParseMembers(list []string) (Membership, error) {
 	var m Membership
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"eelgrasshollow/internal/clock"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/statemachine"
 
@@ -48,6 +49,8 @@
 	SnapshotEvery uint64 // applied entries between two snapshots
 	KeepEntries   uint64 // entries kept before a snapshot, for slow replicas
 	Batch         int    // calls and messages that share one sync at most
+	// Now tells the time that leases and timeouts count by; a nil one is time.Now.
+	Now clock.Clock
 	// OnFatal is called once when the replica stops by itself.
 	OnFatal func(error)
 }
@@ -114,6 +117,9 @@
 	if opt.Batch == 0 {
 		opt.Batch = DefaultBatch
 	}
+	if opt.Now == nil {
+		opt.Now = time.Now
+	}
 	if opt.OnFatal == nil {
 		opt.OnFatal = func(error) {}
 	}
@@ -133,7 +139,7 @@
 
 // Start begins to take part.
 func (r *Replica) Start() {
-	r.core = NewCore(r.opt.Core, r.opt.Stored, time.Now())
+	r.core = NewCore(r.opt.Core, r.opt.Stored, r.opt.Now())
 	r.opt.Stored.Entries = nil
 	go r.run()
 }
@@ -151,7 +157,7 @@
 		case <-r.stop:
 			return
 		case <-ticker.C:
-			r.core.Tick(time.Now())
+			r.core.Tick(r.opt.Now())
 		case f := <-r.inbox:
 			f()
 			r.drainInbox()
@@ -215,7 +221,7 @@
 		if err := r.opt.Storage.Save(*ready.HardState, ready.Install, ready.Entries); err != nil {
 			return errkind.Wrap(err, errkind.Corrupt, "write to the store")
 		}
-		r.core.Persisted(time.Now(), ready)
+		r.core.Persisted(r.opt.Now(), ready)
 	}
 	r.transmit(ready.Late)
 	if ready.Install != nil {
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -56,7 +56,7 @@
 // while it takes one; a leader for which that takes long lets another lead first, so
 // that changes go on. It waits an election timeout at most.
 func (r *Replica) handOverFirst() bool {
-	now, election := time.Now(), r.opt.Core.ElectionTimeout
+	now, election := r.opt.Now(), r.opt.Core.ElectionTimeout
 	if r.handing.IsZero() {
 		if r.core.role != Leader || r.snapTook < election/4 || len(r.core.members.voters()) < 2 {
 			return false
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -75,6 +75,9 @@
 	if err != nil {
 		return nil, Stored{}, errors.Wrap(err, "open store")
 	}
+	if err := errors.CombineErrors(syncFolder(dir), syncFolder(filepath.Dir(dir))); err != nil {
+		return nil, Stored{}, errors.CombineErrors(errors.Wrap(err, "sync data folder"), db.Close())
+	}
 	s := &Store{db: db}
 	stored, err := s.boot(replica, initial)
 	if err != nil {
@@ -83,6 +86,16 @@
 	return s, stored, nil
 }
 
+// syncFolder makes the names in a folder durable: a synced file can lose its name in a
+// power loss until then.
+func syncFolder(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(f.Sync(), f.Close())
+}
+
 // boot counts the start and loads every record.
 func (s *Store) boot(replica uint64, initial Membership) (Stored, error) {
 	var out Stored
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 
+	"eelgrasshollow/internal/clock"
 	"eelgrasshollow/internal/consensus"
 	"eelgrasshollow/internal/control"
 	"eelgrasshollow/internal/grants"
@@ -33,6 +34,7 @@
 	log      *zap.Logger
 	kernel   *kernel.Kernel
 	mux      *statemachine.Mux
+	machine  *state.Machine
 	fatal    func(error)
 }
 
@@ -90,6 +92,7 @@
 func (p *parts) addAgreement() {
 	c := p.settings.Control
 	machine := state.NewMachine()
+	p.machine = machine
 	p.mux.Add(state.Namespace, machine)
 	p.kernel.Register(state.ModuleName, state.NewModule(machine))
 	p.kernel.Register(consensus.ModuleName, consensus.NewModule(consensus.ModuleConfig{
@@ -131,7 +134,7 @@
 func (p *parts) addServices() {
 	bucket := grants.NewMachine()
 	p.mux.Add(grants.Namespace, bucket)
-	p.kernel.Register(grants.OwnerName, grants.NewOwnerModule(p.settings.Grants, bucket), consensus.ModuleName, state.ModuleName, peer.ServerName)
+	p.kernel.Register(grants.OwnerName, grants.NewOwnerModule(p.settings.Grants, bucket, grants.StateLimits{Source: p.machine}, clock.Boot), consensus.ModuleName, state.ModuleName, peer.ServerName)
 	records := journal.NewMachine()
 	p.mux.Add(journal.Namespace, records)
 	p.kernel.Register(journal.OwnerName, journal.NewOwnerModule(p.settings.Journal, records), consensus.ModuleName, peer.ServerName)
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -81,11 +81,56 @@
 	return nil
 }
 
+// RawEvent is one event as it came, with the line that ends it.
+type RawEvent struct {
+	ID    int // position, or 0 when the event carries none
+	Bytes []byte
+}
+
+// NextRaw returns the next block of lines up to an empty one, unchanged; the bytes are
+// valid until the next read. io.EOF is an end between two events; an end within one is
+// io.ErrUnexpectedEOF.
+func (e *EventReader) NextRaw() (RawEvent, error) {
+	var event RawEvent
+	e.data = e.data[:0]
+	for {
+		raw, err := e.rawLine()
+		if err != nil {
+			if err == io.EOF && len(e.data)+len(raw) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return RawEvent{}, err
+		}
+		if len(e.data)+len(raw) > e.limit {
+			return RawEvent{}, tooLarge(e.limit)
+		}
+		e.data = append(e.data, raw...)
+		line := trimEnd(raw)
+		if len(line) == 0 {
+			event.Bytes = e.data
+			return event, nil
+		}
+		var parsed Event
+		if bytes.HasPrefix(line, []byte("id")) {
+			if err := e.field(&parsed, line); err != nil {
+				return RawEvent{}, err
+			}
+			event.ID = max(event.ID, parsed.ID)
+		}
+	}
+}
+
 // line returns the next line without its end; it is valid until the next read.
 func (e *EventReader) line() ([]byte, error) {
+	raw, err := e.rawLine()
+	return trimEnd(raw), err
+}
+
+// rawLine returns the next line with its end; it is valid until the next read.
+func (e *EventReader) rawLine() ([]byte, error) {
 	part, err := e.r.ReadSlice('\n')
 	if !errors.Is(err, bufio.ErrBufferFull) {
-		return trimEnd(part), err
+		return part, err
 	}
 	long := bytes.Clone(part)
 	for errors.Is(err, bufio.ErrBufferFull) {
@@ -95,7 +140,7 @@
 		part, err = e.r.ReadSlice('\n')
 		long = append(long, part...)
 	}
-	return trimEnd(long), err
+	return long, err
 }
 
 func trimEnd(line []byte) []byte {
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"eelgrasshollow/internal/clock"
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/entry"
 	"eelgrasshollow/internal/grants"
@@ -88,10 +89,10 @@
 		return err
 	}
 	k.Register(watch.ClientName, newDirectory(s, log), peer.PoolName)
-	k.Register("entry.grants", grants.NewHolderModule(s.Grants), peer.PoolName)
+	k.Register("entry.grants", grants.NewHolderModule(s.Grants, clock.Boot), peer.PoolName)
 	k.Register("entry.journal", journal.NewClientModule(s.Journal), peer.PoolName)
 	k.Register("entry.engine", engine.NewModule(s.Engine))
-	k.Register("entry.routing", routing.NewModule(s.Routing), watch.ClientName, "entry.engine", peer.ServerName, peer.PoolName)
+	k.Register("entry.routing", routing.NewModule(s.Routing, nil), watch.ClientName, "entry.engine", peer.ServerName, peer.PoolName)
 	front := entry.NewModule(entry.Config{
 		Settings: s.Entry, TLS: s.TLS, Hasher: keys.NewHasher(strings.TrimSpace(string(hashKey))),
 		Self: watch.VM{Name: s.Node.Name, Address: s.Node.Address, FailureDomain: s.Node.FailureDomain},
--- /dev/null
+++ b/internal/fleetcontrol/machine.go
@@ -0,0 +1,162 @@
+// Package fleetcontrol is the control side of a fleet's configuration: the replicated
+// document and the named weights, operators' calls, the list of servers, the entry VMs
+// that are there, and the poll by which entry VMs follow all of it.
+//
+// Invariants: the document with the highest version is in force, and the first accepted
+// document of a version stays the only one; what entry VMs are told was true on a
+// replica that held the leader's lease when it answered.
+package fleetcontrol
+
+import (
+	"bytes"
+	"encoding/gob"
+	"io"
+	"maps"
+	"sync"
+
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/fleet"
+	"eelgrasshollow/internal/grants"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Namespace of the machine in the agreed log.
+const Namespace = "fleet"
+
+// Decode reads and checks a document. Errors are errkind InvalidRequest.
+type Decode func([]byte) (*fleet.Config, error)
+
+// command is one entry of the log: a document, or new weights.
+type command struct {
+	Document []byte
+	Model    string
+	Version  int64 // of the weights
+}
+
+func (c command) encode() ([]byte, error) {
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(c)
+	return b.Bytes(), errors.Wrap(err, "encode command")
+}
+
+// Results of an applied command.
+var (
+	inForce    = []byte{1}
+	superseded = []byte{2} // a document or weights of the same or a higher version stand
+	refused    = []byte{0}
+)
+
+// Held is the replicated state at one revision. It is immutable.
+type Held struct {
+	// Revision is the log index of the last change; 0 without any.
+	Revision uint64
+	// Document is the newest configuration as the operator sent it, or nil.
+	Document []byte
+	Config   *fleet.Config
+	// Weights is the newest version named for each model.
+	Weights map[string]int64
+}
+
+// Machine keeps the newest document. Apply, Snapshot and Restore are called by one
+// goroutine; Held is safe for concurrent use.
+type Machine struct {
+	decode Decode
+	mu     sync.RWMutex
+	held   *Held
+}
+
+// NewMachine returns an empty machine.
+func NewMachine(decode Decode) *Machine { return &Machine{decode: decode, held: &Held{}} }
+
+// Held returns the present state.
+func (m *Machine) Held() *Held {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.held
+}
+
+// Apply carries out a committed command.
+func (m *Machine) Apply(index uint64, data []byte) []byte {
+	var c command
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&c); err != nil {
+		return refused
+	}
+	old := m.Held()
+	next := *old
+	next.Revision = index
+	if c.Document == nil {
+		if c.Version <= old.Weights[c.Model] {
+			return superseded
+		}
+		next.Weights = maps.Clone(old.Weights)
+		if next.Weights == nil {
+			next.Weights = map[string]int64{}
+		}
+		next.Weights[c.Model] = c.Version
+		m.set(&next)
+		return inForce
+	}
+	config, err := m.decode(c.Document)
+	if err != nil {
+		return refused // it was checked before it was proposed, by another version of this program
+	}
+	if old.Config != nil && config.Version <= old.Config.Version {
+		return superseded
+	}
+	next.Document, next.Config = c.Document, config
+	m.set(&next)
+	return inForce
+}
+
+func (m *Machine) set(h *Held) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held = h
+}
+
+// image is the machine's form in a snapshot.
+type image struct {
+	Revision uint64
+	Document []byte
+	Weights  map[string]int64
+}
+
+// Snapshot writes the state.
+func (m *Machine) Snapshot(w io.Writer) error {
+	h := m.Held()
+	return errors.Wrap(gob.NewEncoder(w).Encode(image{h.Revision, h.Document, h.Weights}), "encode fleet")
+}
+
+// Restore replaces the state.
+func (m *Machine) Restore(r io.Reader) error {
+	var i image
+	if err := gob.NewDecoder(r).Decode(&i); err != nil {
+		return errors.Wrap(err, "decode fleet")
+	}
+	h := &Held{Revision: i.Revision, Document: i.Document, Weights: i.Weights}
+	if i.Document != nil {
+		config, err := m.decode(i.Document)
+		if err != nil {
+			return errkind.Wrap(err, errkind.Corrupt, "document of the snapshot")
+		}
+		h.Config = config
+	}
+	m.set(h)
+	return nil
+}
+
+// Limits implements grants.Limits over the document's client accounts.
+func (m *Machine) Limits() (map[string]grants.Limit, uint64, bool) {
+	h := m.Held()
+	if h.Config == nil {
+		return nil, 0, false
+	}
+	limits := map[string]grants.Limit{}
+	for _, a := range h.Config.Accounts {
+		if a.Rate > 0 {
+			limits[a.Name] = grants.Limit{Rate: a.Rate, Burst: a.Burst}
+		}
+	}
+	return limits, h.Revision, true
+}
--- /dev/null
+++ b/internal/fleetcontrol/module.go
@@ -0,0 +1,83 @@
+package fleetcontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"eelgrasshollow/internal/clock"
+	"eelgrasshollow/internal/consensus"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/peer"
+)
+
+// ModuleName is the module's name in the kernel.
+const ModuleName = "control.fleet"
+
+// ModuleConfig of a Module.
+type ModuleConfig struct {
+	Machine    *Machine
+	Lister     Lister
+	Orderer    Orderer
+	OrderLease time.Duration
+	Now        clock.Clock
+}
+
+// Module is the control side of the fleet in one process.
+type Module struct {
+	*Operators
+	cfg     ModuleConfig
+	service *Service
+	keeper  *Keeper
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// NewModule returns a module.
+func NewModule(cfg ModuleConfig) *Module { return &Module{cfg: cfg} }
+
+// Provision looks up agreement and registers the net/rpc receiver.
+func (m *Module) Provision(k *kernel.Kernel) error {
+	var (
+		replica *consensus.Module
+		pool    *peer.PoolModule
+		server  *peer.ServerModule
+	)
+	err := k.Find(kernel.As(consensus.ModuleName, &replica), kernel.As(peer.PoolName, &pool), kernel.As(peer.ServerName, &server))
+	if err != nil {
+		return err
+	}
+	log := k.Log.Named("fleet")
+	m.service = NewService(m.cfg.Machine, replica, log)
+	m.Operators = NewOperators(m.cfg.Machine, replica, pool, log)
+	m.keeper = NewKeeper(m.service, m.cfg.Lister, m.cfg.Orderer, m.cfg.OrderLease, m.cfg.Now, log)
+	return server.Register(ServiceName, &receiver{m.service})
+}
+
+// Start begins to keep the servers.
+func (m *Module) Start(ctx context.Context) error {
+	ctx, m.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	m.wg.Go(func() { m.service.Run(ctx) })
+	m.wg.Go(func() { m.keeper.Run(ctx) })
+	return nil
+}
+
+// Stop ends the work.
+func (m *Module) Stop(context.Context) error {
+	if m.cancel != nil {
+		m.cancel()
+		m.wg.Wait()
+	}
+	return nil
+}
+
+// receiver offers the net/rpc methods of a Service.
+type receiver struct{ service *Service }
+
+// Poll answers an entry VM.
+func (r *receiver) Poll(args *PollArgs, reply *PollReply) error { return r.service.Poll(args, reply) }
+
+// Propose takes a command from another replica.
+func (r *receiver) Propose(args *ProposeArgs, reply *ProposeReply) error {
+	return r.service.Propose(args, reply)
+}
--- /dev/null
+++ b/internal/gateway/retries.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"sync"
+
+	"eelgrasshollow/internal/budget"
+)
+
+// RetryBounds bound second tries of a service over all VMs together.
+type RetryBounds struct {
+	// Share of the service's requests, and Extra beyond it, over any window.
+	Share float64
+	Extra float64
+	// VMs tells how many VMs share Extra.
+	VMs func() int
+}
+
+// retrySafety is the part of the bound that is used: VMs that are cut off, or not known
+// yet, spend too.
+const retrySafety = 0.7
+
+// Retries keeps one budget for each service. It is safe for concurrent use.
+type Retries struct {
+	bounds  RetryBounds
+	mu      sync.Mutex
+	budgets map[string]*budget.Budget
+}
+
+// NewRetries returns full budgets.
+func NewRetries(b RetryBounds) *Retries {
+	return &Retries{bounds: b, budgets: map[string]*budget.Budget{}}
+}
+
+func (r *Retries) of(service string) *budget.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.budgets[service]
+	if b == nil {
+		b = budget.New(r.bounds.Share*retrySafety, int(r.bounds.Extra*retrySafety/float64(max(r.bounds.VMs(), 1))))
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// Earn counts a first try.
+func (r *Retries) Earn(service string) { r.of(service).Earn() }
+
+// Spend asks for a second try.
+func (r *Retries) Spend(service string) bool { return r.of(service).Spend() }
--- a/internal/grants/limiter.go
+++ b/internal/grants/limiter.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"eelgrasshollow/internal/clock"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/peer"
 
@@ -26,6 +27,7 @@
 	owner peer.Caller
 	log   *zap.Logger
 	start time.Time
+	clock clock.Clock
 	kick  chan struct{}
 
 	mu     sync.Mutex
@@ -33,16 +35,17 @@
 	failed bool // the last report was not answered
 }
 
-// NewClient returns a limiter that reports to owner once Run is called.
-func NewClient(opt HolderOptions, owner peer.Caller, log *zap.Logger) *Client {
+// NewClient returns a limiter that reports to owner once Run is called. Leases count by
+// now, which must go on while the VM is suspended.
+func NewClient(opt HolderOptions, owner peer.Caller, log *zap.Logger, now clock.Clock) *Client {
 	return &Client{
-		opt: opt, owner: owner, log: log, start: time.Now(),
+		opt: opt, owner: owner, log: log, start: now(), clock: now,
 		kick: make(chan struct{}, 1), holder: NewHolder(opt),
 	}
 }
 
-// now is monotonic time since the start.
-func (c *Client) now() time.Duration { return time.Since(c.start) }
+// now is the time since the start.
+func (c *Client) now() time.Duration { return c.clock().Sub(c.start) }
 
 // Reserve implements Limiter.
 func (c *Client) Reserve(ctx context.Context, account string, tokens int64) (Reservation, error) {
--- a/internal/grants/module.go
+++ b/internal/grants/module.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"eelgrasshollow/internal/clock"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/peer"
 	"eelgrasshollow/internal/statemachine"
@@ -40,13 +41,16 @@
 // HolderModule is entry.grants.
 type HolderModule struct {
 	cfg    HolderSettings
+	now    clock.Clock
 	client *Client
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
 
 // NewHolderModule returns the Limiter of an entry VM.
-func NewHolderModule(cfg HolderSettings) *HolderModule { return &HolderModule{cfg: cfg} }
+func NewHolderModule(cfg HolderSettings, now clock.Clock) *HolderModule {
+	return &HolderModule{cfg: cfg, now: now}
+}
 
 // Provision implements kernel.Module.
 func (m *HolderModule) Provision(k *kernel.Kernel) error {
@@ -61,7 +65,7 @@
 		Name: uuid.NewString(), Interval: m.cfg.Interval, Horizon: m.cfg.Horizon,
 		Queue: m.cfg.Queue, Outage: m.cfg.Outage, MaxQueue: m.cfg.MaxQueue,
 	}
-	m.client = NewClient(opt, p.Leader(), k.Log.Named("grants"))
+	m.client = NewClient(opt, p.Leader(), k.Log.Named("grants"), m.now)
 	return nil
 }
 
@@ -95,13 +99,15 @@
 type OwnerModule struct {
 	cfg     OwnerSettings
 	machine *Machine
+	limits  Limits
+	now     clock.Clock
 	service *Service
 	kernel.Background
 }
 
 // NewOwnerModule returns the owner's module; machine is the one in the replica's log.
-func NewOwnerModule(cfg OwnerSettings, machine *Machine) *OwnerModule {
-	return &OwnerModule{cfg: cfg, machine: machine}
+func NewOwnerModule(cfg OwnerSettings, machine *Machine, limits Limits, now clock.Clock) *OwnerModule {
+	return &OwnerModule{cfg: cfg, machine: machine, limits: limits, now: now}
 }
 
 // Provision implements kernel.Module.
@@ -112,15 +118,13 @@
 	var (
 		proposer statemachine.Proposer
 		leads    statemachine.Leadership
-		limits   Limits
 		s        server
 	)
-	err := k.Find(kernel.As("control.consensus", &proposer), kernel.As("control.consensus", &leads),
-		kernel.As("control.state", &limits), kernel.As("peer.server", &s))
+	err := k.Find(kernel.As("control.consensus", &proposer), kernel.As("control.consensus", &leads), kernel.As("peer.server", &s))
 	if err != nil {
 		return err
 	}
-	m.service = NewService(OwnerOptions{Lease: m.cfg.Lease}, limits, m.machine, proposer, leads, k.Log.Named("grants"))
+	m.service = NewService(OwnerOptions{Lease: m.cfg.Lease}, m.limits, m.machine, proposer, leads, k.Log.Named("grants"), m.now)
 	m.Run = m.service.Run
 	return s.Register("Grants", &Endpoint{m.service})
 }
--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"eelgrasshollow/internal/clock"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/peer"
 	"eelgrasshollow/internal/state"
@@ -15,8 +16,27 @@
 
 // Limits is where the owner reads the accounts' grants: the replicated state.
 type Limits interface {
-	View() *state.View
-	Changed() <-chan struct{}
+	// Limits returns every client account's grant, and a revision that changes with
+	// them; ok is false while nothing is known yet. The map must not be changed.
+	Limits() (limits map[string]Limit, revision uint64, ok bool)
+}
+
+// StateLimits reads the grants from the product's own configuration.
+type StateLimits struct {
+	Source interface{ View() *state.View }
+}
+
+// Limits implements Limits.
+func (s StateLimits) Limits() (map[string]Limit, uint64, bool) {
+	view := s.Source.View()
+	if view == nil {
+		return nil, 0, false
+	}
+	limits := map[string]Limit{}
+	for _, a := range view.Configuration().GetClientAccounts() {
+		limits[a.GetName()] = Limit{Rate: a.GetRateTokens(), Burst: a.GetBurstTokens()}
+	}
+	return limits, view.Revision(), true
 }
 
 // Timing of the owner's service.
@@ -35,6 +55,7 @@
 	leads    statemachine.Leadership
 	log      *zap.Logger
 	start    time.Time
+	clock    clock.Clock
 	kick     chan struct{}
 
 	mu       sync.Mutex
@@ -44,14 +65,14 @@
 }
 
 // NewService returns the owner's service; Run makes it work.
-func NewService(opt OwnerOptions, l Limits, m *Machine, p statemachine.Proposer, leads statemachine.Leadership, log *zap.Logger) *Service {
+func NewService(opt OwnerOptions, l Limits, m *Machine, p statemachine.Proposer, leads statemachine.Leadership, log *zap.Logger, now clock.Clock) *Service {
 	return &Service{
 		opt: opt, limits: l, machine: m, proposer: p, leads: leads, log: log,
-		start: time.Now(), kick: make(chan struct{}, 1),
+		start: now(), clock: now, kick: make(chan struct{}, 1),
 	}
 }
 
-func (s *Service) now() time.Duration { return time.Since(s.start) }
+func (s *Service) now() time.Duration { return s.clock().Sub(s.start) }
 
 // Sync is the net/rpc method that takes holders' reports.
 func (s *Service) Sync(req *SyncRequest, reply *SyncReply) error {
@@ -139,12 +160,12 @@
 // applied here and none can follow, and starts an owner from them.
 func (s *Service) takeOver(ctx context.Context, term uint64) {
 	s.stopServing()
-	view := s.limits.View()
-	if view == nil || !s.propose(ctx, command{Term: term}) {
+	limits, revision, ok := s.limits.Limits()
+	if !ok || !s.propose(ctx, command{Term: term}) {
 		return
 	}
 	owner := NewOwner(term, s.opt)
-	changes := owner.adopt(s.now(), view, s.machine)
+	changes := owner.adopt(s.now(), limits, s.machine)
 	if len(changes) > 0 {
 		if !s.propose(ctx, command{Term: term, Changes: changes}) {
 			return
@@ -152,15 +173,15 @@
 		owner.Committed(changes)
 	}
 	s.mu.Lock()
-	s.owner, s.revision = owner, view.Revision()
+	s.owner, s.revision = owner, revision
 	s.mu.Unlock()
 	s.log.Info("owning grants", zap.Uint64("term", term), zap.Int("accounts", len(changes)))
 }
 
-// adopt sets the view's grants, takes up accounts that have a promise and no grant any
+// adopt sets the grants, takes up accounts that have a promise and no grant any
 // more, and returns the promises to start with.
-func (o *Owner) adopt(now time.Duration, view *state.View, m *Machine) []Change {
-	o.follow(now, view, m)
+func (o *Owner) adopt(now time.Duration, limits map[string]Limit, m *Machine) []Change {
+	o.follow(now, limits, m)
 	for _, c := range m.Promises() {
 		if o.accounts[c.Account] == nil {
 			o.SetLimit(now, c.Account, Limit{}, &c.Promise)
@@ -170,18 +191,17 @@
 	return o.Promises(now)
 }
 
-// follow sets every grant of the view, and takes away those that are not in it.
-func (o *Owner) follow(now time.Duration, view *state.View, m *Machine) {
-	for _, a := range view.Configuration().GetClientAccounts() {
-		limit := Limit{Rate: a.GetRateTokens(), Burst: a.GetBurstTokens()}
+// follow sets every grant, and takes away those that are not there any more.
+func (o *Owner) follow(now time.Duration, limits map[string]Limit, m *Machine) {
+	for name, limit := range limits {
 		var promised *Promise
-		if p, ok := m.Promised(a.GetName()); ok {
+		if p, ok := m.Promised(name); ok {
 			promised = &p
 		}
-		o.SetLimit(now, a.GetName(), limit, promised)
+		o.SetLimit(now, name, limit, promised)
 	}
 	for _, name := range o.names() {
-		if _, ok := view.Account(name); !ok {
+		if _, ok := limits[name]; !ok {
 			o.RemoveLimit(now, name)
 		}
 	}
@@ -203,9 +223,9 @@
 
 // followView sets the grants of a newer configuration. The caller holds the lock.
 func (s *Service) followView() {
-	if view := s.limits.View(); view != nil && view.Revision() != s.revision {
-		s.owner.follow(s.now(), view, s.machine)
-		s.revision = view.Revision()
+	if limits, revision, ok := s.limits.Limits(); ok && revision != s.revision {
+		s.owner.follow(s.now(), limits, s.machine)
+		s.revision = revision
 	}
 }
 
--- a/internal/grants/service_test.go
+++ b/internal/grants/service_test.go
@@ -73,10 +73,10 @@
 	r.set(&pb.ClientAccount{Name: "a", RateTokens: rate, BurstTokens: burst})
 	r.term.Store(1)
 	ctx, cancel := context.WithCancel(t.Context())
-	s := NewService(OwnerOptions{Lease: DefaultLease}, r, r.machine, r, r, zap.NewNop())
+	s := NewService(OwnerOptions{Lease: DefaultLease}, StateLimits{r}, r.machine, r, r, zap.NewNop(), time.Now)
 	c := NewClient(HolderOptions{
 		Name: "vm", Interval: time.Second, Horizon: 2 * time.Second, Queue: 300 * time.Millisecond, Outage: 2 * time.Second, MaxQueue: 8,
-	}, near{s}, zap.NewNop())
+	}, near{s}, zap.NewNop(), time.Now)
 	var running sync.WaitGroup
 	running.Go(func() { s.Run(ctx) })
 	running.Go(func() { c.Run(ctx) })
--- /dev/null
+++ b/internal/onplatform/common.go
@@ -0,0 +1,163 @@
+// Package onplatform joins the modules of the daemons as the users' platform runs them.
+package onplatform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"eelgrasshollow/internal/liveness"
+	"eelgrasshollow/internal/logging"
+	"eelgrasshollow/platform"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+)
+
+const (
+	// memoryShare is the part of the memory limit that the runtime aims to stay below; the
+	// rest is for what it does not count.
+	memoryShare = 0.75
+	// settingsEvery is the time between two looks at the settings file, which may change
+	// without a signal.
+	settingsEvery = 2 * time.Second
+	// acknowledge bounds how long a client may leave bytes unacknowledged, and sendBuffer
+	// the bytes it has not taken.
+	acknowledge = 10 * time.Second
+	sendBuffer  = 64 << 10
+	// logWait bounds the writing of the last log lines.
+	logWait = 300 * time.Millisecond
+	// headTime bounds the reading of a request's head, and keepIdle an idle connection;
+	// both lie above every limit that a configuration has set so far.
+	headTime = 10 * time.Second
+	keepIdle = 60 * time.Second
+)
+
+// process is what every daemon starts with.
+type process struct {
+	settings *platform.Settings
+	log      *zap.Logger
+	out      *logging.Bounded
+	registry *prometheus.Registry
+	path     string
+}
+
+func begin(path, daemon string) (*process, error) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	out := logging.NewBounded(os.Stdout)
+	log, err := logging.NewOutput(logging.Settings{Level: "info"}, daemon, s.VM, out)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{settings: s, log: log, out: out, registry: prometheus.NewRegistry(), path: path}
+	p.registry.MustRegister(collectors.NewGoCollector(), prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "eelgrass_log_lines_dropped_total", Help: "Log lines that found no room.",
+	}, func() float64 { return float64(out.Dropped()) }))
+	log.Info("start", zap.String("failure_domain", s.FailureDomain), zap.String("peer_address", s.PeerAddress),
+		zap.Strings("seeds", s.Seeds), zap.Bool("first_start", s.FirstStart))
+	return p, nil
+}
+
+func (p *process) end(err error) {
+	p.log.Info("stop", zap.Error(err))
+	p.out.Close(logWait)
+}
+
+// watchSettings reads the settings again at SIGHUP and when the file has changed, until
+// ctx ends. Settings that can't be read leave the old ones in force.
+func (p *process) watchSettings(ctx context.Context, changed func(*platform.Settings)) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	last := stamp(p.path)
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			signalled = true
+		case <-ticker.C:
+		}
+		now := stamp(p.path)
+		if now == last && !signalled {
+			continue
+		}
+		last = now
+		s, err := platform.LoadSettings(p.path)
+		if err != nil {
+			p.log.Error("settings can't be read; the old ones stay", zap.Error(err))
+			continue
+		}
+		p.log.Info("settings reloaded", zap.Bool("signal", signalled), zap.Strings("seeds", s.Seeds))
+		changed(s)
+	}
+}
+
+type fileStamp struct {
+	modified time.Time
+	size     int64
+}
+
+func stamp(path string) fileStamp {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileStamp{} // it is being replaced; the next look will tell
+	}
+	return fileStamp{info.ModTime(), info.Size()}
+}
+
+// door is one HTTP listener of a daemon.
+type door struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// open listens and serves in the background.
+func (p *process) open(ctx context.Context, name, address string, handler http.Handler) (*door, error) {
+	listener, err := liveness.Listen(ctx, address, acknowledge, sendBuffer)
+	if err != nil {
+		return nil, err
+	}
+	d := &door{listener: listener, server: &http.Server{
+		Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: keepIdle, ErrorLog: zap.NewStdLog(p.log.Named("http")),
+	}}
+	go func() {
+		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.log.Error("listener ended", zap.String("door", name), zap.Error(err))
+		}
+	}()
+	return d, nil
+}
+
+// openMetrics serves the process's own metrics; a port of 0 serves none.
+func (p *process) openMetrics(ctx context.Context, port string) {
+	if port == "" {
+		return
+	}
+	host, _, err := net.SplitHostPort(p.settings.PeerAddress)
+	if err == nil {
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+		_, err = p.open(ctx, "metrics", net.JoinHostPort(host, port), mux)
+	}
+	if err != nil {
+		p.log.Error("metrics are not served", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/onplatform/entry.go
@@ -0,0 +1,161 @@
+package onplatform
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"eelgrasshollow/internal/clock"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/fleetview"
+	"eelgrasshollow/internal/gateway"
+	"eelgrasshollow/internal/grants"
+	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/membership"
+	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/routing"
+	"eelgrasshollow/platform"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// lookupKeep is how long callers are told to keep the list of addresses, at most the
+	// platform's bound.
+	lookupKeep = 2 * time.Second
+	// lookupMost is how many addresses callers are told of.
+	lookupMost = 64
+	// leaveShare is the part of the grace in which a stopping VM still takes requests, as
+	// callers keep an address for up to three times what they were told.
+	leaveShare = 0.65
+	// stopShare is the part of the grace in which everything has ended.
+	stopShare = 0.95
+	// grantQueue is how long a request may wait for tokens, and grantOutage how long while
+	// the owner of the grants does not answer.
+	grantQueue  = 200 * time.Millisecond
+	grantOutage = 300 * time.Millisecond
+)
+
+// entry is a running entry VM.
+type entry struct {
+	*process
+	view    *fleetview.Client
+	leaving atomic.Bool
+}
+
+// RunEntry serves as an entry VM until ctx ends. metricsPort is "" for none.
+func RunEntry(ctx context.Context, settingsPath, metricsPort string) error {
+	p, err := begin(settingsPath, "eelgrass-entry")
+	if err != nil {
+		return err
+	}
+	p.openMetrics(ctx, metricsPort)
+	e := &entry{process: p}
+	k := kernel.New(p.log)
+	e.register(k)
+	go p.watchSettings(ctx, func(s *platform.Settings) { e.view.SetSeeds(s.Seeds) })
+	err = k.Run(ctx, time.Duration(stopShare*float64(p.settings.Bounds.Grace)))
+	p.end(err)
+	return err
+}
+
+func (e *entry) register(k *kernel.Kernel) {
+	s := e.settings
+	client := platform.NewClient(s.ListAddress, s.VM, e.log.Named("servers"))
+	e.view = fleetview.NewClient(fleetview.Config{
+		VM: membership.VM{
+			Name: s.VM, Address: s.CallerAddress, PeerAddress: s.PeerAddress, FailureDomain: s.FailureDomain, Incarnation: rand.Uint64(),
+		},
+		Decode: platform.DecodeConfig, Lister: client, ListCalls: s.ListCalls, Seeds: s.Seeds, Now: clock.Boot, Log: e.log.Named("view"),
+	})
+	k.Register(peer.ServerName, peer.NewServerModule(e.log.Named("peer"), s.PeerAddress, nil))
+	k.Register(peer.PoolName, peer.NewPoolModule(peer.Options{}, s.Seeds))
+	k.Register(fleetview.ModuleName, e.view, peer.PoolName)
+	holder := grants.NewHolderModule(grants.HolderSettings{
+		Interval: time.Second, Horizon: 2500 * time.Millisecond, Queue: grantQueue, Outage: grantOutage, MaxQueue: 64,
+	}, clock.Boot)
+	k.Register("entry.grants", holder, peer.PoolName, fleetview.ModuleName)
+	router := routing.NewModule(routing.Settings{
+		QueuePerEndpoint: 64, LongestWait: 5 * time.Second, TrackedPrefixes: 20_000, DigestEvery: 250 * time.Millisecond,
+		DigestBytes: 1024, LoadEvery: 500 * time.Millisecond, RetryShare: 1,
+	}, e.view)
+	k.Register(routing.ModuleName, router, fleetview.ModuleName, peer.ServerName, peer.PoolName)
+	vms := func() int { return len(e.view.VMs()) }
+	core := gateway.New(gateway.Deps{
+		Directory: e.view, Router: router, Upstream: client, Log: e.log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
+		Limiter: grants.NewSpare(holder, e.grant, grants.Tolerance{
+			Over: s.Bounds.GrantOver, Slack: s.Bounds.GrantSlack, Window: s.Bounds.GrantWindow,
+		}, vms, clock.Boot),
+		Retries: gateway.NewRetries(gateway.RetryBounds{Share: s.Bounds.RetryShare, Extra: s.Bounds.RetryExtra, VMs: vms}),
+	})
+	front := platform.NewFront(core.Serve, e.bodyLimit, e.leaving.Load, e.log.Named("front"))
+	k.Register("entry.http", &doorModule{process: e.process, name: "callers", address: s.CallerAddress,
+		handler: func() http.Handler { return front }, drain: e.drain}, routing.ModuleName, "entry.grants")
+	k.Register("entry.ready", &doorModule{process: e.process, name: "ready", address: s.ReadyAddress,
+		handler: func() http.Handler { return platform.ReadyHandler(e.ready) }}, "entry.http")
+	if s.LookupAddress != "" {
+		keep := min(lookupKeep, s.Bounds.LookupKeep)
+		k.Register("entry.lookup", &doorModule{process: e.process, name: "lookup", address: s.LookupAddress,
+			handler: func() http.Handler { return platform.LookupHandler(e.addresses, keep) }}, fleetview.ModuleName)
+	}
+}
+
+// grant returns an account's grant as last known.
+func (e *entry) grant(account string) (grants.Limit, bool) {
+	c := e.view.View().Config
+	if c == nil {
+		return grants.Limit{}, false
+	}
+	for _, a := range c.Accounts {
+		if a.Name == account {
+			return grants.Limit{Rate: a.Rate, Burst: a.Burst}, true
+		}
+	}
+	return grants.Limit{}, false
+}
+
+func (e *entry) bodyLimit() int64 {
+	if c := e.view.View().Config; c != nil {
+		return c.Limits.BodyBytes
+	}
+	return 0
+}
+
+// ready says why this VM takes no callers, or nil.
+func (e *entry) ready() error {
+	switch {
+	case e.leaving.Load():
+		return errkind.New(errkind.Draining, "this VM is stopping")
+	case e.view.View().Config == nil:
+		return errkind.New(errkind.Stale, "no configuration is known yet")
+	}
+	return nil
+}
+
+// addresses lists the entry VMs for a caller.
+func (e *entry) addresses(string) []string {
+	var all []string
+	for _, vm := range e.view.VMs() {
+		self := vm.Name == e.settings.VM
+		if vm.Leaving || self && e.ready() != nil {
+			continue
+		}
+		all = append(all, vm.Address)
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), lookupMost)]
+}
+
+// drain announces that this VM stops and serves on while callers still hold its address.
+func (e *entry) drain(ctx context.Context) {
+	e.leaving.Store(true)
+	if err := e.view.Leave(ctx); err != nil {
+		e.log.Warn("leaving was not announced; the other VMs will notice the silence", zap.Error(err))
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(leaveShare * float64(e.settings.Bounds.Grace))):
+	}
+}
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,24 +33,39 @@
 	return &LeaderClient{pool: pool, addresses: addresses}
 }
 
+// SetAddresses replaces the replicas; the last known leader stays the first to ask.
+func (l *LeaderClient) SetAddresses(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(addresses) == 0 || slices.Equal(addresses, l.addresses) {
+		return
+	}
+	leader := ""
+	if l.last < len(l.addresses) {
+		leader = l.addresses[l.last]
+	}
+	l.addresses = slices.Clone(addresses)
+	l.last = max(0, slices.Index(l.addresses, leader))
+}
+
 // Call tries the last known leader, then the others, until ctx ends. Only answers
 // that prove the call did not run (cannot reach, not leader) are tried elsewhere.
 func (l *LeaderClient) Call(ctx context.Context, method string, args, reply any) error {
 	for {
 		var err error
-		for range l.addresses {
-			at := l.current()
-			err = l.pool.Call(ctx, l.addresses[at], method, args, reply)
+		for range l.count() {
+			address := l.current()
+			err = l.pool.Call(ctx, address, method, args, reply)
 			if err == nil {
 				return nil
 			}
 			if silent(err) {
-				l.advance(at) // the call may have run; the next one asks another replica
+				l.advance(address) // the call may have run; the next one asks another replica
 			}
 			if !elsewhere(err) || ctx.Err() != nil {
 				return err
 			}
-			l.advance(at)
+			l.advance(address)
 		}
 		select {
 		case <-ctx.Done():
@@ -68,17 +84,24 @@
 	return e.Outcome == errkind.NotRun && (e.Kind == errkind.NotLeader || e.Kind == errkind.NoQuorum)
 }
 
-func (l *LeaderClient) current() int {
+func (l *LeaderClient) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.addresses)
+}
+
+// current returns the replica to ask.
+func (l *LeaderClient) current() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.last
+	return l.addresses[l.last]
 }
 
-// advance moves past the replica at index at, unless another call already did.
-func (l *LeaderClient) advance(at int) {
+// advance moves past the replica at address, unless another call already did.
+func (l *LeaderClient) advance(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.last == at {
-		l.last = (at + 1) % len(l.addresses)
+	if l.addresses[l.last] == address {
+		l.last = (l.last + 1) % len(l.addresses)
 	}
 }
--- a/internal/peer/module.go
+++ b/internal/peer/module.go
@@ -105,6 +105,9 @@
 // Leader returns the client of the control leader.
 func (m *PoolModule) Leader() Caller { return m.leader }
 
+// LeaderClient returns the client of the control leader, for one who follows the replicas.
+func (m *PoolModule) LeaderClient() *LeaderClient { return m.leader }
+
 // Provision needs nothing.
 func (m *PoolModule) Provision(*kernel.Kernel) error { return nil }
 
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -64,5 +64,21 @@
 	return chain
 }
 
+// ChainOf returns one hash per part of a prompt whose parts have names of their own.
+func ChainOf(seed Seed, parts []string) []Hash {
+	chain := make([]Hash, 0, len(parts))
+	last := uint64(seed)
+	var frame [8]byte
+	for _, part := range parts {
+		binary.LittleEndian.PutUint64(frame[:], last)
+		d := xxhash.New()
+		_, _ = d.Write(frame[:]) // a hash.Hash never fails
+		_, _ = d.WriteString(part)
+		last = d.Sum64()
+		chain = append(chain, Hash(last))
+	}
+	return chain
+}
+
 // Tokens estimates the tokens of a text of n bytes.
 func Tokens(n int) int { return (n + BytesPerToken - 1) / BytesPerToken }
--- /dev/null
+++ b/internal/rollout/planner.go
@@ -0,0 +1,239 @@
+// Package rollout brings servers to the newest named weights, a few at a time. The
+// Planner is a plain state machine: servers, reports and the time go in, calls to make
+// come out.
+//
+// Invariants: no more servers than Config.AtOnce allows are under change at a time; each
+// order names the number of orders that the server had accepted when it was read, so a
+// late or repeated order has no effect after another one.
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"eelgrasshollow/internal/fleet"
+)
+
+// Config tunes a Planner.
+type Config struct {
+	// AtOnce and AtOnceShare bound the servers of a service under change: the greater of
+	// the count and the share. More slow each other down at the store of the weights.
+	AtOnce      int
+	AtOnceShare float64
+	// Notice is how long a server is announced as changing before it gets its order, so
+	// that requests already go elsewhere.
+	Notice time.Duration
+	// FirstLook is when a server is first asked whether it has loaded; LookEvery is the
+	// time between further looks.
+	FirstLook time.Duration
+	LookEvery time.Duration
+	// Patience is how long one server may take before another one may go first.
+	Patience time.Duration
+	// BackOff is how long a server that could not be reached is left alone.
+	BackOff time.Duration
+}
+
+// DefaultConfig returns the tuning of a control VM. A load takes about 2 s when few run.
+func DefaultConfig() Config {
+	return Config{
+		AtOnce: 2, AtOnceShare: 0.2, Notice: 150 * time.Millisecond, FirstLook: 1800 * time.Millisecond,
+		LookEvery: 300 * time.Millisecond, Patience: 12 * time.Second, BackOff: 2 * time.Second,
+	}
+}
+
+// CallKind says what to ask of a server.
+type CallKind uint8
+
+// The calls.
+const (
+	// Look reads the server's report.
+	Look CallKind = iota
+	// Load orders the server to take other weights.
+	Load
+)
+
+// Call is one call to make; its result goes to Looked or Ordered.
+type Call struct {
+	Kind    CallKind
+	Server  fleet.Server
+	Model   string
+	Version int64
+	// Sequence is the number of orders that the server must have accepted so far.
+	Sequence int64
+}
+
+// Report is what a server says of itself.
+type Report struct {
+	Weights  []fleet.Weights
+	Busy     bool // an order is under way
+	Sequence int64
+}
+
+// change is a server under change.
+type change struct {
+	model   string
+	version int64
+	since   time.Time
+	due     time.Time // of the next call
+	calling bool      // a call is out
+}
+
+// Planner keeps which servers are under change. It is not safe for concurrent use.
+type Planner struct {
+	config  Config
+	changes map[string]*change
+	known   map[string][]fleet.Weights // newer than the list
+	backOff map[string]time.Time
+}
+
+// NewPlanner returns a planner that has ordered nothing.
+func NewPlanner(c Config) *Planner {
+	return &Planner{config: c, changes: map[string]*change{}, known: map[string][]fleet.Weights{}, backOff: map[string]time.Time{}}
+}
+
+// Changing reports whether a server is under change.
+func (p *Planner) Changing(s fleet.Server) bool { return p.changes[s.Key()] != nil }
+
+// version is the newest knowledge of a model's version on a server.
+func (p *Planner) version(s fleet.Server, model string) (int64, bool) {
+	v, ok := s.Version(model)
+	for _, w := range p.known[s.Key()] {
+		if w.Model == model {
+			v, ok = max(v, w.Version), true
+		}
+	}
+	return v, ok
+}
+
+// Step returns the calls to make now. wanted is the named version of each model.
+func (p *Planner) Step(now time.Time, servers []fleet.Server, wanted map[string]int64) []Call {
+	p.forget(servers)
+	byService := map[string][]fleet.Server{}
+	for _, s := range servers {
+		if len(s.Weights) > 0 {
+			byService[s.Service] = append(byService[s.Service], s)
+		}
+	}
+	var calls []Call
+	for _, service := range slices.Sorted(maps.Keys(byService)) {
+		group := byService[service]
+		p.begin(now, group, wanted)
+		for _, s := range group {
+			if c := p.changes[s.Key()]; c != nil {
+				if call, due := c.next(now, s, wanted); due {
+					calls = append(calls, call)
+				}
+			}
+		}
+	}
+	return calls
+}
+
+// forget drops what is kept of servers that are gone or leaving.
+func (p *Planner) forget(servers []fleet.Server) {
+	there := map[string]bool{}
+	for _, s := range servers {
+		there[s.Key()] = !s.Draining
+	}
+	maps.DeleteFunc(p.changes, func(key string, _ *change) bool { return !there[key] })
+	maps.DeleteFunc(p.known, func(key string, _ []fleet.Weights) bool { return !there[key] })
+	maps.DeleteFunc(p.backOff, func(key string, _ time.Time) bool { return !there[key] })
+}
+
+// begin puts outdated servers under change while there is room, those furthest behind
+// first.
+func (p *Planner) begin(now time.Time, group []fleet.Server, wanted map[string]int64) {
+	room := max(p.config.AtOnce, int(p.config.AtOnceShare*float64(len(group))))
+	var outdated []fleet.Server
+	for _, s := range group {
+		c := p.changes[s.Key()]
+		switch {
+		case c != nil && now.Sub(c.since) <= p.config.Patience:
+			room--
+		case c != nil:
+			// It stays under change, but no longer holds up the others.
+		case !s.Draining && now.After(p.backOff[s.Key()]) && p.outdated(s, wanted) != "":
+			outdated = append(outdated, s)
+		}
+	}
+	slices.SortStableFunc(outdated, func(a, b fleet.Server) int {
+		va, _ := p.version(a, p.outdated(a, wanted))
+		vb, _ := p.version(b, p.outdated(b, wanted))
+		return cmp.Compare(va, vb)
+	})
+	for _, s := range outdated[:min(max(room, 0), len(outdated))] {
+		model := p.outdated(s, wanted)
+		p.changes[s.Key()] = &change{model: model, version: wanted[model], since: now, due: now.Add(p.config.Notice)}
+	}
+}
+
+// outdated names a model that the server has in an older version than wanted, or "".
+func (p *Planner) outdated(s fleet.Server, wanted map[string]int64) string {
+	for _, w := range s.Weights {
+		if v, _ := p.version(s, w.Model); v < wanted[w.Model] {
+			return w.Model
+		}
+	}
+	return ""
+}
+
+// next is the call that is due for a server. Before each order its report is read.
+func (c *change) next(now time.Time, s fleet.Server, wanted map[string]int64) (Call, bool) {
+	if c.calling || now.Before(c.due) {
+		return Call{}, false
+	}
+	c.calling = true
+	c.version = max(c.version, wanted[c.model])
+	return Call{Kind: Look, Server: s, Model: c.model, Version: c.version}, true
+}
+
+// Looked takes in a report, or the failure to get one. It returns the order to give at
+// once, if any.
+func (p *Planner) Looked(now time.Time, call Call, r Report, err error) (Call, bool) {
+	key := call.Server.Key()
+	c := p.changes[key]
+	if c == nil {
+		return Call{}, false
+	}
+	c.calling = false
+	if err != nil {
+		p.giveUp(now, key)
+		return Call{}, false
+	}
+	c.due = now.Add(p.config.LookEvery)
+	p.known[key] = r.Weights
+	v, loaded := p.version(call.Server, c.model)
+	switch {
+	case r.Busy:
+	case !loaded:
+		p.giveUp(now, key)
+	case v >= c.version:
+		delete(p.changes, key)
+	default:
+		c.calling = true
+		return Call{Kind: Load, Server: call.Server, Model: c.model, Version: c.version, Sequence: r.Sequence}, true
+	}
+	return Call{}, false
+}
+
+// Ordered takes in what came of an order. One without an answer may still be carried
+// out; the next look tells.
+func (p *Planner) Ordered(now time.Time, call Call, accepted bool) {
+	c := p.changes[call.Server.Key()]
+	if c == nil {
+		return
+	}
+	c.calling = false
+	c.due = now.Add(p.config.LookEvery)
+	if accepted {
+		c.due = now.Add(p.config.FirstLook)
+	}
+}
+
+// giveUp lets a server go that can't be changed now.
+func (p *Planner) giveUp(now time.Time, key string) {
+	delete(p.changes, key)
+	p.backOff[key] = now.Add(p.config.BackOff)
+}
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -13,18 +13,23 @@
 
 // Request is what routing knows of a request. Model and Service exclude each other.
 type Request struct {
-	ID           string
-	Account      string
-	Model        string
-	Version      string
-	Adapter      string
-	Service      string
-	Seed         prefix.Seed
-	Chain        []prefix.Hash
+	ID      string
+	Account string
+	Model   string
+	Version string
+	Adapter string
+	Service string
+	Seed    prefix.Seed
+	Chain   []prefix.Hash
+	// PieceEnds are the tokens up to the end of each piece of Chain; without them every
+	// piece has prefix.PieceTokens.
+	PieceEnds    []int
 	PromptTokens int
 	MaxTokens    int
 	Priority     int
 	Idempotent   bool
+	// LongestWait bounds the wait for a place; 0 takes the settings' bound.
+	LongestWait time.Duration
 	// Exclude names endpoints that already failed this request.
 	Exclude []string
 }
@@ -51,6 +56,8 @@
 	Incarnation  string // as the endpoint's answer says
 	PromptTokens int
 	CachedTokens int
+	// CacheUnknown says that the endpoint does not tell CachedTokens.
+	CacheUnknown bool
 	OutputTokens int
 	FirstToken   time.Duration // from sending to the first token
 	Err          *errkind.Error
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -190,7 +190,7 @@
 		return true
 	}
 	wait := c.wait(&p.Request, s)
-	if wait > c.limits.LongestWait {
+	if wait > c.longest(&p.Request) {
 		c.refuse(p, overloaded(wait))
 		return false
 	}
@@ -210,7 +210,15 @@
 	if s.InFlight < s.limit(c.vms) && s.queue.Len() == 0 {
 		return true
 	}
-	return s.queue.Len() < c.limits.QueuePerEndpoint && c.wait(r, s) <= c.limits.LongestWait
+	return s.queue.Len() < c.limits.QueuePerEndpoint && c.wait(r, s) <= c.longest(r)
+}
+
+// longest is how long a request may wait for a place.
+func (c *Core) longest(r *Request) time.Duration {
+	if r.LongestWait > 0 {
+		return min(r.LongestWait, c.limits.LongestWait)
+	}
+	return c.limits.LongestWait
 }
 
 // wait predicts how long a newcomer waits for a place, in fair order.
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -106,9 +106,9 @@
 			depth := c.policy.Truth.Cached(s.Name, r.Chain)
 			k.Match = cacheindex.Match{Depth: depth, RawDepth: depth}
 		}
-		k.Missed -= cachedTokens(k.Match.Depth, r.PromptTokens)
+		k.Missed -= r.tokensOf(k.Match.Depth)
 		if k.Match.Age < doubtfulAges*c.index.Lifetime(s.index) {
-			k.Missed -= (cachedTokens(k.Match.RawDepth, r.PromptTokens) - cachedTokens(k.Match.Depth, r.PromptTokens)) / 2
+			k.Missed -= (r.tokensOf(k.Match.RawDepth) - r.tokensOf(k.Match.Depth)) / 2
 		}
 	}
 	return k
@@ -150,11 +150,14 @@
 	}
 	s.succeeded()
 	actual := max(r.PromptTokens-r.CachedTokens, 0)
+	if r.CacheUnknown {
+		actual = p.missed
+	}
 	s.observe(p.work-p.missed+actual, r.FirstToken, now.Sub(p.sent))
 	if len(p.Request.Chain) == 0 || !present {
 		return
 	}
-	if p.run == s.run {
+	if p.run == s.run && !r.CacheUnknown {
 		cached := r.CachedTokens / prefix.PieceTokens
 		c.index.Learn(s.index, p.match, cached)
 	}
--- a/internal/routing/exchange_test.go
+++ b/internal/routing/exchange_test.go
@@ -99,7 +99,7 @@
 	k.Register(peer.ServerName, &vmServer{net: net, address: address})
 	k.Register(peer.PoolName, &vmPool{net: net})
 	k.Register("entry.engine", source)
-	m := NewModule(Settings{QueuePerEndpoint: 8, LongestWait: time.Second, TrackedPrefixes: 1000, DigestEvery: 100 * time.Millisecond, DigestBytes: 1024, LoadEvery: 500 * time.Millisecond})
+	m := NewModule(Settings{QueuePerEndpoint: 8, LongestWait: time.Second, TrackedPrefixes: 1000, DigestEvery: 100 * time.Millisecond, DigestBytes: 1024, LoadEvery: 500 * time.Millisecond}, nil)
 	k.Register(ModuleName, m, "entry.directory", peer.ServerName, peer.PoolName, "entry.engine")
 	assert.NilError(t, k.Start(t.Context()))
 	t.Cleanup(func() { assert.NilError(t, k.Stop(context.Background())) })
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -5,11 +5,9 @@
 	"sync"
 	"time"
 
-	pb "eelgrasshollow/gen/eelgrass/v1"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/peer"
-	"eelgrasshollow/internal/state"
 	"eelgrasshollow/internal/watch"
 
 	"go.uber.org/zap"
@@ -45,7 +43,7 @@
 	settings  Settings
 	policy    Policy
 	log       *zap.Logger
-	directory watch.Directory
+	inventory Inventory
 	fleet     watch.Fleet // nil when the directory does not know the entry VMs
 	server    addressed   // nil without peers
 	pool      caller
@@ -62,16 +60,22 @@
 	group  *errgroup.Group
 }
 
-// NewModule returns the module entry.routing with the entry VMs' policy.
-func NewModule(s Settings) *Module { return &Module{settings: s, policy: Ours(DefaultTuning())} }
+// NewModule returns the module entry.routing with the entry VMs' policy. Its endpoints
+// are those of inventory, or with nil those of the module entry.directory.
+func NewModule(s Settings, inventory Inventory) *Module {
+	return &Module{settings: s, policy: Ours(DefaultTuning()), inventory: inventory}
+}
 
 // Provision looks up the directory.
 func (m *Module) Provision(k *kernel.Kernel) error {
-	directory, err := kernel.Lookup[watch.Directory](k, "entry.directory")
-	if err != nil {
-		return err
+	if m.inventory == nil {
+		directory, err := kernel.Lookup[watch.Directory](k, "entry.directory")
+		if err != nil {
+			return err
+		}
+		m.inventory = configured{directory}
 	}
-	m.directory, m.log = directory, k.Log.Named("routing")
+	m.log = k.Log.Named("routing")
 	m.core = NewCore(m.policy, m.settings.limits(), time.Now())
 	m.fleet, _ = kernel.Lookup[watch.Fleet](k, "entry.directory")
 	m.source, _ = kernel.Lookup[Source](k, "entry.engine")
@@ -147,7 +151,7 @@
 
 func (m *Module) follow(ctx context.Context) error {
 	for {
-		changed := m.directory.Changed()
+		changed := m.inventory.Changed()
 		m.mu.Lock()
 		m.refresh(time.Now())
 		m.mu.Unlock()
@@ -176,45 +180,15 @@
 
 // refresh takes over a newer view; the caller holds the mutex.
 func (m *Module) refresh(now time.Time) {
-	v := m.directory.View()
-	if v == nil || m.known && v.Revision() == m.revision {
+	revision, known := m.inventory.Revision()
+	if !known || m.known && revision == m.revision {
 		return
 	}
-	m.known, m.revision = true, v.Revision()
-	m.core.SetFleet(now, Fleet(v))
-	m.core.SetStores(Stores(v))
-	wanted := map[string]string{}
-	for _, model := range v.Models() {
-		wanted[model.GetName()] = model.GetWeightsVersion()
-	}
-	m.core.SetVersions(wanted)
-}
-
-// Stores lists the kept-cache stores of a view.
-func Stores(v *state.View) []Store {
-	var stores []Store
-	for _, e := range v.Configuration().GetEndpoints() {
-		if e.GetRole() == pb.EndpointRole_ENDPOINT_ROLE_KEPT_CACHE && !e.GetLeaving() {
-			stores = append(stores, Store{Name: e.GetName(), Address: e.GetAddress()})
-		}
-	}
-	return stores
-}
-
-// Fleet lists the endpoints of a view that requests go to.
-func Fleet(v *state.View) []Endpoint {
-	var fleet []Endpoint
-	for _, e := range v.Configuration().GetEndpoints() {
-		switch e.GetRole() {
-		case pb.EndpointRole_ENDPOINT_ROLE_ENGINE, pb.EndpointRole_ENDPOINT_ROLE_PLAIN:
-			fleet = append(fleet, Endpoint{
-				Name: e.GetName(), Address: e.GetAddress(), FailureDomain: e.GetFailureDomain(),
-				Models: e.GetModels(), Service: e.GetService(), Leaving: e.GetLeaving(),
-				MaxConcurrent: int(e.GetMaxConcurrent()),
-			})
-		}
-	}
-	return fleet
+	stock := m.inventory.Stock()
+	m.known, m.revision = true, stock.Revision
+	m.core.SetFleet(now, stock.Endpoints)
+	m.core.SetStores(stock.Stores)
+	m.core.SetVersions(stock.Wanted)
 }
 
 // Pick waits in the admission queue for a place at the best endpoint.
--- a/internal/routing/pending.go
+++ b/internal/routing/pending.go
@@ -40,7 +40,13 @@
 // cost is what a request counts against its account's share.
 func (p *Pending) cost() int { return max(p.Request.PromptTokens+p.Request.MaxTokens, 1) }
 
-// cachedTokens turns pieces into tokens, within the prompt.
-func cachedTokens(pieces, prompt int) int {
-	return min(pieces*prefix.PieceTokens, prompt)
+// tokensOf turns leading pieces into tokens, within the prompt.
+func (r *Request) tokensOf(pieces int) int {
+	switch {
+	case pieces == 0:
+		return 0
+	case pieces <= len(r.PieceEnds):
+		return min(r.PieceEnds[pieces-1], r.PromptTokens)
+	}
+	return min(pieces*prefix.PieceTokens, r.PromptTokens)
 }
--- a/internal/routing/score_import.go
+++ b/internal/routing/score_import.go
@@ -1,10 +1,6 @@
 package routing
 
-import (
-	"time"
-
-	"eelgrasshollow/internal/prefix"
-)
+import "time"
 
 // importScorer credits a candidate with what an import from the kept-cache store
 // saves, where the import is cheaper than computing.
@@ -24,7 +20,7 @@
 	}
 	for i := range candidates {
 		k := &candidates[i]
-		tokens := min((c.Kept.Depth-k.Match.Depth)*prefix.PieceTokens, k.Missed)
+		tokens := min(c.Request.tokensOf(c.Kept.Depth)-c.Request.tokensOf(k.Match.Depth), k.Missed)
 		if tokens <= 0 {
 			continue
 		}
