Copy shared prefixes between engines and from the store; stop taking requests late in a stop

Ruled out: lack of capacity (own tokens need a third of five engines).

Change: routing credits candidates with what they can copy from the engine or store that holds most under the same weights, and names a store to save to where a shared prefix is computed; cache namespaces carry the weights, and engines refuse other weights than expected, so nothing of other weights can be copied; a refusal takes an engine out for 250 ms; a stopping VM refuses from 0.35 of its grace on.

Conclusion: what is still read again is to be traced next.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -24,6 +25,9 @@
 	Version int64
 }
 
+// Name names the weights.
+func (w Weights) Name() string { return w.Model + "/" + strconv.FormatInt(w.Version, 10) }
+
 // Key names a server's place: a server that starts again elsewhere is another one.
 func (s Server) Key() string { return s.ID + "@" + s.Address }
 
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -55,6 +55,14 @@
 	// Stock counts changes of Servers at this VM.
 	Stock uint64
 	VMs   []membership.VM
+	// byKey finds servers by fleet.Server.Key.
+	byKey map[string]fleet.Server
+}
+
+// Version returns the weights version of a model on the server with a key; known is false
+// for servers and models that are not listed.
+func (v *View) Version(key, model string) (version int64, known bool) {
+	return v.byKey[key].Version(model)
 }
 
 // Config of a Client.
@@ -174,15 +182,23 @@
 	v := c.View()
 	stock := routing.Stock{Revision: v.Stock}
 	for _, s := range v.Servers {
-		outdated := false
+		outdated, weights := false, ""
 		for _, w := range s.Weights {
 			outdated = outdated || w.Version < v.Weights[w.Model]
+			weights += w.Name() + " "
 		}
 		stock.Endpoints = append(stock.Endpoints, routing.Endpoint{
 			Name: s.Key(), Address: s.Address, FailureDomain: s.FailureDomain, Service: s.Service,
-			Leaving: s.Draining || s.Changing, Outdated: outdated, MaxConcurrent: s.Slots,
+			Leaving: s.Draining || s.Changing, Outdated: outdated, Weights: weights, MaxConcurrent: s.Slots,
 		})
 	}
+	if v.Config != nil {
+		for _, s := range v.Config.Services {
+			if s.Store != nil {
+				stock.Stores = append(stock.Stores, routing.Store{Name: s.Name, Address: s.Store.Address})
+			}
+		}
+	}
 	return stock
 }
 
@@ -313,6 +329,7 @@
 		c.cfg.Log.Info("configuration in force", zap.Int64("version", config.Version), zap.Uint64("revision", reply.Revision),
 			zap.Int("routes", len(config.Routes)), zap.Int("client_accounts", len(config.Accounts)))
 		next.Config = config
+		next.Stock++ // the stores may be others
 	}
 }
 
@@ -322,8 +339,10 @@
 	}
 	next.Servers = servers
 	next.Stock++
+	next.byKey = make(map[string]fleet.Server, len(servers))
 	leaving := 0
 	for _, s := range servers {
+		next.byKey[s.Key()] = s
 		if s.Draining || s.Changing {
 			leaving++
 		}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -129,11 +129,25 @@
 	}
 	sent := time.Now()
 	a := Attempt{
-		Request: x.Request, Address: d.Address, Server: serverID(d.Endpoint, d.Address), Account: x.accountName(), Salt: x.salt,
+		Request: x.Request, Address: d.Address, Server: serverID(d.Endpoint, d.Address), Account: x.accountName(),
 		Priority: x.priority(), Left: time.Until(x.until), LastEvent: x.LastEvent, Sent: func() { x.sends.Add(1) },
 	}
-	x.server = a.Server
+	if version, known := g.Directory.View().Version(d.Endpoint, x.Prompt.Model); known && x.Prompt.Known {
+		a.Weights, a.Salt = version, x.salt(version)
+		if x.wall() == "" {
+			a.ImportFrom, a.SaveTo = d.ImportFrom, d.SaveTo
+		}
+	}
+	x.server, x.imported = a.Server, a.ImportFrom != ""
 	reply, err := g.Upstream.Send(ctx, a)
+	if err == nil && reply.OtherServer && a.Weights > 0 {
+		// Its weights have changed unnoticed, and it has not run the request. Nothing is
+		// known of its cache, so this request gets a namespace of its own.
+		_ = reply.Body.Close() // a refusal's text concerns nobody
+		a.Weights, a.ImportFrom, a.SaveTo, a.Salt, a.Left = 0, "", "", x.ID, time.Until(x.until)
+		x.sends.Add(-1)
+		reply, err = g.Upstream.Send(ctx, a)
+	}
 	result := routing.Result{Incarnation: a.Server, CacheUnknown: true, PromptTokens: x.Prompt.Tokens}
 	defer func() { ticket.Done(result) }()
 	if err == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,8 +33,10 @@
 	Router    routing.Router
 	Upstream  Upstream
 	Retries   *Retries
-	Metrics   *Metrics
-	Log       *zap.Logger
+	// Closing says that this VM stops and takes no further requests.
+	Closing func() bool
+	Metrics *Metrics
+	Log     *zap.Logger
 }
 
 // Gateway serves requests.
@@ -48,6 +50,8 @@
 	answerMargin = 20 * time.Millisecond
 	// comeBackSoon is told when a moment's change (a place, a server) is all it takes.
 	comeBackSoon = 200 * time.Millisecond
+	// comeBackNow is told where another VM can serve at once.
+	comeBackNow = 10 * time.Millisecond
 	// comeBackStale is told while no configuration is known.
 	comeBackStale = 500 * time.Millisecond
 	// queueShare is the part of the target time that a request may wait for a place when
@@ -58,18 +62,18 @@
 // exchange is one request and its answer.
 type exchange struct {
 	*Request
-	w       http.ResponseWriter
-	ctx     context.Context
-	route   *fleet.Route
-	service string
-	account *fleet.Account
-	salt    string
-	until   time.Time    // when the answer must be complete
-	sends   atomic.Int32 // to servers, with at least one byte
-	mayRun  bool         // a server may have run it
-	begun   bool         // the head of the answer has been written
-	server  string       // last one asked
-	resumed int
+	w        http.ResponseWriter
+	ctx      context.Context
+	route    *fleet.Route
+	service  string
+	account  *fleet.Account
+	until    time.Time    // when the answer must be complete
+	sends    atomic.Int32 // to servers, with at least one byte
+	mayRun   bool         // a server may have run it
+	begun    bool         // the head of the answer has been written
+	server   string       // last one asked
+	imported bool         // it was told to copy cached parts from another one
+	resumed  int
 }
 
 // Serve answers one request. ctx ends when the client leaves. It reports whether the
@@ -89,6 +93,9 @@
 }
 
 func (g *Gateway) serve(x *exchange) error {
+	if g.Closing() {
+		return errkind.New(errkind.Draining, "this VM is stopping").WithRetryAfter(comeBackNow)
+	}
 	view := g.Directory.View()
 	if view.Config == nil {
 		return errkind.New(errkind.Stale, "no configuration is known yet").WithRetryAfter(comeBackStale)
@@ -136,9 +143,6 @@
 	if x.account = c.Account(x.Key); x.account == nil {
 		return errkind.New(errkind.Unauthenticated, "unknown key")
 	}
-	if x.account.Isolated {
-		x.salt = x.account.Name
-	}
 	return nil
 }
 
@@ -164,6 +168,21 @@
 	return x.account.Name
 }
 
+// wall names the account whose cache is nobody else's, or "".
+func (x *exchange) wall() string {
+	if x.account != nil && x.account.Isolated {
+		return x.account.Name
+	}
+	return ""
+}
+
+// salt is the cache namespace on a server with the weights. The version keeps cache from
+// being copied between servers whose weights differ; servers refuse a version that is
+// not theirs, so what stands under a salt was made by its weights.
+func (x *exchange) salt(version int64) string {
+	return prefix.Namespace{Account: x.wall(), Model: x.Prompt.Model, Version: strconv.FormatInt(version, 10)}.Seed().Salt()
+}
+
 // priority is from 0, the most urgent.
 func (x *exchange) priority() int {
 	if x.account != nil && x.account.Priority != nil {
@@ -188,7 +207,7 @@
 	if !x.Prompt.Known || len(x.Prompt.Parts) == 0 {
 		return r
 	}
-	r.Seed = prefix.Namespace{Account: x.salt, Model: x.Prompt.Model}.Seed()
+	r.Seed = prefix.Namespace{Account: x.wall(), Model: x.Prompt.Model}.Seed()
 	names := make([]string, len(x.Prompt.Parts))
 	end := 0
 	for i, p := range x.Prompt.Parts {
@@ -222,7 +241,7 @@
 	g.Metrics.finished(route, x.accountName(), kind, took)
 	fields := []zap.Field{
 		zap.String("request", x.ID), zap.String("route", route), zap.String("client_account", x.accountName()),
-		zap.String("server", x.server), zap.Int32("sends", x.sends.Load()), zap.Int("resumed", x.resumed),
+		zap.String("server", x.server), zap.Int32("sends", x.sends.Load()), zap.Int("resumed", x.resumed), zap.Bool("imported", x.imported),
 		zap.Duration("took", took), zap.Duration("config_age", g.Directory.Age()), zap.String("outcome", string(outcome)),
 	}
 	if err != nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -59,6 +59,12 @@
 	Server  string // ID that must answer, or any
 	Account string // client account, or ""
 	Salt    string // of the cache, or "" for the one that all share
+	// Weights is the version that the server must run, or 0 for any.
+	Weights int64
+	// ImportFrom is an address to copy cached parts from, or "".
+	ImportFrom string
+	// SaveTo is a store to save the prompt to once it is read, or "".
+	SaveTo string
 	// Priority is from 0, the most urgent.
 	Priority  int
 	Left      time.Duration
@@ -75,8 +81,10 @@
 	Signed bool
 	// NotRun says that the server has not run the request.
 	NotRun bool
-	Stream bool
-	Body   io.ReadCloser
+	// OtherServer says that another server, or other weights than asked for, answered.
+	OtherServer bool
+	Stream      bool
+	Body        io.ReadCloser
 }
 
 // Upstream sends requests to servers.
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -27,7 +27,10 @@
 	lookupKeep = 2 * time.Second
 	// lookupMost is how many addresses callers are told of.
 	lookupMost = 64
-	// leaveShare is the part of the grace in which a stopping VM still takes requests, as
+	// takeShare is the part of the grace in which a stopping VM still takes requests: what it
+	// has taken must end within the rest, and a long stream lasts several seconds.
+	takeShare = 0.35
+	// leaveShare is the part in which it still answers, with refusals from takeShare on, as
 	// callers keep an address for up to three times what they were told.
 	leaveShare = 0.65
 	// stopShare is the part of the grace in which everything has ended.
@@ -43,6 +46,7 @@
 	*process
 	view    *fleetview.Client
 	leaving atomic.Bool
+	closing atomic.Bool // takes no further requests
 }
 
 // RunEntry serves as an entry VM until ctx ends. metricsPort is "" for none.
@@ -79,12 +83,13 @@
 	k.Register("entry.grants", holder, peer.PoolName, fleetview.ModuleName)
 	router := routing.NewModule(routing.Settings{
 		QueuePerEndpoint: 64, LongestWait: 5 * time.Second, TrackedPrefixes: 20_000, DigestEvery: 250 * time.Millisecond,
-		DigestBytes: 1024, LoadEvery: 500 * time.Millisecond, RetryShare: 1,
+		DigestBytes: 1024, LoadEvery: 500 * time.Millisecond, RetryShare: 1, PeerImports: true,
 	}, e.view)
 	k.Register(routing.ModuleName, router, fleetview.ModuleName, peer.ServerName, peer.PoolName)
 	vms := func() int { return len(e.view.VMs()) }
 	core := gateway.New(gateway.Deps{
 		Directory: e.view, Router: router, Upstream: client, Log: e.log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
+		Closing: e.closing.Load,
 		Limiter: grants.NewSpare(holder, e.grant, grants.Tolerance{
 			Over: s.Bounds.GrantOver, Slack: s.Bounds.GrantSlack, Window: s.Bounds.GrantWindow,
 		}, vms, clock.Boot),
@@ -154,8 +159,16 @@
 	if err := e.view.Leave(ctx); err != nil {
 		e.log.Warn("leaving was not announced; the other VMs will notice the silence", zap.Error(err))
 	}
+	grace := float64(e.settings.Bounds.Grace)
+	pause(ctx, time.Duration(takeShare*grace))
+	e.closing.Store(true)
+	e.log.Info("no further requests are taken")
+	pause(ctx, time.Duration((leaveShare-takeShare)*grace))
+}
+
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(time.Duration(leaveShare * float64(e.settings.Bounds.Grace))):
+	case <-time.After(d):
 	}
 }
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -47,7 +47,9 @@
 	FailureDomain string
 	Incarnation   string
 	CachedTokens  int    // predicted
-	ImportFrom    string // kept-cache store to import from, or ""
+	ImportFrom    string // store, or endpoint with the same weights, to import from, or ""
+	Weights       string // that the endpoint is believed to run
+	SaveTo        string // store that the endpoint shall save the prompt to, or ""
 	Parts         []ScorePart
 }
 
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -49,6 +49,7 @@
 	urgent     bool
 	parked     []*Pending
 	matches    []cacheindex.Match
+	stored     []cacheindex.Match // of a chain under weights
 	candidates []Candidate
 	out        []float64
 	forks      []int
@@ -83,6 +84,9 @@
 		} else {
 			delete(old, e.Name)
 		}
+		if s.Weights != e.Weights {
+			c.index.Forget(s.index)
+		}
 		s.Endpoint, s.id, s.hash = e, digest.Identify(e.Name), nameHash(e.Name)
 		c.byName[e.Name] = s
 		c.fleet = append(c.fleet, s)
@@ -160,7 +164,7 @@
 	p.Decision = Decision{
 		Endpoint: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
 		CachedTokens: max(p.Request.PromptTokens-best.Missed, 0),
-		ImportFrom:   best.ImportFrom, Parts: c.parts(best),
+		ImportFrom:   best.ImportFrom, Weights: s.Weights, Parts: c.parts(best),
 	}
 	p.queued = now
 	s.queue.Push(p)
@@ -251,6 +255,7 @@
 	s := p.state
 	p.phase, p.sent, p.run = sent, now, s.run
 	p.work = s.PendingTokens + s.PeerPending + p.missed
+	p.Decision.SaveTo = c.saveTo(now, p)
 	s.InFlight++
 	s.note()
 	s.PendingTokens += p.missed
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -23,6 +23,10 @@
 	if len(r.Chain) > 0 {
 		c.matches = c.index.Find(r.Chain, now, c.matches)
 		k.Kept = c.kept()
+		if c.policy.PeerImports {
+			k.Peers = c.holders(now, group)
+			c.addStores(now, r, k.Peers, group)
+		}
 	}
 	k.FailedDomains = c.failedDomains(r)
 	c.filter(&k, group)
@@ -48,6 +52,71 @@
 	return &c.candidates[c.policy.Picker.Pick(&k, c.candidates)]
 }
 
+// holders finds the endpoint that holds most of the chain, for each weights.
+func (c *Core) holders(now time.Time, group []*State) map[string]Kept {
+	best := map[string]Kept{}
+	for _, s := range group {
+		depth := c.matches[s.index].Depth
+		if depth > best[s.Weights].Depth && !s.Leaving && !s.gone && !now.Before(s.downUntil) {
+			best[s.Weights] = Kept{Address: s.Address, Depth: depth}
+		}
+	}
+	return best
+}
+
+// addStores puts a store in the place of an endpoint where it holds more. Stores keep
+// what was saved of earlier weights, so their entries carry the weights.
+func (c *Core) addStores(now time.Time, r *Request, best map[string]Kept, group []*State) {
+	if len(c.stores) == 0 {
+		return
+	}
+	seen := map[string]bool{}
+	for _, s := range group {
+		if seen[s.Weights] {
+			continue
+		}
+		seen[s.Weights] = true
+		c.stored = c.index.Find(chainUnder(r.Chain, s.Weights), now, c.stored)
+		for _, store := range c.stores {
+			if depth := c.stored[store.index].Depth; depth > best[s.Weights].Depth {
+				best[s.Weights] = Kept{Address: store.Address, Depth: depth, Store: true}
+			}
+		}
+	}
+}
+
+// chainUnder names a chain's pieces as made by some weights.
+func chainUnder(chain []prefix.Hash, weights string) []prefix.Hash {
+	under := make([]prefix.Hash, len(chain))
+	for i, h := range chain {
+		under[i] = h ^ prefix.Hash(nameHash(weights))
+	}
+	return under
+}
+
+// savedTokens is the least shared prefix, in tokens, that is worth a copy in a store:
+// less is computed sooner than it is fetched.
+const savedTokens = 2000
+
+// saveTo names the store that an endpoint shall save a request's prompt to: its shared
+// pieces are about to be computed, and no store has them. The caller's request is sent.
+func (c *Core) saveTo(now time.Time, p *Pending) string {
+	r, s := &p.Request, p.state
+	shared := len(r.Chain) - 1 // the last piece is the request's own
+	if !c.policy.PeerImports || len(c.stores) == 0 || shared < 1 || r.tokensOf(shared) < savedTokens ||
+		p.match.Depth >= shared || p.Decision.ImportFrom != "" {
+		return ""
+	}
+	under := chainUnder(r.Chain[:shared], s.Weights)
+	store := c.stores[0]
+	c.stored = c.index.Find(under, now, c.stored)
+	if c.stored[store.index].Depth >= shared {
+		return ""
+	}
+	c.Exported(now, store.Name, under)
+	return store.Address
+}
+
 // failedDomains lists the failure domains of the endpoints that failed the request.
 func (c *Core) failedDomains(r *Request) []string {
 	var domains []string
@@ -164,8 +233,14 @@
 	c.index.Stored(s.index, p.Request.Chain, now)
 }
 
+// refusedPause is how long an endpoint that refused a request gets no other: it is full,
+// or loads other weights, and its cache is as it was.
+const refusedPause = 250 * time.Millisecond
+
 func (c *Core) learnFailure(now time.Time, s *State, r Result) {
 	switch r.Err.Kind {
+	case errkind.Overloaded:
+		s.downUntil = now.Add(refusedPause)
 	case errkind.EndpointFailed, errkind.StreamBroken, errkind.Timeout:
 		s.failed(now)
 		c.index.Forget(s.index)
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -30,6 +30,9 @@
 	Models        []string
 	Service       string
 	Leaving       bool
+	// Weights names the weights that the endpoint runs, as far as it is known. Its cache
+	// is gone when they change, and can be copied only between endpoints of the same.
+	Weights string
 	// Outdated endpoints run older weights than are named.
 	Outdated      bool
 	MaxConcurrent int
@@ -104,10 +107,14 @@
 	return s.Foreign
 }
 
+// observedWork is the least work, in tokens, that tells the cost of a token: for less,
+// the fixed time to a first token is most of what is measured.
+const observedWork = 1000
+
 // observe learns from an answer. work is the number of uncached tokens that stood
 // between sending and the first token, own ones included.
 func (s *State) observe(work int, firstToken, service time.Duration) {
-	if work > 0 && firstToken > 0 {
+	if work >= observedWork && firstToken > 0 {
 		s.PrefillPerToken = blend(s.PrefillPerToken, firstToken/time.Duration(work))
 	}
 	if service > 0 {
--- a/internal/routing/keep.go
+++ b/internal/routing/keep.go
@@ -25,6 +25,7 @@
 type Kept struct {
 	Address string
 	Depth   int // leading pieces
+	Store   bool
 }
 
 type storeState struct {
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -28,6 +28,7 @@
 	DigestBytes      int           `ini:"digest_bytes" default:"1024" min:"128" max:"65536" doc:"Greatest size of a digest."`
 	LoadEvery        time.Duration `ini:"load_every" default:"500ms" min:"50ms" max:"1m" doc:"Time between two reads of an endpoint's load report."`
 	EventBytes       int           `ini:"event_bytes" default:"4096" min:"0" max:"100000000" doc:"Bytes of cache events per second that this VM reads from the endpoints it owns. Endpoints whose events exceed it are routed without them."`
+	PeerImports      bool          `ini:"peer_imports" default:"false" doc:"Endpoints can copy cached prefixes from each other."`
 	RetryShare       float64       `ini:"retry_share" default:"0.1" min:"0" max:"1" doc:"Second tries allowed per first try."`
 }
 
@@ -63,7 +64,9 @@
 // NewModule returns the module entry.routing with the entry VMs' policy. Its endpoints
 // are those of inventory, or with nil those of the module entry.directory.
 func NewModule(s Settings, inventory Inventory) *Module {
-	return &Module{settings: s, policy: Ours(DefaultTuning()), inventory: inventory}
+	policy := Ours(DefaultTuning())
+	policy.PeerImports = s.PeerImports
+	return &Module{settings: s, policy: policy, inventory: inventory}
 }
 
 // Provision looks up the directory.
@@ -262,7 +265,7 @@
 	defer t.module.mu.Unlock()
 	now := time.Now()
 	t.module.core.Finish(now, t.pending, r)
-	if r.Err == nil {
+	if r.Err == nil && !t.module.policy.PeerImports {
 		t.module.keep(now, t.pending)
 	}
 }
--- a/internal/routing/plugin.go
+++ b/internal/routing/plugin.go
@@ -31,6 +31,9 @@
 	Rate    float64 // requests per second of the first piece beyond, at this VM
 	VMs     int     // entry VMs that route to the same endpoints
 	Kept    Kept    // what the kept-cache stores hold
+	// Peers is the endpoint that holds most, for each weights; empty where endpoints do
+	// not copy from each other.
+	Peers map[string]Kept
 	// Relax says how many of the wishes of a second try are dropped as nothing is left.
 	Relax Relax
 	// FailedDomains are the failure domains of the endpoints that the request excludes.
@@ -71,6 +74,8 @@
 	Picker  Picker
 	// Truth, when set, replaces the index: the oracle baseline.
 	Truth Truth
+	// PeerImports says that endpoints copy cache from each other.
+	PeerImports bool
 }
 
 // Truth sees every cache.
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -28,6 +28,9 @@
 const (
 	importFixed    = 5 * time.Millisecond
 	importPerToken = 10 * time.Microsecond
+	// An endpoint's link carries a token's cache in well under a microsecond, twice that
+	// between failure domains; the rest is for transfers that wait for each other.
+	peerImportPerToken = 2 * time.Microsecond
 )
 
 // olderWeights is what a request may wait longer for endpoints with the named weights: a
@@ -41,7 +44,7 @@
 		Scorers: []Scorer{
 			queueScorer{}, prefillScorer{t.Prefill, milliseconds(t.MostExtra)}, homeScorer{t.Home, t.PerCopyRate},
 			weightsScorer{milliseconds(olderWeights)},
-			importScorer{fixed: importFixed, perToken: importPerToken, prefill: t.Prefill},
+			importScorer{fixed: importFixed, perToken: importPerToken, peerToken: peerImportPerToken, prefill: t.Prefill},
 		},
 		Picker: leastPicker{},
 	}
--- a/internal/routing/score_import.go
+++ b/internal/routing/score_import.go
@@ -2,12 +2,13 @@
 
 import "time"
 
-// importScorer credits a candidate with what an import from the kept-cache store
-// saves, where the import is cheaper than computing.
+// importScorer credits a candidate with what an import saves, from a kept-cache store or
+// from an endpoint with the same weights, where the import is cheaper than computing.
 type importScorer struct {
-	fixed    time.Duration // of one import
-	perToken time.Duration
-	prefill  float64 // weight of uncached work
+	fixed     time.Duration // of one import
+	perToken  time.Duration // from a store
+	peerToken time.Duration // from an endpoint
+	prefill   float64       // weight of uncached work
 }
 
 // Name names the scorer.
@@ -15,20 +16,29 @@
 
 // Score credits imports that pay.
 func (s importScorer) Score(c *Case, candidates []Candidate, out []float64) {
-	if c.Kept.Depth == 0 {
-		return
-	}
 	for i := range candidates {
 		k := &candidates[i]
-		tokens := min(c.Request.tokensOf(c.Kept.Depth)-c.Request.tokensOf(k.Match.Depth), k.Missed)
-		if tokens <= 0 {
-			continue
-		}
-		saved := s.prefill * float64(tokens) * milliseconds(k.State.PrefillPerToken)
-		cost := milliseconds(s.fixed) + float64(tokens)*milliseconds(s.perToken)
-		if cost < saved {
-			out[i] = cost - saved
-			k.Import, k.ImportFrom = tokens, c.Kept.Address
+		s.credit(c, k, c.Kept, s.perToken, &out[i])
+		if peer := c.Peers[k.State.Weights]; peer.Address != k.State.Address {
+			perToken := s.peerToken
+			if peer.Store {
+				perToken = s.perToken
+			}
+			s.credit(c, k, peer, perToken, &out[i])
 		}
 	}
 }
+
+// credit takes a source over where it saves more than what was found so far.
+func (s importScorer) credit(c *Case, k *Candidate, from Kept, perToken time.Duration, out *float64) {
+	tokens := min(c.Request.tokensOf(from.Depth)-c.Request.tokensOf(k.Match.Depth), k.Missed)
+	if tokens <= 0 {
+		return
+	}
+	saved := s.prefill * float64(tokens) * milliseconds(k.State.PrefillPerToken)
+	cost := milliseconds(s.fixed) + float64(tokens)*milliseconds(perToken)
+	if cost-saved < *out {
+		*out = cost - saved
+		k.Import, k.ImportFrom = tokens, from.Address
+	}
+}
