Believe caches for as long as their intake allows; copy under isolated namespaces too

Causes, from the predicted cache in each request's line: isolated accounts copied nothing (two of five accounts); engines' entries were believed for 30 s where their memory turned over in 4 s, and the store's for 5 min where it held 10 s of saves, so requests were sent to fetch what was gone; after all VMs restart nothing was known, and placements were not told until an engine had answered once.

Change: the lifetime of an entry is the time in which the measured intake fills the cache; the store is saved to at the second request for a prefix and asked blindly for 20 s after a start; the inventory names runs, so digests work at once; a new leader names the entry VMs it has heard before its list is whole.

--- a/internal/cacheindex/match.go
+++ b/internal/cacheindex/match.go
@@ -100,6 +100,12 @@
 	}
 }
 
+// Seen reports whether the prefix was met before.
+func (x *Index) Seen(h prefix.Hash) bool {
+	_, ok := x.byHash[h]
+	return ok
+}
+
 // Rate returns the touches per second of a prefix.
 func (x *Index) Rate(h prefix.Hash, now time.Time) float64 {
 	n, ok := x.byHash[h]
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -34,6 +34,7 @@
 	Revision uint64 // of the document and the weights
 	Servers  uint64
 	VMs      uint64
+	Settled  bool // VMs was the whole list
 	Hold     time.Duration
 }
 
@@ -42,15 +43,18 @@
 	Term     uint64
 	Revision uint64
 	// Document and Weights come together.
-	Changed     bool
-	Document    []byte
-	Weights     map[string]int64
-	Servers     uint64
-	ServersSet  bool
-	ServerList  []fleet.Server
-	VMs         uint64
-	VMsSet      bool
-	VMList      []membership.VM
+	Changed    bool
+	Document   []byte
+	Weights    map[string]int64
+	Servers    uint64
+	ServersSet bool
+	ServerList []fleet.Server
+	VMs        uint64
+	VMsSet     bool
+	VMList     []membership.VM
+	// Settled says that VMs which are not listed are gone; a new leader has not heard
+	// every VM yet.
+	Settled     bool
 	ControlList []string // peer addresses of the control replicas
 	// Leader is set by a replica that does not lead, which tells nothing else: the peer
 	// address of the one that it follows, or "".
@@ -163,7 +167,8 @@
 	if s.version != reply.Servers && s.version > 0 {
 		reply.Servers, reply.ServersSet, reply.ServerList = s.version, true, s.servers
 	}
-	if vmsVersion != reply.VMs && time.Since(s.termFrom) >= settleTime {
+	reply.Settled = time.Since(s.termFrom) >= settleTime
+	if vmsVersion != reply.VMs || reply.Settled && !args.Settled {
 		reply.VMs, reply.VMsSet, reply.VMList = vmsVersion, true, vms
 	}
 	fresh = newTerm || reply.Changed || reply.ServersSet || reply.VMsSet
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,17 @@
 	byKey map[string]fleet.Server
 }
 
+// cacheTokens is what the cache of a service's server holds, or 0.
+func (v *View) cacheTokens(service string) int {
+	if v.Config == nil {
+		return 0
+	}
+	if s := v.Config.Service(service); s != nil && s.Engine != nil {
+		return s.Engine.CacheTokens
+	}
+	return 0
+}
+
 // Version returns the weights version of a model on the server with a key; known is false
 // for servers and models that are not listed.
 func (v *View) Version(key, model string) (version int64, known bool) {
@@ -90,6 +102,7 @@
 	term    uint64
 	servers uint64
 	vms     uint64
+	settled bool // vms numbers a whole list
 	control []string
 	heard   time.Time // when the last answered poll was sent
 	silent  bool
@@ -188,14 +201,15 @@
 			weights += w.Name() + " "
 		}
 		stock.Endpoints = append(stock.Endpoints, routing.Endpoint{
-			Name: s.Key(), Address: s.Address, FailureDomain: s.FailureDomain, Service: s.Service,
-			Leaving: s.Draining || s.Changing, Outdated: outdated, Weights: weights, MaxConcurrent: s.Slots,
+			Name: s.Key(), Run: s.ID, Address: s.Address, FailureDomain: s.FailureDomain, Service: s.Service,
+			CacheTokens: v.cacheTokens(s.Service),
+			Leaving:     s.Draining || s.Changing, Outdated: outdated, Weights: weights, MaxConcurrent: s.Slots,
 		})
 	}
 	if v.Config != nil {
 		for _, s := range v.Config.Services {
 			if s.Store != nil {
-				stock.Stores = append(stock.Stores, routing.Store{Name: s.Name, Address: s.Store.Address})
+				stock.Stores = append(stock.Stores, routing.Store{Name: s.Name, Address: s.Store.Address, Tokens: s.Store.CacheTokens})
 			}
 		}
 	}
@@ -241,7 +255,7 @@
 
 func (c *Client) args() *fleetcontrol.PollArgs {
 	return &fleetcontrol.PollArgs{
-		VM: c.vm, Term: c.term, Revision: c.View().Revision, Servers: c.servers, VMs: c.vms, Hold: fleetcontrol.MaxHold,
+		VM: c.vm, Term: c.term, Revision: c.View().Revision, Servers: c.servers, VMs: c.vms, Settled: c.settled, Hold: fleetcontrol.MaxHold,
 	}
 }
 
@@ -299,13 +313,27 @@
 		c.takeServers(&next, reply.ServerList, "control")
 	}
 	if reply.VMsSet {
-		next.VMs = reply.VMList
+		next.VMs = merge(next.VMs, reply.VMList, reply.Settled)
 	}
-	c.term, c.servers, c.vms = reply.Term, reply.Servers, reply.VMs
+	c.term, c.servers, c.vms, c.settled = reply.Term, reply.Servers, reply.VMs, reply.Settled
 	c.view.Store(&next)
 	c.wake()
 }
 
+// merge takes a list of VMs over. One that is not whole only adds VMs or changes them.
+func merge(old, told []membership.VM, whole bool) []membership.VM {
+	if whole {
+		return told
+	}
+	all := slices.Clone(told)
+	for _, vm := range old {
+		if !slices.ContainsFunc(told, func(t membership.VM) bool { return t.Name == vm.Name }) {
+			all = append(all, vm)
+		}
+	}
+	return all
+}
+
 func (c *Client) wake() {
 	close(c.changed)
 	c.changed = make(chan struct{})
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -134,11 +134,9 @@
 	}
 	if version, known := g.Directory.View().Version(d.Endpoint, x.Prompt.Model); known && x.Prompt.Known {
 		a.Weights, a.Salt = version, x.salt(version)
-		if x.wall() == "" {
-			a.ImportFrom, a.SaveTo = d.ImportFrom, d.SaveTo
-		}
+		a.ImportFrom, a.SaveTo = d.ImportFrom, d.SaveTo
 	}
-	x.server, x.imported = a.Server, a.ImportFrom != ""
+	x.server, x.place = a.Server, d
 	reply, err := g.Upstream.Send(ctx, a)
 	if err == nil && reply.OtherServer && a.Weights > 0 {
 		// Its weights have changed unnoticed, and it has not run the request. Nothing is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,18 +62,18 @@
 // exchange is one request and its answer.
 type exchange struct {
 	*Request
-	w        http.ResponseWriter
-	ctx      context.Context
-	route    *fleet.Route
-	service  string
-	account  *fleet.Account
-	until    time.Time    // when the answer must be complete
-	sends    atomic.Int32 // to servers, with at least one byte
-	mayRun   bool         // a server may have run it
-	begun    bool         // the head of the answer has been written
-	server   string       // last one asked
-	imported bool         // it was told to copy cached parts from another one
-	resumed  int
+	w       http.ResponseWriter
+	ctx     context.Context
+	route   *fleet.Route
+	service string
+	account *fleet.Account
+	until   time.Time        // when the answer must be complete
+	sends   atomic.Int32     // to servers, with at least one byte
+	mayRun  bool             // a server may have run it
+	begun   bool             // the head of the answer has been written
+	server  string           // last one asked
+	place   routing.Decision // the last one
+	resumed int
 }
 
 // Serve answers one request. ctx ends when the client leaves. It reports whether the
@@ -241,7 +241,8 @@
 	g.Metrics.finished(route, x.accountName(), kind, took)
 	fields := []zap.Field{
 		zap.String("request", x.ID), zap.String("route", route), zap.String("client_account", x.accountName()),
-		zap.String("server", x.server), zap.Int32("sends", x.sends.Load()), zap.Int("resumed", x.resumed), zap.Bool("imported", x.imported),
+		zap.String("server", x.server), zap.Int32("sends", x.sends.Load()), zap.Int("resumed", x.resumed), zap.String("prefix", x.Prompt.first()), zap.Int("prompt_tokens", x.Prompt.Tokens), zap.Int("cached_tokens", x.place.CachedTokens),
+		zap.String("import_from", x.place.ImportFrom), zap.String("save_to", x.place.SaveTo), zap.String("weights", x.place.Weights),
 		zap.Duration("took", took), zap.Duration("config_age", g.Directory.Age()), zap.String("outcome", string(outcome)),
 	}
 	if err != nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,6 +46,14 @@
 	Parts  []Part
 }
 
+// first names the first part, or "".
+func (p Prompt) first() string {
+	if len(p.Parts) == 0 {
+		return ""
+	}
+	return p.Parts[0].Name
+}
+
 // Part is one piece of a prompt that may be shared.
 type Part struct {
 	Name   string
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -31,6 +31,7 @@
 // time in, decisions out through Pending. It is not safe for concurrent use.
 type Core struct {
 	policy     Policy
+	began      time.Time
 	limits     Limits
 	vms        int
 	index      *cacheindex.Index
@@ -60,7 +61,7 @@
 // NewCore returns a core without endpoints.
 func NewCore(policy Policy, limits Limits, now time.Time) *Core {
 	return &Core{
-		policy: policy, limits: limits, vms: 1,
+		policy: policy, began: now, limits: limits, vms: 1,
 		index:  cacheindex.New(limits.TrackedPrefixes, now),
 		byName: map[string]*State{},
 		peers:  map[string]peerView{}, previous: map[string]string{},
@@ -91,6 +92,9 @@
 		c.byName[e.Name] = s
 		c.fleet = append(c.fleet, s)
 		c.byID[s.id], c.byAt[digest.Of(s.id, s.run)] = s, s
+		if e.Run != "" {
+			c.Incarnation(s, e.Run)
+		}
 		for _, m := range e.Models {
 			c.byModel[m] = append(c.byModel[m], s)
 		}
@@ -164,7 +168,7 @@
 	p.Decision = Decision{
 		Endpoint: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
 		CachedTokens: max(p.Request.PromptTokens-best.Missed, 0),
-		ImportFrom:   best.ImportFrom, Weights: s.Weights, Parts: c.parts(best),
+		ImportFrom:   c.importFrom(now, p, best), Weights: s.Weights, Parts: c.parts(best),
 	}
 	p.queued = now
 	s.queue.Push(p)
@@ -256,6 +260,8 @@
 	p.phase, p.sent, p.run = sent, now, s.run
 	p.work = s.PendingTokens + s.PeerPending + p.missed
 	p.Decision.SaveTo = c.saveTo(now, p)
+	s.intake.add(p.Request.PromptTokens-p.Decision.CachedTokens+p.Request.MaxTokens, now)
+	c.believe(s.index, &s.intake, s.CacheTokens, now)
 	s.InFlight++
 	s.note()
 	s.PendingTokens += p.missed
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -98,13 +98,28 @@
 // less is computed sooner than it is fetched.
 const savedTokens = 2000
 
+// blindFor is how long after its start a VM asks the store for shared prefixes that it
+// knows no holder of: what was saved before is there, and a miss costs a millisecond.
+const blindFor = 20 * time.Second
+
+// importFrom is the source to copy a request's cached pieces from.
+func (c *Core) importFrom(now time.Time, p *Pending, best *Candidate) string {
+	r := &p.Request
+	shared := len(r.Chain) - 1
+	if best.ImportFrom != "" || !c.policy.PeerImports || len(c.stores) == 0 || now.Sub(c.began) > blindFor ||
+		shared < 1 || best.Match.Depth > 0 || r.tokensOf(shared) < savedTokens {
+		return best.ImportFrom
+	}
+	return c.stores[0].Address
+}
+
 // saveTo names the store that an endpoint shall save a request's prompt to: its shared
 // pieces are about to be computed, and no store has them. The caller's request is sent.
 func (c *Core) saveTo(now time.Time, p *Pending) string {
 	r, s := &p.Request, p.state
 	shared := len(r.Chain) - 1 // the last piece is the request's own
 	if !c.policy.PeerImports || len(c.stores) == 0 || shared < 1 || r.tokensOf(shared) < savedTokens ||
-		p.match.Depth >= shared || p.Decision.ImportFrom != "" {
+		p.match.Depth >= shared || p.Decision.ImportFrom != "" && p.Decision.ImportFrom != c.stores[0].Address {
 		return ""
 	}
 	under := chainUnder(r.Chain[:shared], s.Weights)
@@ -113,6 +128,11 @@
 	if c.stored[store.index].Depth >= shared {
 		return ""
 	}
+	if !c.index.Seen(r.Chain[shared-1]) {
+		return "" // nobody has asked for it twice yet
+	}
+	store.saved.add(r.PromptTokens, now)
+	c.believe(store.index, &store.saved, store.Tokens, now)
 	c.Exported(now, store.Name, under)
 	return store.Address
 }
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -30,12 +30,18 @@
 	Models        []string
 	Service       string
 	Leaving       bool
+	// Run names the run of the endpoint's process where the inventory knows it; otherwise
+	// it is learned from answers.
+	Run string
 	// Weights names the weights that the endpoint runs, as far as it is known. Its cache
 	// is gone when they change, and can be copied only between endpoints of the same.
 	Weights string
 	// Outdated endpoints run older weights than are named.
 	Outdated      bool
 	MaxConcurrent int
+	// CacheTokens is what the endpoint's cache holds; 0 when it is not known, and what is
+	// still cached is learned from answers.
+	CacheTokens int
 }
 
 // State is what routing knows of one endpoint; plugins read it.
@@ -72,6 +78,7 @@
 	ended     [endedRuns]digest.Run // runs that are over, newest first
 	heard     []digest.Weights      // what peers say it serves
 	heardAt   time.Time
+	intake    intake    // tokens that go into its cache from this VM
 	told      bool      // the peers have heard of the last change
 	retellAt  time.Time // when its weights last became due to be told
 }
--- a/internal/routing/keep.go
+++ b/internal/routing/keep.go
@@ -19,6 +19,8 @@
 type Store struct {
 	Name    string
 	Address string
+	// Tokens is what the store holds; 0 when it is not known.
+	Tokens int
 }
 
 // Kept is what a store holds of a chain.
@@ -32,6 +34,7 @@
 	Store
 	index cacheindex.Endpoint
 	at    digest.At
+	saved intake
 }
 
 // Export asks for a prefix to be copied from an endpoint to a store.
