--- /dev/null
+++ b/internal/fleetcontrol/machine_test.go
@@ -0,0 +1,65 @@
+package fleetcontrol
+
+import (
+	"bytes"
+	"strconv"
+	"testing"
+
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/fleet"
+
+	"gotest.tools/v3/assert"
+)
+
+// decodeNumber reads a document "VERSION:anything".
+func decodeNumber(text []byte) (*fleet.Config, error) {
+	number, _, _ := bytes.Cut(text, []byte(":"))
+	v, err := strconv.ParseInt(string(number), 10, 64)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidRequest, "no version")
+	}
+	return &fleet.Config{Version: v}, nil
+}
+
+func apply(t *testing.T, m *Machine, index uint64, c command) []byte {
+	data, err := c.encode()
+	assert.NilError(t, err)
+	return m.Apply(index, data)
+}
+
+func TestHighestVersionIsInForceAndTheFirstOfAVersionStays(t *testing.T) {
+	m := NewMachine(decodeNumber)
+	assert.DeepEqual(t, apply(t, m, 1, command{Document: []byte("5:a")}), inForce)
+	assert.DeepEqual(t, apply(t, m, 2, command{Document: []byte("5:b")}), superseded)
+	assert.DeepEqual(t, apply(t, m, 3, command{Document: []byte("4:c")}), superseded)
+	assert.Equal(t, string(m.Held().Document), "5:a")
+	assert.Equal(t, m.Held().Revision, uint64(1))
+	assert.DeepEqual(t, apply(t, m, 4, command{Document: []byte("9:d")}), inForce)
+	assert.DeepEqual(t, apply(t, m, 5, command{Document: []byte("bad")}), refused)
+	assert.DeepEqual(t, m.Apply(6, []byte("not a command")), refused)
+	assert.Equal(t, string(m.Held().Document), "9:d")
+}
+
+func TestNamedWeightsOnlyGrow(t *testing.T) {
+	m := NewMachine(decodeNumber)
+	apply(t, m, 1, command{Model: "m", Version: 3})
+	before := m.Held()
+	assert.DeepEqual(t, apply(t, m, 2, command{Model: "m", Version: 2}), superseded)
+	apply(t, m, 3, command{Model: "n", Version: 1})
+	assert.DeepEqual(t, m.Held().Weights, map[string]int64{"m": 3, "n": 1})
+	assert.DeepEqual(t, before.Weights, map[string]int64{"m": 3}) // what was handed out must not change
+}
+
+func TestSnapshotKeepsTheDocumentAsItWasSent(t *testing.T) {
+	m := NewMachine(decodeNumber)
+	apply(t, m, 1, command{Document: []byte("5: { \"spaces\" : 1 } ")})
+	apply(t, m, 2, command{Model: "m", Version: 3})
+	var b bytes.Buffer
+	assert.NilError(t, m.Snapshot(&b))
+	other := NewMachine(decodeNumber)
+	assert.NilError(t, other.Restore(&b))
+	assert.DeepEqual(t, other.Held().Document, m.Held().Document)
+	assert.DeepEqual(t, other.Held().Weights, m.Held().Weights)
+	assert.Equal(t, other.Held().Revision, uint64(2))
+	assert.Equal(t, other.Held().Config.Version, int64(5))
+}
--- /dev/null
+++ b/internal/grants/spare_test.go
@@ -0,0 +1,66 @@
+package grants
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"eelgrasshollow/internal/errkind"
+
+	"gotest.tools/v3/assert"
+)
+
+type unreachableOwner struct{ err error }
+
+func (u unreachableOwner) Reserve(context.Context, string, int64) (Reservation, error) {
+	return nil, u.err
+}
+
+// Pattern: control is out of reach for long and clients press. Whatever window is looked
+// at, all VMs together stay within the tolerance.
+func TestSpareStaysWithinTheToleranceOverAnyWindow(t *testing.T) {
+	const vms = 6
+	tolerance := Tolerance{Over: 0.1, Slack: 190_000, Window: 8 * time.Second}
+	limit := Limit{Rate: 100_000, Burst: 110_000}
+	now := time.Unix(0, 0)
+	var all []*Spare
+	for range vms {
+		all = append(all, NewSpare(unreachableOwner{errkind.New(errkind.NoQuorum, "gone")},
+			func(string) (Limit, bool) { return limit, true }, tolerance, func() int { return vms }, func() time.Time { return now }))
+	}
+	type admission struct {
+		at     time.Time
+		tokens float64
+	}
+	var admitted []admission
+	for range 3000 { // 30 s
+		now = now.Add(10 * time.Millisecond)
+		for _, s := range all {
+			if _, err := s.Reserve(t.Context(), "a", 700); err == nil {
+				admitted = append(admitted, admission{now, 700})
+			} else {
+				assert.Assert(t, errkind.Is(err, errkind.RateLimited))
+			}
+		}
+	}
+	bound := tolerance.Over*(float64(limit.Rate)*8+float64(limit.Burst)) + tolerance.Slack
+	assert.Assert(t, len(admitted) > 0)
+	first, sum := 0, 0.0
+	for _, a := range admitted {
+		sum += a.tokens
+		for a.at.Sub(admitted[first].at) > tolerance.Window {
+			sum -= admitted[first].tokens
+			first++
+		}
+		assert.Assert(t, sum <= bound, "%v tokens in a window at %v", sum, a.at)
+	}
+}
+
+// The tolerance is for an owner out of reach, not for accounts over their rate.
+func TestSpareIsNotForAccountsOverTheirRate(t *testing.T) {
+	over := errkind.New(errkind.RateLimited, "over").WithRetryAfter(time.Second)
+	s := NewSpare(unreachableOwner{over}, func(string) (Limit, bool) { return Limit{Rate: 1000, Burst: 1000}, true },
+		Tolerance{Over: 1, Slack: 1e6, Window: time.Second}, func() int { return 1 }, time.Now)
+	_, err := s.Reserve(t.Context(), "a", 1)
+	assert.Equal(t, errkind.Of(err), over)
+}
