--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -93,6 +93,7 @@
 	Address       string
 	FailureDomain string
 	CacheTokens   int
+	LinkBits      float64 // a second
 }
 
 // Account is a client account.
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -60,6 +60,17 @@
 	byKey map[string]fleet.Server
 }
 
+// tokensPerSecond is how many tokens of the engines' cache a store's link carries, or 0.
+func (v *View) tokensPerSecond(store *fleet.Store) float64 {
+	const bitsPerByte = 8
+	for _, s := range v.Config.Services {
+		if s.Engine != nil && s.Engine.TokenBytes > 0 {
+			return store.LinkBits / bitsPerByte / float64(s.Engine.TokenBytes)
+		}
+	}
+	return 0
+}
+
 // cacheTokens is what the cache of a service's server holds, or 0.
 func (v *View) cacheTokens(service string) int {
 	if v.Config == nil {
@@ -209,7 +220,7 @@
 	if v.Config != nil {
 		for _, s := range v.Config.Services {
 			if s.Store != nil {
-				stock.Stores = append(stock.Stores, routing.Store{Name: s.Name, Address: s.Store.Address, Tokens: s.Store.CacheTokens})
+				stock.Stores = append(stock.Stores, routing.Store{Name: s.Name, Address: s.Store.Address, Tokens: s.Store.CacheTokens, TokensPerSecond: v.tokensPerSecond(s.Store)})
 			}
 		}
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -191,9 +191,20 @@
 	c.assign(now, p, best)
 }
 
-// admit sheds early: by the predicted wait in fair order, and by the queue's bound,
+// hopeless reports whether the request's time will be over before the work that was sent
+// before it is done, even where that is soonest, and when there will be room.
+func (c *Core) hopeless(r *Request, s *State) (time.Duration, bool) {
+	ahead := time.Duration(s.PendingTokens+s.PeerPending) * s.PrefillPerToken
+	return ahead - r.Left/2, r.Left > 0 && ahead > r.Left
+}
+
+// admit sheds early: by the work ahead, by the predicted wait in fair order, and by the queue's bound,
 // where the account that waits with the most tokens gives way.
 func (c *Core) admit(p *Pending, s *State) bool {
+	if wait, hopeless := c.hopeless(&p.Request, s); hopeless {
+		c.refuse(p, overloaded(wait))
+		return false
+	}
 	if c.roomy(&p.Request, s) {
 		return true
 	}
@@ -262,6 +273,11 @@
 	p.Decision.SaveTo = c.saveTo(now, p)
 	s.intake.add(p.Request.PromptTokens-p.Decision.CachedTokens+p.Request.MaxTokens, now)
 	c.believe(s.index, &s.intake, s.CacheTokens, now)
+	for _, store := range c.stores {
+		if store.Address == p.Decision.ImportFrom {
+			store.moved.add(p.Request.PromptTokens, now)
+		}
+	}
 	s.InFlight++
 	s.note()
 	s.PendingTokens += p.missed
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -78,6 +78,9 @@
 		seen[s.Weights] = true
 		c.stored = c.index.Find(chainUnder(r.Chain, s.Weights), now, c.stored)
 		for _, store := range c.stores {
+			if c.crowded(now, store) {
+				continue
+			}
 			if depth := c.stored[store.index].Depth; depth > best[s.Weights].Depth {
 				best[s.Weights] = Kept{Address: store.Address, Depth: depth, Store: true}
 			}
@@ -85,6 +88,15 @@
 	}
 }
 
+// storeShare is the part of a store's link that is used. Transfers between failure
+// domains take twice their time, and one that waits delays its request by up to 2 s.
+const storeShare = 0.4
+
+// crowded reports whether further transfers would wait at a store.
+func (c *Core) crowded(now time.Time, s *storeState) bool {
+	return s.TokensPerSecond > 0 && s.moved.now(now)*float64(c.vms) > storeShare*s.TokensPerSecond
+}
+
 // chainUnder names a chain's pieces as made by some weights.
 func chainUnder(chain []prefix.Hash, weights string) []prefix.Hash {
 	under := make([]prefix.Hash, len(chain))
@@ -107,7 +119,7 @@
 	r := &p.Request
 	shared := len(r.Chain) - 1
 	if best.ImportFrom != "" || !c.policy.PeerImports || len(c.stores) == 0 || now.Sub(c.began) > blindFor ||
-		shared < 1 || best.Match.Depth > 0 || r.tokensOf(shared) < savedTokens {
+		shared < 1 || best.Match.Depth > 0 || r.tokensOf(shared) < savedTokens || c.crowded(now, c.stores[0]) {
 		return best.ImportFrom
 	}
 	return c.stores[0].Address
@@ -128,9 +140,10 @@
 	if c.stored[store.index].Depth >= shared {
 		return ""
 	}
-	if !c.index.Seen(r.Chain[shared-1]) {
-		return "" // nobody has asked for it twice yet
+	if !c.index.Seen(r.Chain[shared-1]) || c.crowded(now, store) {
+		return "" // nobody has asked for it twice yet, or it would wait
 	}
+	store.moved.add(r.PromptTokens, now)
 	store.saved.add(r.PromptTokens, now)
 	c.believe(store.index, &store.saved, store.Tokens, now)
 	c.Exported(now, store.Name, under)
--- a/internal/routing/inventory_test.go
+++ b/internal/routing/inventory_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -119,3 +120,39 @@
 	c := peerCore(now)
 	assert.Equal(t, place(c, now, shared("p", "1")).Decision.SaveTo, "")
 }
+
+// Pattern: prompts come faster than the engines read them. What can't begin before its
+// client has left is refused at once, with the time at which there is room.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := peerCore(now)
+	for _, name := range []string{"e1", "e2", "e3"} {
+		s := c.byName[name]
+		s.PrefillPerToken, s.PendingTokens = 25*time.Microsecond, 300_000 // 7.5 s of work
+	}
+	r := shared("p", "1")
+	r.Left = 5 * time.Second
+	p := place(c, now, r)
+	assert.Assert(t, p.Refusal != nil)
+	assert.Equal(t, p.Refusal.RetryAfter, 5*time.Second)
+	r.Left = 10 * time.Second
+	assert.Assert(t, place(c, now, r).Refusal == nil)
+}
+
+// Pattern: every prompt is fetched from or saved to one store, whose link is slow.
+func TestCrowdedStoreIsLeftAlone(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := peerCore(now)
+	c.stores[0].TokensPerSecond = 100_000
+	asked := 0
+	for i := range 200 { // 20 prompts of 17,000 tokens a second
+		now = now.Add(50 * time.Millisecond)
+		p := place(c, now, shared("p"+strconv.Itoa(i), "own"))
+		if p.Decision.ImportFrom != "" || p.Decision.SaveTo != "" {
+			asked++
+		}
+		c.Finish(now, p, Result{Incarnation: p.Decision.Endpoint, CacheUnknown: true})
+	}
+	tokens := float64(asked) * 17_000 / 10 // a second
+	assert.Assert(t, asked > 0 && tokens < storeShare*100_000*2, "%v tokens a second", tokens)
+}
--- a/internal/routing/keep.go
+++ b/internal/routing/keep.go
@@ -21,6 +21,8 @@
 	Address string
 	// Tokens is what the store holds; 0 when it is not known.
 	Tokens int
+	// TokensPerSecond is how many tokens' cache its link carries; 0 when it is not known.
+	TokensPerSecond float64
 }
 
 // Kept is what a store holds of a chain.
@@ -35,6 +37,7 @@
 	index cacheindex.Endpoint
 	at    digest.At
 	saved intake
+	moved intake // over its link, saved or fetched
 }
 
 // Export asks for a prefix to be copied from an endpoint to a store.
