--- a/internal/fleetcontrol/operators.go
+++ b/internal/fleetcontrol/operators.go
@@ -72,7 +72,7 @@
 	return err
 }
 
-// Config returns the newest document. Errors: NotFound before the first one, NoQuorum
+// Config returns the newest document. Errors: NoQuorum before the first one and
 // while this replica can't be sure which is the newest.
 func (o *Operators) Config(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,8 +35,10 @@
 	Retries   *Retries
 	// Closing says that this VM stops and takes no further requests.
 	Closing func() bool
-	Metrics *Metrics
-	Log     *zap.Logger
+	// OldestView is the age from which on a view is not acted on; 0 sets no bound.
+	OldestView time.Duration
+	Metrics    *Metrics
+	Log        *zap.Logger
 }
 
 // Gateway serves requests.
@@ -101,6 +103,9 @@
 	if view.Config == nil {
 		return errkind.New(errkind.Stale, "no configuration is known yet").WithRetryAfter(max(electionUsual-g.Directory.Age(), comeBackSoon))
 	}
+	if age := g.Directory.Age(); g.OldestView > 0 && age >= g.OldestView {
+		return errkind.New(errkind.Stale, "the configuration was last known to be current %v ago", age).WithRetryAfter(comeBackSoon)
+	}
 	if limit := view.Config.Limits.BodyBytes; limit > 0 && int64(len(x.Body)) > limit {
 		return errkind.New(errkind.TooLarge, "body of more than %d bytes", limit)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,10 +24,13 @@
 	"gotest.tools/v3/assert"
 )
 
-type directory struct{ view *fleetview.View }
+type directory struct {
+	view *fleetview.View
+	age  time.Duration
+}
 
 func (d directory) View() *fleetview.View { return d.view }
-func (d directory) Age() time.Duration    { return 0 }
+func (d directory) Age() time.Duration    { return d.age }
 
 // router hands out servers in turn, passing over excluded ones.
 type router struct {
@@ -129,6 +132,8 @@
 	budget    float64
 	limit     error
 	wait      bool
+	age       time.Duration
+	oldest    time.Duration
 	servers   map[string]func(context.Context, Attempt) (*Reply, error)
 }
 
@@ -146,9 +151,9 @@
 	slices.Sort(names)
 	up := &upstream{answers: s.servers}
 	g := New(Deps{
-		Directory: directory{&fleetview.View{Config: config}}, Limiter: limiter{s.limit}, Router: &router{servers: names, wait: s.wait}, Upstream: up,
+		Directory: directory{&fleetview.View{Config: config}, s.age}, Limiter: limiter{s.limit}, Router: &router{servers: names, wait: s.wait}, Upstream: up,
 		Retries: NewRetries(RetryBounds{Share: 0, Extra: s.budget / retrySafety, VMs: func() int { return 1 }}),
-		Metrics: NewMetrics(prometheus.NewRegistry()), Closing: func() bool { return false }, Log: zap.NewNop(),
+		Metrics: NewMetrics(prometheus.NewRegistry()), Closing: func() bool { return false }, OldestView: s.oldest, Log: zap.NewNop(),
 	})
 	w := httptest.NewRecorder()
 	complete := g.Serve(t.Context(), w, &Request{ID: "id", Method: "POST", Host: "h", Path: "/x", Target: "/x", Key: "key", Arrived: time.Now(), Patience: 3 * time.Second})
@@ -200,6 +205,19 @@
 	})
 }
 
+func TestOldViewIsNotActedOnWhereItMustNotBe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := servers{"a": reply(200, "x", false)}
+		w, up, _ := run(t, setup{kind: fleet.Once, age: 5 * time.Second, oldest: 4 * time.Second, servers: all})
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, len(up.asked), 0)
+		w, _, _ = run(t, setup{kind: fleet.Once, age: 3 * time.Second, oldest: 4 * time.Second, servers: all})
+		assert.Equal(t, w.Code, http.StatusOK)
+		w, _, _ = run(t, setup{kind: fleet.Once, age: time.Hour, servers: all})
+		assert.Equal(t, w.Code, http.StatusOK)
+	})
+}
+
 func TestFailedAnswerIsRepeatedWithinAttemptsAndBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		all := servers{"a": reply(500, "no", false), "b": reply(200, "yes", false)}
--- a/internal/grants/spare.go
+++ b/internal/grants/spare.go
@@ -63,7 +63,7 @@
 
 func (s *Spare) take(account string, tokens int64) bool {
 	limit, known := s.limit(account)
-	if !known {
+	if !known || s.tolerance.Window <= 0 {
 		return false
 	}
 	s.mu.Lock()
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -35,6 +35,9 @@
 	leaveShare = 0.65
 	// stopShare is the part of the grace in which everything has ended.
 	stopShare = 0.95
+	// oldestShare is the part of the platform's bound on the age of a configuration that is
+	// used, where cut-off VMs have to refuse.
+	oldestShare = 0.8
 	// grantQueue is how long a request may wait for tokens, and grantOutage how long while
 	// the owner of the grants does not answer.
 	grantQueue  = 200 * time.Millisecond
@@ -89,7 +92,7 @@
 	vms := func() int { return len(e.view.VMs()) }
 	core := gateway.New(gateway.Deps{
 		Directory: e.view, Router: router, Upstream: client, Log: e.log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
-		Closing: e.closing.Load,
+		Closing: e.closing.Load, OldestView: e.oldestView(),
 		Limiter: grants.NewSpare(holder, e.grant, grants.Tolerance{
 			Over: s.Bounds.GrantOver, Slack: s.Bounds.GrantSlack, Window: s.Bounds.GrantWindow,
 		}, vms, clock.Boot),
@@ -101,12 +104,21 @@
 	k.Register("entry.ready", &doorModule{process: e.process, name: "ready", address: s.ReadyAddress,
 		handler: func() http.Handler { return platform.ReadyHandler(e.ready) }}, "entry.http")
 	if s.LookupAddress != "" {
-		keep := min(lookupKeep, s.Bounds.LookupKeep)
+		keep := lookupKeep
+		if s.Bounds.LookupKeep > 0 {
+			keep = min(keep, s.Bounds.LookupKeep)
+		}
 		k.Register("entry.lookup", &doorModule{process: e.process, name: "lookup", address: s.LookupAddress,
 			handler: func() http.Handler { return platform.LookupHandler(e.addresses, keep) }}, fleetview.ModuleName)
 	}
 }
 
+// oldestView is the age from which on this VM must not act on its view, or 0. The rest of
+// the platform's bound is for requests that are on their way to a server.
+func (e *entry) oldestView() time.Duration {
+	return time.Duration(oldestShare * float64(e.settings.Bounds.FailClosedAfter))
+}
+
 // grant returns an account's grant as last known.
 func (e *entry) grant(account string) (grants.Limit, bool) {
 	c := e.view.View().Config
@@ -135,6 +147,8 @@
 		return errkind.New(errkind.Draining, "this VM is stopping")
 	case e.view.View().Config == nil:
 		return errkind.New(errkind.Stale, "no configuration is known yet")
+	case e.oldestView() > 0 && e.view.Age() >= e.oldestView():
+		return errkind.New(errkind.Stale, "control is out of reach")
 	}
 	return nil
 }
