Recognise a store by the leader's word; send once to an address that was taken over

It needed three of four voters to recognise its store, but followers leave that to the leader; so it acknowledged nothing, and once the leader died nobody could be elected. By the same rule a restarted follower of five stood still for as long as the leader lived.

Change: a hello reply of a leader that holds its lease recognises a store alone. Other server and other weights are told apart; every send beyond the first is paid for; an address that was taken over is left alone like a failed endpoint.

--- a/internal/consensus/identity.go
+++ b/internal/consensus/identity.go
@@ -45,7 +45,8 @@
 		c.remember(m, w)
 	}
 	if m.Kind == MsgHello && (v != storeKnown || !c.underLeader()) {
-		c.send(Message{Kind: MsgHelloReply, To: m.From, For: m.Identity, Reject: v != storeKnown})
+		leads := c.role == Leader && c.commit >= c.termStart && c.now.Before(c.leaseEnd())
+		c.send(Message{Kind: MsgHelloReply, To: m.From, For: m.Identity, Reject: v != storeKnown, Leads: leads})
 	}
 	if v == storeReplaced || v == storeRolledBack {
 		if m.Kind != MsgHello {
@@ -109,10 +110,15 @@
 		return
 	}
 	c.confirmed[m.From] = true
+	if m.Leads && m.Term >= c.hard.Term {
+		// The others leave a store to the leader, so its word has to be enough: it holds
+		// every committed entry, and what this replica acknowledges from now on, it sends.
+		c.recognised = true
+	}
 }
 
-// trusted reports whether a majority, with this replica, recognised this store
-// since the start. Once they have, it stays so.
+// trusted reports whether the leader, or a majority with this replica, recognised this
+// store since the start. Once they have, it stays so.
 func (c *Core) trusted() bool {
 	if c.recognised {
 		return true
--- a/internal/consensus/identity_test.go
+++ b/internal/consensus/identity_test.go
@@ -100,3 +100,46 @@
 		s.pass(2 * simElection) // fails when two hold a lease
 	}
 }
+
+// Pattern: a follower of five restarts under a live leader. The other followers leave its
+// store to the leader, whose word must be enough: else it acknowledges nothing for as long
+// as the leader lives.
+func TestLeaderAloneRecognisesARestartedFollower(t *testing.T) {
+	s := newSim(t, 7, 5)
+	s.settleDown()
+	l := s.leader()
+	n := s.nodes[l.id%5+1]
+	s.boot(n)
+	s.pass(2 * simElection)
+	assert.Equal(t, s.leader(), l)
+	assert.Assert(t, n.core.trusted())
+	var reads uint64
+	s.propose(l, &reads)
+	s.pass(2 * simBeat)
+	assert.Equal(t, l.core.progress[n.id].match, l.core.log.last())
+}
+
+// Pattern: a member with an empty disk is replaced by a new one while its old number still
+// counts as a voter. The new one gets its vote before anyone but the leader knows its
+// store; it must neither stand still nor keep the group from electing.
+func TestNewMemberBesideALostOneIsRecognised(t *testing.T) {
+	for seed := range uint64(30) {
+		s := newSim(t, seed, 3)
+		s.settleDown()
+		l := s.leader()
+		lost := s.nodes[l.id%3+1]
+		lost.core = nil
+		s.add(9, Membership{})
+		_, err := l.core.AddLearner(9, "9")
+		assert.NilError(t, err)
+		s.settle(l)
+		s.pass(2 * simElection)
+		assert.Assert(t, s.nodes[9].core.members.isVoter(9), "seed %d", seed)
+		assert.Assert(t, s.nodes[9].core.trusted(), "seed %d", seed)
+		_, err = s.leader().core.Remove(lost.id)
+		assert.NilError(t, err)
+		s.settle(s.leader())
+		s.pass(2 * simElection)
+		assert.Equal(t, len(s.nodes[9].core.members.Members), 3, "seed %d", seed)
+	}
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -125,6 +125,8 @@
 	ReplyTo string
 	// For names the boot that a hello reply speaks of.
 	For Identity
+	// Leads says that the sender of a hello reply held the lease of leadership in Term.
+	Leads bool
 }
 
 // Role of a replica.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -138,7 +138,7 @@
 	}
 	x.server, x.place = a.Server, d
 	reply, err := g.Upstream.Send(ctx, a)
-	if err == nil && reply.OtherServer && a.Weights > 0 {
+	if err == nil && reply.OtherWeights && a.Weights > 0 && g.mayRetry(x) {
 		// Its weights have changed unnoticed, and it has not run the request. Nothing is
 		// known of its cache, so this request gets a namespace of its own.
 		_ = reply.Body.Close() // a refusal's text concerns nobody
@@ -188,6 +188,8 @@
 // relay hands a server's answer to the client, or says why it can't.
 func (g *Gateway) relay(ctx context.Context, x *exchange, reply *Reply, started func()) error {
 	switch {
+	case reply.OtherServer:
+		return errkind.New(errkind.NoEndpoint, "another server has the address").WithOutcome(errkind.NotRun)
 	case reply.NotRun:
 		return errkind.New(errkind.Overloaded, "server refused the request with status %d", reply.Status).WithOutcome(errkind.NotRun)
 	case !reply.Signed:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -218,6 +218,24 @@
 	})
 }
 
+// Pattern: engines crash for good and their addresses go to another service, while the
+// list still names them. Every send beyond the first has to come out of the budget.
+func TestReusedAddressCostsOneSendAndIsReportedAsFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		other := func(_ context.Context, a Attempt) (*Reply, error) {
+			a.Sent()
+			return &Reply{Status: http.StatusMisdirectedRequest, NotRun: true, OtherServer: true, Body: http.NoBody}, nil
+		}
+		all := servers{"a": other, "b": reply(200, "x", false)}
+		w, up, _ := run(t, setup{kind: fleet.Repeatable, attempts: 2, budget: 1, servers: all})
+		assert.Equal(t, w.Code, http.StatusOK)
+		assert.Equal(t, len(up.asked), 2)
+		w, up, _ = run(t, setup{kind: fleet.Repeatable, attempts: 2, budget: 0, servers: all})
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, len(up.asked), 1)
+	})
+}
+
 func TestFailedAnswerIsRepeatedWithinAttemptsAndBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		all := servers{"a": reply(500, "no", false), "b": reply(200, "yes", false)}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -89,10 +89,11 @@
 	Signed bool
 	// NotRun says that the server has not run the request.
 	NotRun bool
-	// OtherServer says that another server, or other weights than asked for, answered.
-	OtherServer bool
-	Stream      bool
-	Body        io.ReadCloser
+	// OtherServer says that another server than asked for has the address, OtherWeights
+	// that the server runs other weights. Neither has run the request.
+	OtherServer, OtherWeights bool
+	Stream                    bool
+	Body                      io.ReadCloser
 }
 
 // Upstream sends requests to servers.
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -274,7 +274,7 @@
 	switch r.Err.Kind {
 	case errkind.Overloaded:
 		s.downUntil = now.Add(refusedPause)
-	case errkind.EndpointFailed, errkind.StreamBroken, errkind.Timeout:
+	case errkind.NoEndpoint, errkind.EndpointFailed, errkind.StreamBroken, errkind.Timeout:
 		s.failed(now)
 		c.index.Forget(s.index)
 	}
--- a/internal/routing/inventory_test.go
+++ b/internal/routing/inventory_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eelgrasshollow/internal/digest"
+	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
 
 	"gotest.tools/v3/assert"
@@ -156,3 +157,18 @@
 	tokens := float64(asked) * 17_000 / 10 // a second
 	assert.Assert(t, asked > 0 && tokens < storeShare*100_000*2, "%v tokens a second", tokens)
 }
+
+// Pattern: an address was taken over by another service and the list still names it. Each
+// further request there doubles the time until the next.
+func TestReusedAddressIsLeftAloneLongerAndLonger(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := peerCore(now)
+	s := c.byName["e1"]
+	var last time.Duration
+	for range 4 {
+		c.learnFailure(now, s, Result{Err: errkind.New(errkind.NoEndpoint, "another server has the address")})
+		wait := s.downUntil.Sub(now)
+		assert.Assert(t, wait > last)
+		last, now = wait, s.downUntil
+	}
+}
