--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -46,48 +46,6 @@
 	leaveTimeout = 500 * time.Millisecond
 )
 
-// View is what is known at one moment. It is immutable.
-type View struct {
-	// Revision is that of the configuration in the agreed log.
-	Revision uint64
-	Config   *fleet.Config
-	Weights  map[string]int64
-	Servers  []fleet.Server
-	// Stock counts changes of Servers at this VM.
-	Stock uint64
-	VMs   []membership.VM
-	// byKey finds servers by fleet.Server.Key.
-	byKey map[string]fleet.Server
-}
-
-// tokensPerSecond is how many tokens of the engines' cache a store's link carries, or 0.
-func (v *View) tokensPerSecond(store *fleet.Store) float64 {
-	const bitsPerByte = 8
-	for _, s := range v.Config.Services {
-		if s.Engine != nil && s.Engine.TokenBytes > 0 {
-			return store.LinkBits / bitsPerByte / float64(s.Engine.TokenBytes)
-		}
-	}
-	return 0
-}
-
-// cacheTokens is what the cache of a service's server holds, or 0.
-func (v *View) cacheTokens(service string) int {
-	if v.Config == nil {
-		return 0
-	}
-	if s := v.Config.Service(service); s != nil && s.Engine != nil {
-		return s.Engine.CacheTokens
-	}
-	return 0
-}
-
-// Version returns the weights version of a model on the server with a key; known is false
-// for servers and models that are not listed.
-func (v *View) Version(key, model string) (version int64, known bool) {
-	return v.byKey[key].Version(model)
-}
-
 // Config of a Client.
 type Config struct {
 	VM     membership.VM
@@ -202,30 +160,7 @@
 
 // Stock implements routing.Inventory: every server, those that leave or change their
 // weights marked.
-func (c *Client) Stock() routing.Stock {
-	v := c.View()
-	stock := routing.Stock{Revision: v.Stock}
-	for _, s := range v.Servers {
-		outdated, weights := false, ""
-		for _, w := range s.Weights {
-			outdated = outdated || w.Version < v.Weights[w.Model]
-			weights += w.Name() + " "
-		}
-		stock.Endpoints = append(stock.Endpoints, routing.Endpoint{
-			Name: s.Key(), Run: s.ID, Address: s.Address, FailureDomain: s.FailureDomain, Service: s.Service,
-			CacheTokens: v.cacheTokens(s.Service),
-			Leaving:     s.Draining || s.Changing, Outdated: outdated, Weights: weights, MaxConcurrent: s.Slots,
-		})
-	}
-	if v.Config != nil {
-		for _, s := range v.Config.Services {
-			if s.Store != nil {
-				stock.Stores = append(stock.Stores, routing.Store{Name: s.Name, Address: s.Store.Address, Tokens: s.Store.CacheTokens, TokensPerSecond: v.tokensPerSecond(s.Store)})
-			}
-		}
-	}
-	return stock
-}
+func (c *Client) Stock() routing.Stock { return c.View().stock() }
 
 func (c *Client) run(ctx context.Context) {
 	var wg sync.WaitGroup
--- /dev/null
+++ b/internal/fleetview/view.go
@@ -0,0 +1,81 @@
+package fleetview
+
+import (
+	"eelgrasshollow/internal/fleet"
+	"eelgrasshollow/internal/membership"
+	"eelgrasshollow/internal/routing"
+)
+
+// View is what is known at one moment. It is immutable.
+type View struct {
+	// Revision is that of the configuration in the agreed log.
+	Revision uint64
+	Config   *fleet.Config
+	Weights  map[string]int64
+	Servers  []fleet.Server
+	// Stock counts changes of Servers at this VM.
+	Stock uint64
+	VMs   []membership.VM
+	// byKey finds servers by fleet.Server.Key.
+	byKey map[string]fleet.Server
+}
+
+// tokensPerSecond is how many tokens of the engines' cache a store's link carries, or 0.
+func (v *View) tokensPerSecond(store *fleet.Store) float64 {
+	const bitsPerByte = 8
+	for _, s := range v.Config.Services {
+		if s.Engine != nil && s.Engine.TokenBytes > 0 {
+			return store.LinkBits / bitsPerByte / float64(s.Engine.TokenBytes)
+		}
+	}
+	return 0
+}
+
+// cacheTokens is what the cache of a service's server holds, or 0.
+func (v *View) cacheTokens(service string) int {
+	if v.Config == nil {
+		return 0
+	}
+	if s := v.Config.Service(service); s != nil && s.Engine != nil {
+		return s.Engine.CacheTokens
+	}
+	return 0
+}
+
+// Version returns the weights version of a model on the server with a key; known is false
+// for servers and models that are not listed.
+func (v *View) Version(key, model string) (version int64, known bool) {
+	return v.byKey[key].Version(model)
+}
+
+// stock lists what requests can be routed to.
+func (v *View) stock() routing.Stock {
+	stock := routing.Stock{Revision: v.Stock}
+	for _, s := range v.Servers {
+		stock.Endpoints = append(stock.Endpoints, v.endpoint(s))
+	}
+	if v.Config == nil {
+		return stock
+	}
+	for _, s := range v.Config.Services {
+		if s.Store != nil {
+			stock.Stores = append(stock.Stores, routing.Store{
+				Name: s.Name, Address: s.Store.Address, Tokens: s.Store.CacheTokens, TokensPerSecond: v.tokensPerSecond(s.Store),
+			})
+		}
+	}
+	return stock
+}
+
+// endpoint is a server as routing knows it.
+func (v *View) endpoint(s fleet.Server) routing.Endpoint {
+	e := routing.Endpoint{
+		Name: s.Key(), Run: s.ID, Address: s.Address, FailureDomain: s.FailureDomain, Service: s.Service,
+		Leaving: s.Draining || s.Changing, MaxConcurrent: s.Slots, CacheTokens: v.cacheTokens(s.Service),
+	}
+	for _, w := range s.Weights {
+		e.Outdated = e.Outdated || w.Version < v.Weights[w.Model]
+		e.Weights += w.Name() + " "
+	}
+	return e
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/routing"
 
@@ -20,8 +19,6 @@
 	unreachedTries = 3
 	// maxAnswerBytes bounds an answer that is read whole.
 	maxAnswerBytes = 16 << 20
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
 	// firstTryTargets is after how many target times a repeatable request is given to
 	// another server; its answer would be late by then.
 	firstTryTargets = 2
@@ -240,61 +237,3 @@
 	}
 	return errkind.Wrap(err, errkind.EndpointFailed, "answer broke off")
 }
-
-// stream relays events as they come. After an event was written a break is mended by
-// going on at another server, where the route allows that.
-func (g *Gateway) stream(ctx context.Context, x *exchange, reply *Reply, started func()) error {
-	x.mayRun = true
-	events := engine.NewEventReader(reply.Body, maxEventBytes)
-	control := http.NewResponseController(x.w)
-	after, err := strconv.Atoi(x.LastEvent)
-	if err != nil {
-		after = 0 // the stream begins
-	}
-	for first := true; ; first = false {
-		event, err := events.NextRaw()
-		if err == io.EOF {
-			return x.end(reply)
-		}
-		if err != nil {
-			return broken(ctx, err)
-		}
-		if first {
-			started()
-			g.Metrics.first.WithLabelValues(x.route.Name).Observe(time.Since(x.Arrived).Seconds())
-		}
-		if event.ID > 0 && event.ID <= after {
-			continue
-		}
-		if event.ID > after+1 && after > 0 && x.resumed > 0 {
-			return errkind.New(errkind.StreamBroken, "stream went on at event %d after %d", event.ID, after)
-		}
-		x.head(reply)
-		if _, err := x.w.Write(event.Bytes); err != nil {
-			return errkind.Wrap(err, errkind.Canceled, "client left")
-		}
-		if err := control.Flush(); err != nil {
-			return errkind.Wrap(err, errkind.Canceled, "client left")
-		}
-		if event.ID > 0 {
-			after = event.ID
-			x.LastEvent = strconv.Itoa(after)
-		}
-	}
-}
-
-// head writes the head of a stream's answer, which is its first server's.
-func (x *exchange) head(reply *Reply) {
-	if x.begun {
-		return
-	}
-	x.begun = true
-	copyHeader(x.w.Header(), reply.Header)
-	x.w.WriteHeader(reply.Status)
-}
-
-// end ends a stream that its server completed.
-func (x *exchange) end(reply *Reply) error {
-	x.head(reply)
-	return nil
-}
