--- a/internal/fleetcontrol/service_test.go
+++ b/internal/fleetcontrol/service_test.go
@@ -25,9 +25,11 @@
 	p       consensus.Published
 	leads   bool
 	term    uint64
+	barrier error
+
+	mu      sync.Mutex
 	index   uint64
 	changed chan struct{}
-	barrier error
 }
 
 func newReplica(leads bool) *replica {
@@ -40,6 +42,8 @@
 }
 
 func (r *replica) Propose(_ context.Context, _ string, command []byte) (statemachine.Result, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.index++
 	data := r.machine.Apply(r.index, command)
 	close(r.changed)
@@ -50,7 +54,11 @@
 func (r *replica) Leading() (uint64, bool)           { return r.term, r.leads }
 func (r *replica) Leader() string                    { return "b" }
 func (r *replica) Published() *consensus.Published   { return &r.p }
-func (r *replica) Changed() <-chan struct{}          { return r.changed }
+func (r *replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
 
 func vm(name string) membership.VM { return membership.VM{Name: name, Address: name + ":1"} }
 
