--- a/internal/fleetcontrol/operators.go
+++ b/internal/fleetcontrol/operators.go
@@ -77,11 +77,7 @@
 func (o *Operators) Config(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	barrier, ok := o.replica.(interface{ ReadBarrier(context.Context) error })
-	if !ok {
-		return nil, errkind.New(errkind.Internal, "replica has no read barrier")
-	}
-	if err := barrier.ReadBarrier(ctx); err != nil {
+	if err := o.replica.ReadBarrier(ctx); err != nil {
 		return nil, err
 	}
 	held := o.machine.Held()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -103,7 +103,7 @@
 	Send(ctx context.Context, a Attempt) (*Reply, error)
 }
 
-// RetryAfter writes when to come back.
+// headerRetryAfter tells a client when to come back, in seconds.
 const headerRetryAfter = "Retry-After"
 
 // notRun reports whether an error says that the request certainly has not run.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -267,7 +267,7 @@
 		since, silent := m.silent[x.ID]
 		dead := silent && now.Sub(since) > deadAfter
 		replaced := slices.ContainsFunc(p.Members.Members, func(o consensus.Member) bool {
-			return o.Address == x.Address && o.ID != x.ID && !o.Learner && x.ID != o.ID && silent
+			return silent && o.Address == x.Address && o.ID != x.ID && !o.Learner
 		})
 		if replaced || dead && (x.Learner || voters%2 == 0 && voters > 2) {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/onplatform/common.go
+++ b/internal/onplatform/common.go
@@ -125,30 +125,24 @@
 	return fileStamp{info.ModTime(), info.Size()}
 }
 
-// door is one HTTP listener of a daemon.
-type door struct {
-	server   *http.Server
-	listener net.Listener
-}
-
 // open listens and serves in the background.
-func (p *process) open(ctx context.Context, name, address string, handler http.Handler) (*door, error) {
+func (p *process) open(ctx context.Context, name, address string, handler http.Handler) (*http.Server, error) {
 	listener, err := liveness.Listen(ctx, address, acknowledge, sendBuffer)
 	if err != nil {
 		return nil, err
 	}
-	d := &door{listener: listener, server: &http.Server{
+	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: keepIdle, ErrorLog: zap.NewStdLog(p.log.Named("http")),
-	}}
+	}
 	go func() {
-		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.log.Error("listener ended", zap.String("door", name), zap.Error(err))
 		}
 	}()
-	return d, nil
+	return server, nil
 }
 
-// openMetrics serves the process's own metrics; a port of 0 serves none.
+// openMetrics serves the process's own metrics; without a port there are none.
 func (p *process) openMetrics(ctx context.Context, port string) {
 	if port == "" {
 		return
--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"eelgrasshollow/internal/clock"
@@ -91,7 +92,7 @@
 	})
 	k.Register(fleetcontrol.ModuleName, fleet, consensus.ModuleName)
 	k.Register("control.operator", &doorModule{process: p, name: "operators", address: s.OperatorAddress,
-		handler: func() handler { return platform.OperatorHandler(fleet) }}, fleetcontrol.ModuleName)
+		handler: func() http.Handler { return platform.OperatorHandler(fleet) }}, fleetcontrol.ModuleName)
 	go p.watchSettings(ctx, func(s *platform.Settings) { members.AddPeers(s.Seeds) })
 	err = k.Run(ctx, stopGrace)
 	cause := context.Cause(ctx)
--- a/internal/onplatform/door.go
+++ b/internal/onplatform/door.go
@@ -7,18 +7,16 @@
 	"eelgrasshollow/internal/kernel"
 )
 
-type handler = http.Handler
-
 // doorModule serves one HTTP listener as a module of the kernel.
 type doorModule struct {
 	process *process
 	name    string
 	address string
 	// handler makes the handler once the modules that it needs are provisioned.
-	handler func() handler
+	handler func() http.Handler
 	// drain, if set, runs before anything is stopped.
-	drain func(ctx context.Context)
-	door  *door
+	drain  func(ctx context.Context)
+	server *http.Server
 }
 
 // Provision implements kernel.Module.
@@ -27,7 +25,7 @@
 // Start implements kernel.Module.
 func (m *doorModule) Start(ctx context.Context) error {
 	var err error
-	m.door, err = m.process.open(ctx, m.name, m.address, m.handler())
+	m.server, err = m.process.open(ctx, m.name, m.address, m.handler())
 	return err
 }
 
@@ -41,8 +39,8 @@
 
 // Stop implements kernel.Module: it ends idle connections and waits for the others.
 func (m *doorModule) Stop(ctx context.Context) error {
-	if err := m.door.server.Shutdown(ctx); err != nil {
-		return m.door.server.Close()
+	if err := m.server.Shutdown(ctx); err != nil {
+		return m.server.Close()
 	}
 	return nil
 }
