Use the index of accounts, one rule for the store, and no kind of call that nobody reads

Found and mended: a loop over client accounts beside the index that the document has; the same guard before fetching from and saving to the store; a call's kind that was set and never read; a notice to leave that reached a replica which does not lead was taken for delivered (it is now an error that the caller logs; the next poll tells the leader, as before). Nothing else changes.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -222,6 +222,9 @@
 // Account finds the client account that holds a key, or nil.
 func (c *Config) Account(key string) *Account { return c.keys[key] }
 
+// AccountNamed finds a client account, or nil.
+func (c *Config) AccountNamed(name string) *Account { return c.accounts[name] }
+
 // Keyed reports whether requests need a key at all.
 func (c *Config) Keyed() bool { return len(c.Accounts) > 0 }
 
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"eelgrasshollow/internal/clock"
+	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/fleetcontrol"
 	"eelgrasshollow/internal/kernel"
@@ -134,7 +135,12 @@
 	args.Hold = 0
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	return c.leader.Call(ctx, fleetcontrol.ServiceName+".Poll", args, &fleetcontrol.PollReply{})
+	var reply fleetcontrol.PollReply
+	err := c.leader.Call(ctx, fleetcontrol.ServiceName+".Poll", args, &reply)
+	if err == nil && !reply.Leads {
+		return errkind.New(errkind.NotLeader, "the replica asked does not lead; the next poll tells")
+	}
+	return err
 }
 
 // SetSeeds adds addresses to ask, as when the settings name other seeds.
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -125,12 +125,11 @@
 	if c == nil {
 		return grants.Limit{}, false
 	}
-	for _, a := range c.Accounts {
-		if a.Name == account {
-			return grants.Limit{Rate: a.Rate, Burst: a.Burst}, true
-		}
+	a := c.AccountNamed(account)
+	if a == nil {
+		return grants.Limit{}, false
 	}
-	return grants.Limit{}, false
+	return grants.Limit{Rate: a.Rate, Burst: a.Burst}, true
 }
 
 func (e *entry) bodyLimit() int64 {
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -46,20 +46,9 @@
 	}
 }
 
-// CallKind says what to ask of a server.
-type CallKind uint8
-
-// The calls.
-const (
-	// Look reads the server's report.
-	Look CallKind = iota
-	// Load orders the server to take other weights.
-	Load
-)
-
-// Call is one call to make; its result goes to Looked or Ordered.
+// Call is one look at a server, whose result goes to Looked, or one order to it, whose
+// result goes to Ordered.
 type Call struct {
-	Kind    CallKind
 	Server  fleet.Server
 	Model   string
 	Version int64
@@ -221,7 +210,7 @@
 	}
 	c.calling = true
 	c.version = max(c.version, wanted[c.model])
-	return Call{Kind: Look, Server: s, Model: c.model, Version: c.version}, true
+	return Call{Server: s, Model: c.model, Version: c.version}, true
 }
 
 // Looked takes in a report, or the failure to get one. It returns the order to give at
@@ -251,7 +240,7 @@
 		// It is announced and emptied, and goes as soon as another one has loaded.
 	default:
 		c.calling, c.asked = true, true
-		return Call{Kind: Load, Server: call.Server, Model: c.model, Version: c.version, Sequence: r.Sequence}, true
+		return Call{Server: call.Server, Model: c.model, Version: c.version, Sequence: r.Sequence}, true
 	}
 	return Call{}, false
 }
--- a/internal/routing/copies.go
+++ b/internal/routing/copies.go
@@ -68,34 +68,39 @@
 // knows no holder of: what was saved before is there, and a miss costs a millisecond.
 const blindFor = 20 * time.Second
 
+// storeFor returns the store that may take or give the shared pieces of a request, and how
+// many these are; nil when they are too few, or further transfers would wait.
+func (c *Core) storeFor(now time.Time, r *Request) (store *storeState, shared int) {
+	shared = len(r.Chain) - 1 // the last piece is the request's own
+	if !c.policy.PeerImports || len(c.stores) == 0 || shared < 1 || r.tokensOf(shared) < savedTokens || c.crowded(now, c.stores[0]) {
+		return nil, 0
+	}
+	return c.stores[0], shared
+}
+
 // importFrom is the source to copy a request's cached pieces from.
 func (c *Core) importFrom(now time.Time, p *Pending, best *Candidate) string {
-	r := &p.Request
-	shared := len(r.Chain) - 1
-	if best.ImportFrom != "" || !c.policy.PeerImports || len(c.stores) == 0 || now.Sub(c.began) > blindFor ||
-		shared < 1 || best.Match.Depth > 0 || r.tokensOf(shared) < savedTokens || c.crowded(now, c.stores[0]) {
+	if best.ImportFrom != "" || best.Match.Depth > 0 || now.Sub(c.began) > blindFor {
 		return best.ImportFrom
 	}
-	return c.stores[0].Address
+	if store, _ := c.storeFor(now, &p.Request); store != nil {
+		return store.Address
+	}
+	return ""
 }
 
 // saveTo names the store that an endpoint shall save a request's prompt to: its shared
 // pieces are about to be computed, and no store has them. The caller's request is sent.
 func (c *Core) saveTo(now time.Time, p *Pending) string {
 	r, s := &p.Request, p.state
-	shared := len(r.Chain) - 1 // the last piece is the request's own
-	if !c.policy.PeerImports || len(c.stores) == 0 || shared < 1 || r.tokensOf(shared) < savedTokens ||
-		p.match.Depth >= shared || p.Decision.ImportFrom != "" && p.Decision.ImportFrom != c.stores[0].Address {
+	store, shared := c.storeFor(now, r)
+	if store == nil || p.match.Depth >= shared || p.Decision.ImportFrom != "" && p.Decision.ImportFrom != store.Address {
 		return ""
 	}
 	under := chainUnder(r.Chain[:shared], s.Weights)
-	store := c.stores[0]
 	c.stored = c.index.Find(under, now, c.stored)
-	if c.stored[store.index].Depth >= shared {
-		return ""
-	}
-	if !c.index.Seen(r.Chain[shared-1]) || c.crowded(now, store) {
-		return "" // nobody has asked for it twice yet, or it would wait
+	if c.stored[store.index].Depth >= shared || !c.index.Seen(r.Chain[shared-1]) {
+		return "" // the store has it, or nobody has asked for it twice yet
 	}
 	store.moved.add(r.PromptTokens, now)
 	store.saved.add(r.PromptTokens, now)
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -198,8 +198,8 @@
 	return ahead - r.Left/2, r.Left > 0 && ahead > r.Left
 }
 
-// admit sheds early: by the work ahead, by the predicted wait in fair order, and by the queue's bound,
-// where the account that waits with the most tokens gives way.
+// admit sheds early: by the work ahead, by the predicted wait in fair order, and by the
+// queue's bound, where the account that waits with the most tokens gives way.
 func (c *Core) admit(p *Pending, s *State) bool {
 	if wait, hopeless := c.hopeless(&p.Request, s); hopeless {
 		c.refuse(p, overloaded(wait))
