Tell a request's story from the logs of all VMs

Change: package explain reads the daemons' JSON lines, with or without a collector's time before them, and picks the request's lines, what its VM and control believed at its end, warnings before, kin by prefix and how its server did otherwise; a closed table names the deciding input. 'eelctl explain' prints it, '--failed' lists candidates. Ruled out: a live service that keeps requests: memory on entry VMs is dear and the logs have it all.

--- /dev/null
+++ b/internal/eelctl/explain.go
@@ -0,0 +1,101 @@
+package eelctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/explain"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+)
+
+// failedOfEach is how many requests of each kind of failure --failed lists.
+const failedOfEach = 5
+
+// explainCommand tells a request's story from collected logs. It needs no server.
+func (a *app) explainCommand() *cobra.Command {
+	var failed bool
+	cmd := &cobra.Command{
+		Use:   "explain REQUEST-ID [LOG-FILE...]",
+		Short: "Tell from the logs of all VMs what happened to a request and why",
+		Long: "Tell from the logs of all VMs what happened to a request and why. Logs are the daemons' JSON lines, of any\n" +
+			"number of VMs in one or more files, or standard input. A collector's time in seconds and the VM's name may\n" +
+			"stand before each line. With --failed, every argument is a file, and failed requests are listed instead.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if failed {
+				lines, err := a.logLines(cmd, args)
+				if err != nil {
+					return err
+				}
+				return a.printFailed(lines)
+			}
+			if len(args) == 0 {
+				return errkind.New(errkind.InvalidRequest, "explain needs a request's ID")
+			}
+			lines, err := a.logLines(cmd, args[1:])
+			if err != nil {
+				return err
+			}
+			return a.explain(lines, args[0])
+		},
+	}
+	cmd.Flags().BoolVar(&failed, "failed", false, fmt.Sprintf("list the last %d failed requests of each kind", failedOfEach))
+	return cmd
+}
+
+func (a *app) explain(lines []explain.Line, id string) error {
+	story, err := explain.Explain(lines, id)
+	if err != nil {
+		return err
+	}
+	if a.output == "json" {
+		encoder := json.NewEncoder(a.out)
+		encoder.SetIndent("", "  ")
+		return errors.Wrap(encoder.Encode(story), "write story")
+	}
+	return story.Print(a.out)
+}
+
+func (a *app) printFailed(lines []explain.Line) error {
+	for _, e := range explain.Failed(lines, failedOfEach) {
+		if _, err := fmt.Fprintf(a.out, "%s  %-16s  %s  %s: %s\n", e.Request, e.Text("kind"), e.Text("outcome"), e.VM, e.Text("error")); err != nil {
+			return errors.Wrap(err, "write list")
+		}
+	}
+	return nil
+}
+
+// logLines reads files, or without any standard input.
+func (a *app) logLines(cmd *cobra.Command, files []string) ([]explain.Line, error) {
+	read := func(r io.Reader, name string) ([]explain.Line, error) {
+		lines, skipped, err := explain.Read(r)
+		if err != nil {
+			return nil, errkind.Wrap(err, errkind.InvalidRequest, "%s", name)
+		}
+		if skipped > 0 {
+			_, _ = fmt.Fprintf(cmd.ErrOrStderr(), "eelctl: %s: %d lines are not structured and were skipped\n", name, skipped)
+		}
+		return lines, nil
+	}
+	if len(files) == 0 {
+		return read(cmd.InOrStdin(), "standard input")
+	}
+	var all []explain.Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errkind.Wrap(err, errkind.InvalidRequest, "open log")
+		}
+		lines, err := read(f, name)
+		_ = f.Close() // only read
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
--- a/internal/eelctl/root.go
+++ b/internal/eelctl/root.go
@@ -72,7 +72,7 @@
 	f.DurationVar(&a.timeout, "timeout", defaultTimeout, "bound of the whole command")
 	root.AddCommand(a.accountCommand(), a.keyCommand(), a.routeCommand(), a.modelCommand(), a.endpointCommand(),
 		a.applyCommand(), a.diffCommand(), a.getCommand(), a.historyCommand(), a.waitCommand(), a.statusCommand(),
-		a.replicaCommand(), a.backupCommand(), a.restoreCommand(), a.topCommand())
+		a.replicaCommand(), a.backupCommand(), a.restoreCommand(), a.topCommand(), a.explainCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,140 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"eelgrasshollow/internal/errkind"
+
+	"gotest.tools/v3/assert"
+)
+
+// log is what five VMs wrote, as a collector prints it: the clock of vm-2 is 2 s ahead.
+const log = `built in 3 s
+   0.0000 core-1 {"level":"info","ts":"2026-06-15T08:00:00.000Z","msg":"owning grants","vm":"core-1","term":3,"accounts":2}
+   0.1000 core-1 {"level":"info","ts":"2026-06-15T08:00:00.100Z","msg":"agreement","vm":"core-1","role":"leader","leader":677549946674331471}
+   0.2000 vm-1 {"level":"info","ts":"2026-06-15T08:00:00.200Z","msg":"servers known","vm":"vm-1","servers":7}
+   0.2000 vm-2 {"level":"info","ts":"2026-06-15T08:00:02.200Z","msg":"servers known","vm":"vm-2","servers":9}
+   0.3000 vm-1 {"level":"warn","ts":"2026-06-15T08:00:00.300Z","msg":"control lost","vm":"vm-1","age":2100}
+   1.0000 vm-2 {"level":"info","ts":"2026-06-15T08:00:03.000Z","msg":"start","vm":"vm-2"}
+   1.1000 vm-2 {"level":"info","ts":"2026-06-15T08:00:03.100Z","msg":"request served","vm":"vm-2","request":"before","server":"s1","prefix":"p","weights":"m/1","outcome":"completed","took":10}
+   1.2000 core-1 {"level":"info","ts":"2026-06-15T08:00:01.200Z","msg":"weights ordered","vm":"core-1","server":"s2","version":2}
+   1.2500 core-1 {"level":"info","ts":"2026-06-15T08:00:01.250Z","msg":"weights ordered","vm":"core-1","server":"s1","version":2}
+   1.5000 vm-1 {"level":"warn","ts":"2026-06-15T08:00:01.500Z","msg":"request failed","vm":"vm-1","request":"neighbour","server":"s1","prefix":"q","outcome":"outcome-unknown","kind":"endpoint-failed","took":30}
+   1.6000 vm-2 {"level":"warn","ts":"2026-06-15T08:00:03.600Z","msg":"request failed","vm":"vm-2","request":"lost","server":"s1","prefix":"p","weights":"m/1","outcome":"outcome-unknown","kind":"endpoint-failed","error":"endpoint-failed: EOF","took":200}
+   1.7000 vm-1 {"level":"warn","ts":"2026-06-15T08:00:01.700Z","msg":"request failed","vm":"vm-1","request":"old-view","server":"","outcome":"not-run","kind":"stale","took":0}
+   1.8000 vm-1 {"level":"info","ts":"2026-06-15T08:00:01.800Z","msg":"request served","vm":"vm-1","request":"fine","server":"s2","outcome":"completed","took":5}
+   9.0000 core-1 {"level":"info","ts":"2026-06-15T08:00:09.000Z","msg":"owning grants","vm":"core-1","term":4,"accounts":2}
+`
+
+func read(t *testing.T, text string) []Line {
+	lines, _, err := Read(strings.NewReader(text))
+	assert.NilError(t, err)
+	return lines
+}
+
+func TestReadSkipsWhatIsNoLine(t *testing.T) {
+	lines, skipped, err := Read(strings.NewReader(log + "{\"cut\":\n{}\n\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(lines), 14)
+	assert.Equal(t, skipped, 3)
+	_, _, err = Read(strings.NewReader(strings.Repeat("x", maxLine+1)))
+	assert.ErrorContains(t, err, "read log")
+}
+
+func TestStory(t *testing.T) {
+	for _, c := range []struct {
+		id             string
+		beliefs        []string
+		trouble, kin   int
+		server         string // "" for none
+		ended, failed  int
+		outcome, cause string
+	}{
+		{
+			id: "lost", kin: 1, server: "s1", ended: 2, failed: 1, outcome: "outcome-unknown", cause: "the server's answer failed",
+			beliefs: []string{"core-1 owning grants", "core-1 agreement", "vm-2 start", "core-1 weights ordered s1"},
+		},
+		{
+			id: "old-view", trouble: 1, outcome: "not-run", cause: "view was too old",
+			beliefs: []string{"core-1 owning grants", "core-1 agreement", "vm-1 servers known", "vm-1 control lost"},
+		},
+		{
+			id: "fine", trouble: 1, server: "s2", outcome: "completed", cause: "it was answered",
+			beliefs: []string{"core-1 owning grants", "core-1 agreement", "vm-1 servers known", "vm-1 control lost", "core-1 weights ordered s2"},
+		},
+	} {
+		t.Run(c.id, func(t *testing.T) {
+			s, err := Explain(read(t, log), c.id)
+			assert.NilError(t, err)
+			var beliefs []string
+			for _, e := range s.Beliefs {
+				beliefs = append(beliefs, strings.TrimSpace(e.VM+" "+e.Message+" "+e.Text("server")))
+			}
+			assert.DeepEqual(t, beliefs, c.beliefs)
+			assert.Equal(t, len(s.Trouble), c.trouble)
+			assert.Equal(t, len(s.Kin), c.kin)
+			assert.Equal(t, s.Server != nil, c.server != "")
+			if s.Server != nil {
+				assert.Equal(t, *s.Server, Neighbours{Server: c.server, Ended: c.ended, Failed: c.failed})
+			}
+			assert.Equal(t, s.Verdict.Outcome, c.outcome)
+			assert.Assert(t, strings.Contains(s.Verdict.Reason, c.cause), s.Verdict.Reason)
+		})
+	}
+}
+
+func TestServerThatFailsEveryRequestWasDown(t *testing.T) {
+	down := strings.ReplaceAll(log, `"request":"before","server":"s1"`, `"request":"before","server":"s3"`)
+	s, err := Explain(read(t, down), "lost")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(s.Verdict.Reason, "the server was down"), s.Verdict.Reason)
+}
+
+func TestPrint(t *testing.T) {
+	lines := read(t, log)
+	s, err := Explain(lines, "lost")
+	assert.NilError(t, err)
+	var b strings.Builder
+	assert.NilError(t, s.Print(&b))
+	for _, want := range []string{
+		"request lost, taken by vm-2\n", "clocks off, as the collector saw them: vm-2 +2.000 s\n",
+		"-1.400  core-1  owning grants accounts=2 term=3\n", "leader=677549946674331471",
+		"+0.200  vm-2  request failed", "2 other requests ended, 1 of them failed",
+		"outcome: outcome-unknown, endpoint-failed\ndecided by: the server's answer failed\n",
+	} {
+		assert.Assert(t, strings.Contains(b.String(), want), "%q is not in\n%s", want, b.String())
+	}
+}
+
+func TestWithoutCollectorTheClocksAreNotCompared(t *testing.T) {
+	var plain []string
+	for l := range strings.Lines(log) {
+		if i := strings.Index(l, "{"); i >= 0 {
+			plain = append(plain, l[i:])
+		}
+	}
+	s, err := Explain(read(t, strings.Join(plain, "")), "old-view")
+	assert.NilError(t, err)
+	var b strings.Builder
+	assert.NilError(t, s.Print(&b))
+	assert.Assert(t, strings.Contains(b.String(), "no collector's time in the input"))
+	assert.Equal(t, s.Verdict.Kind, "stale")
+}
+
+func TestUnknownRequest(t *testing.T) {
+	_, err := Explain(read(t, log), "nobody")
+	assert.Equal(t, errkind.Of(err).Kind, errkind.NotFound)
+	unfinished := `{"ts":"2026-06-15T08:00:00.000Z","msg":"prefix kept","vm":"vm-1","request":"r"}` + "\n"
+	s, err := Explain(read(t, unfinished), "r")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(s.Verdict.Reason, "last line is missing"))
+}
+
+func TestFailedListsTheLastOfEachKind(t *testing.T) {
+	var ids []string
+	for _, e := range Failed(read(t, log), 1) {
+		ids = append(ids, e.Request)
+	}
+	assert.DeepEqual(t, ids, []string{"lost", "old-view"})
+}
--- /dev/null
+++ b/internal/explain/story.go
@@ -0,0 +1,249 @@
+package explain
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"eelgrasshollow/internal/errkind"
+)
+
+const (
+	// around is how far from the request's end other requests of its server count.
+	around = time.Second
+	// trouble is how long before the request's start warnings of its VM are told.
+	trouble = 5 * time.Second
+	// kin is how many earlier requests of the same prefix are told.
+	kin = 3
+)
+
+// Event is a line with its time on the common line.
+type Event struct {
+	*Line
+	When time.Time
+}
+
+// Story is what the logs say of one request.
+type Story struct {
+	ID       string
+	Compared bool                     // the order between VMs is the collector's
+	Offsets  map[string]time.Duration // of the clocks of the VMs told of; only with Compared
+	Begin    time.Time
+	// Own are the request's lines, Beliefs what the processes believed then, Trouble what
+	// went wrong on its VM shortly before, and Kin earlier requests of the same prefix.
+	Own, Beliefs, Trouble, Kin []Event
+	Server                     *Neighbours // nil when it was sent nowhere
+	Verdict                    Verdict
+}
+
+// Neighbours counts the other requests that one server had at about the same time.
+type Neighbours struct {
+	Server        string
+	Ended, Failed int
+}
+
+// belief is a line that says what a process believes. The last one before the request's
+// end counts.
+type belief struct {
+	message string
+	scope   scope
+}
+
+type scope int
+
+const (
+	taker    scope = iota // of the VM that took the request
+	anywhere              // of any VM
+	server                // of any VM, about the request's server
+)
+
+// beliefs is the closed table of lines that decide about requests.
+var beliefs = []belief{
+	{"start", taker}, {"settings reloaded", taker}, {"configuration in force", taker}, {"servers known", taker},
+	{"control lost", taker}, {"control regained", taker}, {"no further requests are taken", taker}, {"stop", taker},
+	{"configuration sent by an operator", anywhere}, {"list of servers changed", anywhere}, {"owning grants", anywhere},
+	{"agreement", anywhere}, {"weights named", anywhere}, {"weights ordered", server}, {"server looked at", server},
+}
+
+// Explain picks what belongs to a request, in order of time. A request without any line
+// is errkind NotFound.
+func Explain(lines []Line, id string) (*Story, error) {
+	c := compare(lines)
+	s := &Story{ID: id, Compared: c.compared, Offsets: map[string]time.Duration{}}
+	events := make([]Event, len(lines))
+	for i := range lines {
+		events[i] = Event{Line: &lines[i], When: c.when(&lines[i])}
+	}
+	slices.SortStableFunc(events, func(a, b Event) int { return a.When.Compare(b.When) })
+	for _, e := range events {
+		if e.Request == id {
+			s.Own = append(s.Own, e)
+		}
+	}
+	if len(s.Own) == 0 {
+		return nil, errkind.New(errkind.NotFound, "no line of request %s: its VM's log is missing, or the line was dropped (metric eelgrass_log_lines_dropped_total)", id)
+	}
+	last := s.Own[len(s.Own)-1]
+	s.Begin = s.Own[0].When
+	for _, e := range s.Own {
+		s.Begin = earlier(s.Begin, e.When.Add(-took(e)))
+	}
+	s.Beliefs = believed(events, last)
+	for _, e := range events {
+		if e.VM == last.VM && e.Request == "" && e.Level != "info" && !e.When.Before(s.Begin.Add(-trouble)) && !e.When.After(last.When) {
+			s.Trouble = append(s.Trouble, e)
+		}
+	}
+	s.Server = neighbours(events, last)
+	s.Kin = kindred(events, last)
+	for _, group := range [][]Event{s.Own, s.Beliefs, s.Trouble, s.Kin} {
+		for _, e := range group {
+			s.Offsets[e.VM] = c.offset[e.VM]
+		}
+	}
+	s.Verdict = judge(last, s)
+	return s, nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// took is how long the request of a line had lasted, which its last line gives in ms.
+func took(e Event) time.Duration {
+	return time.Duration(e.Number("took") * float64(time.Millisecond))
+}
+
+// believed picks the last line of each belief before the request's end. What the VM that
+// took it believed before its last start does not count.
+func believed(events []Event, last Event) []Event {
+	var found []Event
+	started := time.Time{}
+	for _, e := range events {
+		if e.Message == "start" && e.VM == last.VM && !e.When.After(last.When) {
+			started = e.When
+		}
+	}
+	for _, b := range beliefs {
+		for _, e := range slices.Backward(events) {
+			if e.Message != b.message || e.When.After(last.When) {
+				continue
+			}
+			if b.scope == taker && (e.VM != last.VM || e.When.Before(started)) || b.scope == server && (e.Text("server") == "" || e.Text("server") != last.Text("server")) {
+				continue
+			}
+			found = append(found, e)
+			break
+		}
+	}
+	slices.SortStableFunc(found, func(a, b Event) int { return a.When.Compare(b.When) })
+	return found
+}
+
+// ended says that the line is a request's last.
+func ended(e Event) bool {
+	return e.Request != "" && e.Text("outcome") != ""
+}
+
+func neighbours(events []Event, last Event) *Neighbours {
+	n := &Neighbours{Server: last.Text("server")}
+	if n.Server == "" {
+		return nil
+	}
+	for _, e := range events {
+		if !ended(e) || e.Text("server") != n.Server || e.Request == last.Request || e.When.Sub(last.When).Abs() > around {
+			continue
+		}
+		n.Ended++
+		if e.Text("kind") != "" {
+			n.Failed++
+		}
+	}
+	return n
+}
+
+// kindred picks the last earlier requests of the same prefix and weights.
+func kindred(events []Event, last Event) []Event {
+	prefix := last.Text("prefix")
+	if prefix == "" {
+		return nil
+	}
+	var found []Event
+	for _, e := range events {
+		if ended(e) && e.Request != last.Request && e.When.Before(last.When) && e.Text("prefix") == prefix && e.Text("weights") == last.Text("weights") {
+			found = append(found, e)
+		}
+	}
+	return found[max(0, len(found)-kin):]
+}
+
+// Verdict is the outcome and the input that decided it.
+type Verdict struct {
+	Outcome string // errkind's word, or "" when the request's last line is missing
+	Kind    string // errkind's word; "" for a success
+	Reason  string
+	Next    string // where to look next; "" when the reason is the cause
+}
+
+// reasons is the closed table of what each kind of failure means here.
+var reasons = map[errkind.Kind]Verdict{
+	errkind.RateLimited:     {Reason: "the client account's tokens", Next: `the line "owning grants": an owner that changed just before makes VMs refuse what they can't count`},
+	errkind.Overloaded:      {Reason: "no server could make it in time", Next: `lines "servers known" and "weights ordered": servers out of use, or loading`},
+	errkind.Stale:           {Reason: "the VM's view was too old, or missing", Next: `lines "control lost" and "agreement"`},
+	errkind.NoQuorum:        {Reason: "the owner of the grants did not answer", Next: `lines "agreement" and "owning grants" of the control VMs`},
+	errkind.NotLeader:       {Reason: "control had no leader", Next: `lines "agreement"`},
+	errkind.NoEndpoint:      {Reason: "no server could be used", Next: `lines "servers known" and "list of servers changed"`},
+	errkind.Draining:        {Reason: "the VM was stopping", Next: `line "no further requests are taken"`},
+	errkind.EndpointFailed:  {Reason: "the server's answer failed", Next: "the other requests of that server at the time"},
+	errkind.StreamBroken:    {Reason: "the stream broke and could not be resumed", Next: "the other requests of that server at the time"},
+	errkind.Timeout:         {Reason: "the time of the request was up", Next: "the other requests of that server, and what was cached of the prompt"},
+	errkind.Canceled:        {Reason: "the caller left"},
+	errkind.NotFound:        {Reason: "the configuration in force had no such route", Next: `line "configuration in force": its version and age`},
+	errkind.Unauthenticated: {Reason: "the configuration in force had no such key", Next: `line "configuration in force": its version and age`},
+}
+
+// judge names the decisive input by the request's last line.
+func judge(last Event, s *Story) Verdict {
+	if !ended(last) {
+		return Verdict{Reason: "its last line is missing: it was still running, or the line was dropped"}
+	}
+	v := Verdict{Outcome: last.Text("outcome"), Kind: last.Text("kind")}
+	if v.Kind == "" {
+		v.Reason = "it was answered"
+		return v
+	}
+	v.Reason = "no rule for this kind: see the error"
+	for kind, known := range reasons {
+		if kind.String() == v.Kind {
+			v.Reason, v.Next = known.Reason, known.Next
+		}
+	}
+	if s.Server != nil && s.Server.Ended > 0 && s.Server.Failed == s.Server.Ended && (v.Kind == errkind.EndpointFailed.String() || v.Kind == errkind.StreamBroken.String()) {
+		v.Reason += ", like every request there at that time: the server was down"
+		v.Next = `lines "list of servers changed" and "servers known" after it`
+	}
+	return v
+}
+
+// Failed lists the IDs of failed requests, most recent last, at most n of each kind.
+func Failed(lines []Line, n int) []Event {
+	c := compare(lines)
+	byKind := map[string][]Event{}
+	for i := range lines {
+		if kind := lines[i].Text("kind"); kind != "" && lines[i].Request != "" {
+			byKind[kind] = append(byKind[kind], Event{Line: &lines[i], When: c.when(&lines[i])})
+		}
+	}
+	var all []Event
+	for _, events := range byKind {
+		slices.SortStableFunc(events, func(a, b Event) int { return a.When.Compare(b.When) })
+		all = append(all, events[max(0, len(events)-n):]...)
+	}
+	slices.SortStableFunc(all, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.Text("kind"), b.Text("kind")), a.When.Compare(b.When))
+	})
+	return all
+}
