Apply the configuration's limits on heads and idle connections

Ruled out: a new http.Server at each change: old connections would keep old bounds. Deadlines set by handlers: the head is read before any handler runs. Change: liveness.Bound replaces the read deadlines that http.Server sets by those in force when the wait begins; the front answers 431 to a head above the limit.

--- a/internal/onplatform/common.go
+++ b/internal/onplatform/common.go
@@ -35,8 +35,8 @@
 	sendBuffer  = 64 << 10
 	// logWait bounds the writing of the last log lines.
 	logWait = 300 * time.Millisecond
-	// headTime bounds the reading of a request's head, and keepIdle an idle connection;
-	// both lie above every limit that a configuration has set so far.
+	// headTime bounds the reading of a request's head, and keepIdle an idle connection,
+	// where no configuration does.
 	headTime = 10 * time.Second
 	keepIdle = 60 * time.Second
 )
@@ -125,8 +125,9 @@
 	return fileStamp{info.ModTime(), info.Size()}
 }
 
-// open listens and serves in the background.
-func (p *process) open(ctx context.Context, name, address string, handler http.Handler) (*http.Server, error) {
+// open listens and serves in the background. Clients have the patience in force, or with
+// nil the constant one.
+func (p *process) open(ctx context.Context, name, address string, handler http.Handler, patience func() liveness.Patience) (*http.Server, error) {
 	listener, err := liveness.Listen(ctx, address, acknowledge, sendBuffer)
 	if err != nil {
 		return nil, err
@@ -134,6 +135,9 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: keepIdle, ErrorLog: zap.NewStdLog(p.log.Named("http")),
 	}
+	if patience != nil {
+		listener = liveness.Bound(server, listener, patience)
+	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.log.Error("listener ended", zap.String("door", name), zap.Error(err))
@@ -151,7 +155,7 @@
 	if err == nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
-		_, err = p.open(ctx, "metrics", net.JoinHostPort(host, port), mux)
+		_, err = p.open(ctx, "metrics", net.JoinHostPort(host, port), mux, nil)
 	}
 	if err != nil {
 		p.log.Error("metrics are not served", zap.Error(err))
--- a/internal/onplatform/door.go
+++ b/internal/onplatform/door.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/liveness"
 )
 
 // doorModule serves one HTTP listener as a module of the kernel.
@@ -14,6 +15,8 @@
 	address string
 	// handler makes the handler once the modules that it needs are provisioned.
 	handler func() http.Handler
+	// patience, if set, is how long clients may take; else the constants bound it.
+	patience func() liveness.Patience
 	// drain, if set, runs before anything is stopped.
 	drain  func(ctx context.Context)
 	server *http.Server
@@ -25,7 +28,7 @@
 // Start implements kernel.Module.
 func (m *doorModule) Start(ctx context.Context) error {
 	var err error
-	m.server, err = m.process.open(ctx, m.name, m.address, m.handler())
+	m.server, err = m.process.open(ctx, m.name, m.address, m.handler(), m.patience)
 	return err
 }
 
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -9,10 +9,12 @@
 
 	"eelgrasshollow/internal/clock"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/fleetview"
 	"eelgrasshollow/internal/gateway"
 	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/membership"
 	"eelgrasshollow/internal/peer"
 	"eelgrasshollow/internal/routing"
@@ -98,9 +100,9 @@
 		}, vms, clock.Boot),
 		Retries: gateway.NewRetries(gateway.RetryBounds{Share: s.Bounds.RetryShare, Extra: s.Bounds.RetryExtra, VMs: vms}),
 	})
-	front := platform.NewFront(core.Serve, e.bodyLimit, e.leaving.Load, e.log.Named("front"))
+	front := platform.NewFront(core.Serve, e.limits, e.leaving.Load, e.log.Named("front"))
 	k.Register("entry.http", &doorModule{process: e.process, name: "callers", address: s.CallerAddress,
-		handler: func() http.Handler { return front }, drain: e.drain}, routing.ModuleName, "entry.grants")
+		handler: func() http.Handler { return front }, patience: e.patience, drain: e.drain}, routing.ModuleName, "entry.grants")
 	k.Register("entry.ready", &doorModule{process: e.process, name: "ready", address: s.ReadyAddress,
 		handler: func() http.Handler { return platform.ReadyHandler(e.ready) }}, "entry.http")
 	if s.LookupAddress != "" {
@@ -132,11 +134,18 @@
 	return grants.Limit{Rate: a.Rate, Burst: a.Burst}, true
 }
 
-func (e *entry) bodyLimit() int64 {
+// limits are those that the configuration in force sets for callers.
+func (e *entry) limits() fleet.Limits {
 	if c := e.view.View().Config; c != nil {
-		return c.Limits.BodyBytes
+		return c.Limits
 	}
-	return 0
+	return fleet.Limits{}
+}
+
+// patience is the part of the limits that concerns connections.
+func (e *entry) patience() liveness.Patience {
+	l := e.limits()
+	return liveness.Patience{Head: l.HeaderTime, Idle: l.IdleTime}
 }
 
 // ready says why this VM takes no callers, or nil.
