Keep the refused need of a first report; judge refusals when they are given

(1) A holder's first report under an owner's term was set to zero before the answer was taken, with it the need that was refused; a refusal of need 0 blocks whatever the account asks, so calls of one token were refused for two seconds at a VM that had just met the owner. (2) The reference bucket was asked when an attempt came, with exact time. At 20.664 s two attempts of 3,066 tokens came 4 ms before a third at another VM; all waited, the third got the tokens at 20.67 s and the two were refused at 20.729 s, when the account had spent them. Ruled out: order in the holder's queue; a promise in flight (refusals came within 0.9 ms, without a call to the owner). Change: the need stays with its answer. The reference bucket refills at the rate less the drift bound and is asked when the refusal is given: what was refused although its tokens had come while it waited now counts, which it did not before; what lost them to its own account's request does not. A table test has both directions.

--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -283,10 +283,11 @@
 		if a == nil {
 			continue
 		}
+		told := e
 		if req.Term != reply.Term {
-			e = SyncEntry{Account: e.Account}
+			told = SyncEntry{} // this owner counts from zero
 		}
-		a.current.renew(reply.Entries[i], e, sent+reply.Lease)
+		a.current.renew(reply.Entries[i], told, sent+reply.Lease)
 		h.take(now, e.Account, a, e.Need, reply.Entries[i])
 	}
 }
--- /dev/null
+++ b/internal/grants/holder_test.go
@@ -0,0 +1,42 @@
+package grants
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestFirstRefusalBlocksLargeNeedsOnly is the start of a run, or the time after an owner
+// changed: a holder's first report under the owner's term asks for more than the bucket
+// has. Its small requests, which the bucket does have, must be asked for all the same.
+func TestFirstRefusalBlocksLargeNeedsOnly(t *testing.T) {
+	const large, small = 3066, 1
+	for name, known := range map[string]uint64{"first owner": 0, "owner changed": 6} {
+		t.Run(name, func(t *testing.T) {
+			owner := NewOwner(7, OwnerOptions{Lease: 3 * time.Second})
+			owner.SetLimit(0, "a", Limit{Rate: 1000, Burst: 4000}, nil)
+			owner.Committed(owner.Promises(0))
+			h := NewHolder(HolderOptions{Name: "vm", Interval: time.Second, Horizon: time.Second, Queue: 300 * time.Millisecond, MaxQueue: 8})
+			h.changeTerm(known)
+
+			// Another VM has most of the tokens.
+			now := time.Second
+			owner.accounts["a"].fills.add(large)
+			_, w, err := h.Reserve(now, "a", large)
+			assert.NilError(t, err)
+			req := h.Report(now)
+			h.Answer(now, now, req, owner.Sync(now, req))
+			assert.ErrorContains(t, (<-w.result).err, "over its rate")
+
+			now += 10 * time.Millisecond
+			owner.Committed(owner.Promises(now))
+			_, w, err = h.Reserve(now, "a", small)
+			assert.NilError(t, err)
+			req = h.Report(now)
+			h.Answer(now, now, req, owner.Sync(now, req))
+			assert.Equal(t, len(w.result), 1, "asked for %d tokens, answered %+v", small, h.accounts["a"])
+			assert.NilError(t, (<-w.result).err)
+		})
+	}
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -217,3 +217,34 @@
 	assert.Equal(t, used, int64(100))
 	assert.Equal(t, wrongly, 2)
 }
+
+func TestRefusalsAreJudgedWhenTheyAreGiven(t *testing.T) {
+	const ms = time.Millisecond
+	account := Account{Name: "a", Rate: 1000, Burst: 4000}
+	usage := func(total int) (u engineapi.Usage) { u.TotalTokens = total; return u }
+	chat := func(start, end time.Duration, ok bool) Attempt {
+		a := Attempt{Account: "a", Kind: Chat, Start: start, End: end, Asked: 3000, OK: ok}
+		if ok {
+			a.Usage = usage(3000)
+		} else {
+			a.Code = errkind.RateLimited.String()
+		}
+		return a
+	}
+	for _, c := range []struct {
+		name    string
+		refused Attempt
+		wrongly int
+	}{
+		{"another request took the tokens while it waited", chat(2010*ms, 2100*ms, false), 0},
+		{"refused at once while the tokens are there", chat(2010*ms, 2011*ms, false), 1},
+		{"the tokens came while it waited, and nobody took them", chat(4900*ms, 5100*ms, false), 1},
+		{"refused before the tokens came", chat(4700*ms, 4900*ms, false), 0},
+		{"within what clocks may be off", chat(4700*ms, 5004*ms, false), 0},
+	} {
+		// 4000 at first; 1000 left; 3000 again after 2 s, taken at 2.02 s; again at 5.02 s.
+		trace := &Trace{Attempts: []Attempt{chat(0, ms, true), chat(2020*ms, 2100*ms, true), c.refused}}
+		_, wrongly := againstCentralBucket(trace, account)
+		assert.Equal(t, wrongly, c.wrongly, c.name)
+	}
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/prefix"
 )
 
@@ -205,8 +206,12 @@
 }
 
 // againstCentralBucket returns the tokens an account used and how many of its refused
-// attempts one central token bucket would have admitted. The bucket knows no more than
-// a real one: an attempt takes what it asks for, and gives back the rest at its end.
+// attempts were refused while one central token bucket held their tokens. The bucket
+// knows no more than a real one: an attempt takes what it asks for, and gives back the
+// rest at its end; it counts time as slow as the drift bound of clocks allows, as a bucket
+// must that keeps the rate by every clock. A refusal is judged when it is given: what
+// waits may see its tokens go to a request of the same account at another VM, but must
+// not be refused once they are there.
 func againstCentralBucket(t *Trace, account Account) (used int64, refused int) {
 	var events []bucketEvent
 	for _, a := range t.Attempts {
@@ -223,13 +228,14 @@
 			used += int64(spent)
 			events = append(events, bucketEvent{at: a.Start, tokens: -asked}, bucketEvent{at: a.End, tokens: asked - spent})
 		case a.Code == errkind.RateLimited.String():
-			events = append(events, bucketEvent{at: a.Start, asked: asked})
+			events = append(events, bucketEvent{at: a.End, asked: asked})
 		}
 	}
 	slices.SortStableFunc(events, func(a, b bucketEvent) int { return cmp.Compare(a.at, b.at) })
 	level, last := account.Burst, time.Duration(0)
+	rate := account.Rate * (1 - grants.DriftPPM/1e6)
 	for _, e := range events {
-		level = min(account.Burst, level+account.Rate*(e.at-last).Seconds()+e.tokens)
+		level = min(account.Burst, level+rate*(e.at-last).Seconds()+e.tokens)
 		last = e.at
 		if e.asked > 0 && e.asked <= level {
 			refused++
