Show waits, gaps, budgets, ages, term and commit time as metrics

Change: entry VMs show the wait for tokens and for a place, pauses within streams, the retry budget and the tokens left, age and version of the view and its servers; control VMs show term, leadership, log positions, commit time and the age of the list. The four figures of agreement moved from controld to consensus, so both kinds of control daemon show the same. Ruled out: labels by server or request: not bounded. Figures: the process test reads them from real daemons.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -42,3 +42,10 @@
 	b.level -= unit
 	return true
 }
+
+// Left is how many retries there are to be had, in parts as well.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return float64(b.level) / unit
+}
--- a/internal/consensus/calls.go
+++ b/internal/consensus/calls.go
@@ -45,6 +45,7 @@
 		return statemachine.Result{}, errkind.New(errkind.NotLeader, "replica %d is stopping", r.opt.Core.ID)
 	}
 	data := statemachine.Command(namespace, command)
+	arrived := time.Now()
 	reply := make(chan proposed, 1)
 	err := r.do(ctx, func() {
 		if !r.handing.IsZero() {
@@ -64,6 +65,9 @@
 	}
 	select {
 	case p := <-reply:
+		if p.err == nil {
+			r.commitTime.Observe(time.Since(arrived).Seconds())
+		}
 		return p.result, p.err
 	case <-r.done:
 		return afterStop(reply)
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -12,6 +12,7 @@
 	"eelgrasshollow/internal/statemachine"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 )
 
@@ -79,6 +80,7 @@
 	snapTook    time.Duration
 	handing     time.Time // since when leadership is being handed over for a snapshot
 	draining    atomic.Bool
+	commitTime  prometheus.Histogram
 	published   atomic.Pointer[Published]
 	fatal       atomic.Pointer[errkind.Error]
 
@@ -124,7 +126,8 @@
 		opt.OnFatal = func(error) {}
 	}
 	r := &Replica{opt: opt, inbox: make(chan func(), inboxSize), stop: make(chan struct{}), done: make(chan struct{}),
-		addresses: map[uint64]string{}, waiting: map[uint64]waiter{}, reads: map[uint64]chan ReadReady{}, changed: make(chan struct{})}
+		addresses: map[uint64]string{}, waiting: map[uint64]waiter{}, reads: map[uint64]chan ReadReady{}, changed: make(chan struct{}),
+		commitTime: newCommitTime()}
 	snap := opt.Stored.Snapshot
 	if len(snap.Data) > 0 {
 		if err := opt.Machine.Restore(bytes.NewReader(snap.Data)); err != nil {
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -55,16 +55,8 @@
 	gauge := func(name, help string, f func() float64) {
 		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "eelgrass", Subsystem: "control", Name: name, Help: help}, f))
 	}
-	gauge("term", "Term of the agreement.", func() float64 { return float64(replica.Published().Term) })
-	gauge("commit_index", "Last committed log entry.", func() float64 { return float64(replica.Published().Commit) })
-	gauge("applied_index", "Last applied log entry.", func() float64 { return float64(replica.Published().Applied) })
+	reg.MustRegister(replica.Collectors()...)
 	gauge("revision", "Revision of the configuration.", func() float64 { return float64(machine.Revision()) })
-	gauge("leading", "1 while this replica holds the leader lease.", func() float64 {
-		if _, ok := replica.Leading(); ok {
-			return 1
-		}
-		return 0
-	})
 	gauge("journal_records", "Requests with a record in the journal.", func() float64 { return float64(records.Stats().Records) })
 	gauge("journal_claims", "Records whose request is claimed and not settled.", func() float64 { return float64(records.Stats().Claims) })
 	gauge("journal_expired_ids", "Request IDs kept after the retention.", func() float64 { return float64(records.Stats().Expired) })
--- a/internal/fleetcontrol/keeper.go
+++ b/internal/fleetcontrol/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"eelgrasshollow/internal/clock"
@@ -55,6 +56,15 @@
 	listDue time.Time
 	results chan func() // what came of calls, run by Run
 	reading bool
+	// listRead is when the list was last read, by now in Unix ns; 0 before the first time.
+	listRead atomic.Int64
+}
+
+// ListAge is how long ago this replica read the list of servers; known is false before
+// the first time.
+func (k *Keeper) ListAge() (age time.Duration, known bool) {
+	at := k.listRead.Load()
+	return k.now().Sub(time.Unix(0, at)), at != 0
 }
 
 // NewKeeper returns a keeper; lease is how long two senders of orders must keep apart.
@@ -147,6 +157,7 @@
 		k.log.Warn("list of servers not read", zap.Int("kept", len(k.listed)), zap.Error(err))
 		return
 	}
+	k.listRead.Store(k.now().UnixNano())
 	fleet.SortServers(servers)
 	if !fleet.SameServers(servers, k.listed) {
 		k.log.Info("list of servers changed", zap.Int("before", len(k.listed)), zap.Int("now", len(servers)))
--- a/internal/fleetcontrol/module.go
+++ b/internal/fleetcontrol/module.go
@@ -33,6 +33,10 @@
 	wg      sync.WaitGroup
 }
 
+// ListAge is how long ago this replica read the list of servers; known is false before
+// the first time. Only a leader reads it.
+func (m *Module) ListAge() (age time.Duration, known bool) { return m.keeper.ListAge() }
+
 // NewModule returns a module.
 func NewModule(cfg ModuleConfig) *Module { return &Module{cfg: cfg} }
 
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -320,14 +320,10 @@
 	next.Servers = servers
 	next.Stock++
 	next.byKey = make(map[string]fleet.Server, len(servers))
-	leaving := 0
 	for _, s := range servers {
 		next.byKey[s.Key()] = s
-		if s.Draining || s.Changing {
-			leaving++
-		}
 	}
-	c.cfg.Log.Info("servers known", zap.Int("servers", len(servers)), zap.Int("out_of_use", leaving), zap.String("from", from))
+	c.cfg.Log.Info("servers known", zap.Int("servers", len(servers)), zap.Int("out_of_use", next.outOfUse()), zap.String("from", from))
 }
 
 // readAlone reads the list of servers while control is silent.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -30,7 +30,9 @@
 	unreached := 0
 	var last error
 	for {
+		asked := time.Now()
 		ticket, err := g.Router.Pick(x.ctx, x.routed(exclude))
+		g.Metrics.waited(x.route.Name, forPlace, asked)
 		if err != nil {
 			return x.ended(prefer(last, err))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,7 @@
 	if x.account == nil || x.account.Rate == 0 {
 		return nil, nil
 	}
+	defer g.Metrics.waited(x.route.Name, forTokens, time.Now())
 	return g.Limiter.Reserve(x.ctx, x.account.Name, x.cost())
 }
 
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -4,6 +4,8 @@
 	"sync"
 
 	"eelgrasshollow/internal/budget"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // RetryBounds bound second tries of a service over all VMs together.
@@ -45,5 +47,20 @@
 // Earn counts a first try.
 func (r *Retries) Earn(service string) { r.of(service).Earn() }
 
+// left describes how many second tries are left.
+var left = prometheus.NewDesc("eelgrass_gateway_retry_budget_left", "Second tries that the budget still allows at this VM.", []string{"service"}, nil)
+
+// Describe implements prometheus.Collector.
+func (r *Retries) Describe(d chan<- *prometheus.Desc) { d <- left }
+
+// Collect implements prometheus.Collector.
+func (r *Retries) Collect(m chan<- prometheus.Metric) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, b := range r.budgets {
+		m <- prometheus.MustNewConstMetric(left, prometheus.GaugeValue, b.Left(), service)
+	}
+}
+
 // Spend asks for a second try.
 func (r *Retries) Spend(service string) bool { return r.of(service).Spend() }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -24,6 +24,8 @@
 	if err != nil {
 		after = 0 // the stream begins
 	}
+	gap := g.Metrics.gap.WithLabelValues(x.route.Name)
+	last := time.Now()
 	for first := true; ; first = false {
 		event, err := events.NextRaw()
 		if err == io.EOF {
@@ -36,7 +38,10 @@
 		if first {
 			started()
 			g.Metrics.first.WithLabelValues(x.route.Name).Observe(time.Since(x.Arrived).Seconds())
+		} else {
+			gap.Observe(time.Since(last).Seconds())
 		}
+		last = time.Now()
 		if event.ID > 0 && event.ID <= after {
 			continue
 		}
--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -93,6 +93,7 @@
 	k.Register(fleetcontrol.ModuleName, fleet, consensus.ModuleName)
 	k.Register("control.operator", &doorModule{process: p, name: "operators", address: s.OperatorAddress,
 		handler: func() http.Handler { return platform.OperatorHandler(fleet) }}, fleetcontrol.ModuleName)
+	k.Register("control.metrics", &metricsModule{registry: p.registry}, consensus.ModuleName, fleetcontrol.ModuleName, grants.OwnerName)
 	go p.watchSettings(ctx, func(s *platform.Settings) { members.AddPeers(s.Seeds) })
 	err = k.Run(ctx, stopGrace)
 	cause := context.Cause(ctx)
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -92,13 +92,16 @@
 	}, e.view)
 	k.Register(routing.ModuleName, router, fleetview.ModuleName, peer.ServerName, peer.PoolName)
 	vms := func() int { return len(e.view.VMs()) }
+	retries := gateway.NewRetries(gateway.RetryBounds{Share: s.Bounds.RetryShare, Extra: s.Bounds.RetryExtra, VMs: vms})
+	e.registry.MustRegister(holder, retries)
+	e.registry.MustRegister(e.view.Collectors()...)
 	core := gateway.New(gateway.Deps{
 		Directory: e.view, Router: router, Upstream: client, Log: e.log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
 		Closing: e.closing.Load, OldestView: e.oldestView(),
 		Limiter: grants.NewSpare(holder, e.grant, grants.Tolerance{
 			Over: s.Bounds.GrantOver, Slack: s.Bounds.GrantSlack, Window: s.Bounds.GrantWindow,
 		}, vms, clock.Boot),
-		Retries: gateway.NewRetries(gateway.RetryBounds{Share: s.Bounds.RetryShare, Extra: s.Bounds.RetryExtra, VMs: vms}),
+		Retries: retries,
 	})
 	front := platform.NewFront(core.Serve, e.limits, e.leaving.Load, e.log.Named("front"))
 	k.Register("entry.http", &doorModule{process: e.process, name: "callers", address: s.CallerAddress,
--- /dev/null
+++ b/internal/onplatform/metrics.go
@@ -0,0 +1,65 @@
+package onplatform
+
+import (
+	"context"
+	"math"
+
+	"eelgrasshollow/internal/consensus"
+	"eelgrasshollow/internal/fleetcontrol"
+	"eelgrasshollow/internal/grants"
+	"eelgrasshollow/internal/kernel"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metricsModule shows a replica's metrics as long as the replica runs; the process may
+// open it several times.
+type metricsModule struct {
+	registry *prometheus.Registry
+	shown    []prometheus.Collector
+}
+
+// Provision looks up what is measured.
+func (m *metricsModule) Provision(k *kernel.Kernel) error {
+	var (
+		replica *consensus.Module
+		fleet   *fleetcontrol.Module
+		owner   *grants.OwnerModule
+	)
+	err := k.Find(kernel.As(consensus.ModuleName, &replica), kernel.As(fleetcontrol.ModuleName, &fleet), kernel.As(grants.OwnerName, &owner))
+	if err != nil {
+		return err
+	}
+	m.shown = append(replica.Collectors(),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "eelgrass_control_list_age_seconds", Help: "Time since this replica read the list of servers; only a leader does. NaN before the first time.",
+		}, func() float64 {
+			if age, known := fleet.ListAge(); known {
+				return age.Seconds()
+			}
+			return math.NaN()
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "eelgrass_control_grant_accounts", Help: "Client accounts whose grants this replica owns.",
+		}, func() float64 { return float64(owner.Accounts()) }))
+	return nil
+}
+
+// Start shows the metrics.
+func (m *metricsModule) Start(context.Context) error {
+	for _, c := range m.shown {
+		if err := m.registry.Register(c); err != nil {
+			return errors.Wrap(err, "register metrics")
+		}
+	}
+	return nil
+}
+
+// Stop takes them away.
+func (m *metricsModule) Stop(context.Context) error {
+	for _, c := range m.shown {
+		m.registry.Unregister(c)
+	}
+	return nil
+}
--- a/internal/onplatform/process_test.go
+++ b/internal/onplatform/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,7 +42,7 @@
 
 // Ports are the same on all VMs; each VM has a loopback address of its own.
 const (
-	peerPort, callerPort, readyPort, lookupPort, operatorPort, listPort = 27600, 28606, 28605, 28603, 28608, 28601
+	peerPort, callerPort, readyPort, lookupPort, operatorPort, listPort, metricsPort = 27600, 28606, 28605, 28603, 28608, 28601, 27601
 	// patience bounds every wait of the test; nothing is measured by it.
 	patience = 30 * time.Second
 )
@@ -103,7 +104,7 @@
 		program = "eelgrass-control"
 		assert.NilError(d.t, os.MkdirAll(filepath.Join(d.dir, name), 0o700))
 	}
-	cmd := exec.Command(filepath.Join(binaries, program))
+	cmd := exec.Command(filepath.Join(binaries, program), "--metrics-port", strconv.Itoa(metricsPort))
 	cmd.Env = append(os.Environ(), "EELGRASSHOLLOW_CONFIG="+d.settings(name, n, first, 6))
 	log := d.logs[name]
 	if log == nil {
@@ -172,6 +173,16 @@
 	})
 }
 
+// shows expects lines among a VM's metrics.
+func (d *deployment) shows(n int, want ...string) {
+	d.t.Helper()
+	status, text := ask("GET", "http://"+d.at(n, metricsPort)+"/metrics", "", "", nil)
+	assert.Equal(d.t, status, http.StatusOK)
+	for _, w := range want {
+		assert.Assert(d.t, strings.Contains(text, "\n"+w), "%s is not shown by VM %d", w, n)
+	}
+}
+
 // serve runs a stand-in until the test ends.
 func (d *deployment) serve(address string, h http.HandlerFunc) {
 	l, err := net.Listen("tcp", address)
@@ -227,6 +238,13 @@
 		return strings.Contains(body, d.at(11, callerPort)) && strings.Contains(body, d.at(12, callerPort))
 	})
 
+	d.shows(11, "eelgrass_gateway_requests_total", "eelgrass_gateway_queue_seconds_count", "eelgrass_view_age_seconds",
+		"eelgrass_view_config_version 1", "eelgrass_view_servers 1", "eelgrass_view_vms 2", "eelgrass_grant_tokens_left{client_account=\"acc\"}",
+		"eelgrass_gateway_retry_budget_left{service=\"app\"}", "eelgrass_log_lines_dropped_total 0")
+	for n := 1; n <= 3; n++ {
+		d.shows(n, "eelgrass_control_term", "eelgrass_control_leading", "eelgrass_control_commit_seconds_count", "eelgrass_control_list_age_seconds")
+	}
+
 	// A core VM comes back with an empty disk, then another one is killed: what was
 	// acknowledged stays, and changes go on.
 	d.kill("core-3")
