Pace digests between entry VMs by what a VM can bear

Ruled out: longer rounds for everybody: small fleets gain from early news. Change: setting digest_calls bounds the digests that a VM sends a second, after a burst of 16, so fleets of up to 17 VMs are told as before; on the platform it follows from the processor share (48 a second at 0.192 of a core). A round starts at the peer after this VM, and a started VM recalls from three peers that know anything, not from all. A peer counts as silent after three rounds where these last longer than 3 s. Figures: BenchmarkDigestCall 32 us a call, both sides.

--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -44,6 +44,11 @@
 	// the owner of the grants does not answer.
 	grantQueue  = 200 * time.Millisecond
 	grantOutage = 300 * time.Millisecond
+	// digestShare of the processor goes into digests. digestCost is one call, both sides
+	// together: 32 us by BenchmarkDigestCall. leastDigestCalls keeps the smallest VM in touch.
+	digestShare      = 0.01
+	digestCost       = 40 * time.Microsecond
+	leastDigestCalls = 20
 )
 
 // entry is a running entry VM.
@@ -88,7 +93,7 @@
 	k.Register("entry.grants", holder, peer.PoolName, fleetview.ModuleName)
 	router := routing.NewModule(routing.Settings{
 		QueuePerEndpoint: 64, LongestWait: 5 * time.Second, TrackedPrefixes: 20_000, DigestEvery: 250 * time.Millisecond,
-		DigestBytes: 1024, LoadEvery: 500 * time.Millisecond, RetryShare: 1, PeerImports: true,
+		DigestBytes: 1024, DigestCalls: digestCalls(s.CPU), LoadEvery: 500 * time.Millisecond, RetryShare: 1, PeerImports: true,
 	}, e.view)
 	k.Register(routing.ModuleName, router, fleetview.ModuleName, peer.ServerName, peer.PoolName)
 	vms := func() int { return len(e.view.VMs()) }
@@ -118,6 +123,14 @@
 	}
 }
 
+// digestCalls is how many digests a second a VM may send that gets so many cores.
+func digestCalls(cores float64) float64 {
+	if cores <= 0 {
+		cores = 1
+	}
+	return max(leastDigestCalls, digestShare*cores/digestCost.Seconds())
+}
+
 // oldestView is the age from which on this VM must not act on its view, or 0. The rest of
 // the platform's bound is for requests that are on their way to a server.
 func (e *entry) oldestView() time.Duration {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,3 +107,20 @@
 		leader.Close()
 	})
 }
+
+// BenchmarkDigestCall is one call of a digest's size over loopback, both sides together.
+func BenchmarkDigestCall(b *testing.B) {
+	s := NewServer(zap.NewNop(), DefaultSilence)
+	assert.NilError(b, s.Register("Echo", echo{}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	go s.Serve(l, nil)
+	defer s.Close()
+	p := NewPool(Options{})
+	defer p.Close()
+	text := strings.Repeat("d", 1024)
+	for b.Loop() {
+		var out string
+		assert.NilError(b, p.Call(b.Context(), l.Addr().String(), "Echo.Say", text, &out))
+	}
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -16,6 +16,7 @@
 	TrackedPrefixes  int
 	RetryShare       float64 // retries per first try
 	RetryBurst       float64
+	DigestCalls      float64 // digests that a VM sends a second at most; 0 for no limit
 }
 
 // DefaultLimits are the limits of an entry VM.
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"eelgrasshollow/internal/peer"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 // DigestService is the net/rpc name of the exchange between entry VMs.
@@ -19,6 +21,11 @@
 	digestTimeout = 500 * time.Millisecond
 	urgentEvery   = 20 * time.Millisecond
 	recallBytes   = 16 << 10
+	// digestBurst digests leave together; a fleet of no more peers hears of a new prefix at once.
+	digestBurst = 16
+	// recallPeers is how many peers that know anything a VM asks after its start. All of
+	// them know about the same.
+	recallPeers = 3
 )
 
 // DigestArgs carries an encoded digest.
@@ -69,14 +76,20 @@
 	module *Module
 	pool   caller
 	last   time.Time // of the last digest
+	pace   *rate.Limiter
 
-	mu    sync.Mutex
-	busy  map[string]bool // peers whose last call still runs
-	known map[string]bool // peers that were asked to recall
+	mu       sync.Mutex
+	busy     map[string]bool // peers whose last call still runs
+	known    map[string]bool // peers that were asked to recall
+	recalled int             // peers that had something to recall
 }
 
 func newExchange(m *Module, pool caller) *exchange {
-	return &exchange{module: m, pool: pool, busy: map[string]bool{}, known: map[string]bool{}}
+	pace := rate.NewLimiter(rate.Inf, 0)
+	if m.settings.DigestCalls > 0 {
+		pace = rate.NewLimiter(rate.Limit(m.settings.DigestCalls), digestBurst)
+	}
+	return &exchange{module: m, pool: pool, pace: pace, busy: map[string]bool{}, known: map[string]bool{}}
 }
 
 func (x *exchange) run(ctx context.Context) error {
@@ -109,13 +122,16 @@
 	return true
 }
 
-// round tells every peer; one that has not answered yet is passed over.
+// round tells every peer, no faster than the limit; one that has not answered yet is passed over.
 func (x *exchange) round(ctx context.Context, calls *sync.WaitGroup) {
 	m := x.module
 	m.mu.Lock()
 	body := m.core.Digest(m.self(), m.settings.DigestBytes).Encode()
 	m.mu.Unlock()
-	for _, address := range m.peers() {
+	for _, address := range x.order(m.peers()) {
+		if x.pace.Wait(ctx) != nil {
+			return // ctx has ended
+		}
 		if !x.take(address) {
 			continue
 		}
@@ -126,6 +142,14 @@
 	}
 }
 
+// order starts with the peer that follows this VM by address, so that the VMs of a fleet
+// don't all call the same peer first.
+func (x *exchange) order(peers []string) []string {
+	slices.Sort(peers)
+	next, _ := slices.BinarySearch(peers, x.module.self())
+	return slices.Concat(peers[next:], peers[:next])
+}
+
 func (x *exchange) tell(ctx context.Context, address string, body []byte) {
 	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 	defer cancel()
@@ -139,10 +163,10 @@
 // recall asks a peer that is met for the first time for what it knows.
 func (x *exchange) recall(ctx context.Context, address string) {
 	x.mu.Lock()
-	met := x.known[address]
+	skip := x.known[address] || x.recalled >= recallPeers
 	x.known[address] = true
 	x.mu.Unlock()
-	if met {
+	if skip {
 		return
 	}
 	var reply RecallReply
@@ -153,6 +177,11 @@
 	if err != nil {
 		return
 	}
+	if len(d.Placements) > 0 {
+		x.mu.Lock()
+		x.recalled++
+		x.mu.Unlock()
+	}
 	x.module.mu.Lock()
 	defer x.module.mu.Unlock()
 	x.module.core.Absorb(time.Now(), d)
--- a/internal/routing/exchange_test.go
+++ b/internal/routing/exchange_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -9,6 +11,7 @@
 	"time"
 
 	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/kernel"
@@ -165,3 +168,112 @@
 	assert.Assert(t, read <= 100*(30+10), "%d bytes in 10 s", read)
 	assert.Assert(t, read > 100*30)
 }
+
+// countedPool counts the calls to each peer; each answers at once.
+type countedPool struct {
+	mu     sync.Mutex
+	gives  map[string]int
+	most   int // in any tenth of a second
+	recent []time.Time
+	asked  int // recalls
+	knows  bool
+}
+
+func (p *countedPool) Call(_ context.Context, address, method string, _, reply any) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, ok := reply.(*RecallReply); ok {
+		p.asked++
+		d := &digest.Digest{From: address}
+		if p.knows {
+			d.Placements = []digest.Placement{{Prefix: 1}}
+		}
+		r.Body = d.Encode()
+		return nil
+	}
+	p.gives[address]++
+	now := time.Now()
+	p.recent = append(slices.DeleteFunc(p.recent, func(t time.Time) bool { return now.Sub(t) > 100*time.Millisecond }), now)
+	p.most = max(p.most, len(p.recent))
+	return nil
+}
+
+// playExchange lets one VM of a fleet send digests while every request brings a new prefix.
+func playExchange(t *testing.T, peers int, calls float64, knows bool, lasts time.Duration) *countedPool {
+	var vms []watch.VM
+	for i := range peers + 1 {
+		vms = append(vms, watch.VM{Name: fmt.Sprint(i), PeerAddress: fmt.Sprintf("vm-%03d:1", i)})
+	}
+	pool := &countedPool{gives: map[string]int{}, knows: knows}
+	m := &Module{
+		settings: Settings{DigestEvery: 250 * time.Millisecond, DigestBytes: 1024, DigestCalls: calls},
+		core:     NewCore(Ours(DefaultTuning()), DefaultLimits(), time.Now()),
+		fleet:    &vmDirectory{vms: vms}, server: &vmServer{address: vms[peers/2].PeerAddress}, log: zap.NewNop(),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(lasts, cancel)
+	var requests sync.WaitGroup
+	requests.Go(func() {
+		for ctx.Err() == nil {
+			m.mu.Lock()
+			m.core.urgent = true
+			m.mu.Unlock()
+			time.Sleep(urgentEvery)
+		}
+	})
+	assert.NilError(t, newExchange(m, pool).run(ctx))
+	requests.Wait()
+	return pool
+}
+
+// TestDigestsOfALargeFleet is a fleet of small VMs where every VM sees new prefixes all
+// the time: what a VM sends must not grow with the number of VMs.
+func TestDigestsOfALargeFleet(t *testing.T) {
+	const calls, lasts = 40, 20 * time.Second
+	for _, peers := range []int{80, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			pool := playExchange(t, peers, calls, false, lasts)
+			sum := 0
+			for _, n := range pool.gives {
+				sum += n
+			}
+			assert.Assert(t, sum <= int(calls*lasts.Seconds())+digestBurst, "%d digests to %d peers", sum, peers)
+			assert.Equal(t, len(pool.gives), peers, "some peers heard nothing")
+			assert.Assert(t, pool.most <= digestBurst+calls/10+1, "%d digests in 100 ms", pool.most)
+		})
+	}
+}
+
+func TestDigestsOfASmallFleetLeaveAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := playExchange(t, 8, 500, false, 10*time.Second)
+		for peer, n := range pool.gives {
+			assert.Assert(t, n > 400, "%s heard %d times in 10 s", peer, n)
+		}
+	})
+}
+
+func TestRecallAsksAFewPeersThatKnow(t *testing.T) {
+	for knows, most := range map[bool]int{true: recallPeers + digestBurst, false: 80} {
+		synctest.Test(t, func(t *testing.T) {
+			pool := playExchange(t, 80, 40, knows, 10*time.Second)
+			assert.Assert(t, pool.asked >= recallPeers && pool.asked <= most, "%d peers asked, knows %v", pool.asked, knows)
+		})
+	}
+}
+
+// TestPeersOfALongRoundAreNotForgotten: with so many peers that a round lasts longer than
+// the usual silence, what they told must still count.
+func TestPeersOfALongRoundAreNotForgotten(t *testing.T) {
+	limits := DefaultLimits()
+	limits.DigestCalls = 40
+	now := time.Unix(1_000_000, 0)
+	c := NewCore(Ours(DefaultTuning()), limits, now)
+	for i := range 300 {
+		c.Absorb(now, &digest.Digest{From: fmt.Sprint(i)})
+	}
+	c.forgetSilent(now.Add(15 * time.Second)) // two rounds of 7.5 s
+	assert.Equal(t, c.vms, 301)
+	c.forgetSilent(now.Add(30 * time.Second))
+	assert.Equal(t, c.vms, 1)
+}
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -26,6 +26,7 @@
 	TrackedPrefixes  int           `ini:"tracked_prefixes" default:"100000" min:"1000" max:"10000000" doc:"Prefixes whose whereabouts are kept in memory."`
 	DigestEvery      time.Duration `ini:"digest_every" default:"250ms" min:"20ms" max:"10s" doc:"Time between two digests to the other entry VMs; news of a prefix that is being computed goes sooner."`
 	DigestBytes      int           `ini:"digest_bytes" default:"1024" min:"128" max:"65536" doc:"Greatest size of a digest."`
+	DigestCalls      float64       `ini:"digest_calls" default:"500" min:"1" max:"100000" doc:"Digests sent a second at most, to all peers together. With so many peers that this binds, each hears less often."`
 	LoadEvery        time.Duration `ini:"load_every" default:"500ms" min:"50ms" max:"1m" doc:"Time between two reads of an endpoint's load report."`
 	EventBytes       int           `ini:"event_bytes" default:"4096" min:"0" max:"100000000" doc:"Bytes of cache events per second that this VM reads from the endpoints it owns. Endpoints whose events exceed it are routed without them."`
 	PeerImports      bool          `ini:"peer_imports" default:"false" doc:"Endpoints can copy cached prefixes from each other."`
@@ -35,7 +36,7 @@
 func (s Settings) limits() Limits {
 	l := DefaultLimits()
 	l.QueuePerEndpoint, l.LongestWait = s.QueuePerEndpoint, s.LongestWait
-	l.TrackedPrefixes, l.RetryShare = s.TrackedPrefixes, s.RetryShare
+	l.TrackedPrefixes, l.RetryShare, l.DigestCalls = s.TrackedPrefixes, s.RetryShare, s.DigestCalls
 	return l
 }
 
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -11,8 +11,12 @@
 	"eelgrasshollow/internal/prefix"
 )
 
-// peerSilence is how long a peer's last digest counts.
-const peerSilence = 3 * time.Second
+// peerSilence is how long a peer's last digest counts at least, and peerRounds the rounds
+// that it counts for where many peers make a round last longer.
+const (
+	peerSilence = 3 * time.Second
+	peerRounds  = 3
+)
 
 // freshPlacements bounds the placements kept for the next digest.
 const freshPlacements = 512
@@ -194,8 +198,13 @@
 
 // forgetSilent forgets peers whose digests have stopped.
 func (c *Core) forgetSilent(now time.Time) {
+	longest := peerSilence
+	if c.limits.DigestCalls > 0 {
+		round := time.Duration(float64(len(c.peers)) / c.limits.DigestCalls * float64(time.Second))
+		longest = max(longest, peerRounds*round)
+	}
 	for name, v := range c.peers {
-		if now.Sub(v.heard) > peerSilence {
+		if now.Sub(v.heard) > longest {
 			c.forgetPeer(name)
 		}
 	}
