Use no server with older weights once the platform's bound is near

Ruled out: loading the returned ones faster: the announcement and the load alone take over 2 s; preferring new weights: under load the old ones are used all the same. Change: the leader tells how long ago weights were named as far as its replica saw, an entry VM keeps the earlier of what it was told, and from 0.9 of the bound on servers with older weights are out of use. Answers on them are worth nothing to callers by then. Figures: new test in virtual time fails with the bound off, passes with it.

--- a/internal/fleetcontrol/machine.go
+++ b/internal/fleetcontrol/machine.go
@@ -13,7 +13,9 @@
 	"io"
 	"maps"
 	"sync"
+	"time"
 
+	"eelgrasshollow/internal/clock"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/grants"
@@ -56,18 +58,24 @@
 	Config   *fleet.Config
 	// Weights is the newest version named for each model.
 	Weights map[string]int64
+	// Named is when this replica first saw each of them named. It is not replicated: a
+	// replica that starts from a snapshot counts from then on.
+	Named map[string]time.Time
 }
 
 // Machine keeps the newest document. Apply, Snapshot and Restore are called by one
 // goroutine; Held is safe for concurrent use.
 type Machine struct {
 	decode Decode
+	now    clock.Clock
 	mu     sync.RWMutex
 	held   *Held
 }
 
 // NewMachine returns an empty machine.
-func NewMachine(decode Decode) *Machine { return &Machine{decode: decode, held: &Held{}} }
+func NewMachine(decode Decode, now clock.Clock) *Machine {
+	return &Machine{decode: decode, now: now, held: &Held{}}
+}
 
 // Held returns the present state.
 func (m *Machine) Held() *Held {
@@ -89,11 +97,11 @@
 		if c.Version <= old.Weights[c.Model] {
 			return superseded
 		}
-		next.Weights = maps.Clone(old.Weights)
+		next.Weights, next.Named = maps.Clone(old.Weights), maps.Clone(old.Named)
 		if next.Weights == nil {
-			next.Weights = map[string]int64{}
+			next.Weights, next.Named = map[string]int64{}, map[string]time.Time{}
 		}
-		next.Weights[c.Model] = c.Version
+		next.Weights[c.Model], next.Named[c.Model] = c.Version, m.now()
 		m.set(&next)
 		return inForce
 	}
@@ -134,7 +142,10 @@
 	if err := gob.NewDecoder(r).Decode(&i); err != nil {
 		return errors.Wrap(err, "decode fleet")
 	}
-	h := &Held{Revision: i.Revision, Document: i.Document, Weights: i.Weights}
+	h := &Held{Revision: i.Revision, Document: i.Document, Weights: i.Weights, Named: map[string]time.Time{}}
+	for model := range i.Weights {
+		h.Named[model] = m.now()
+	}
 	if i.Document != nil {
 		config, err := m.decode(i.Document)
 		if err != nil {
--- a/internal/fleetcontrol/machine_test.go
+++ b/internal/fleetcontrol/machine_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strconv"
 	"testing"
+	"time"
 
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/fleet"
@@ -28,7 +29,7 @@
 }
 
 func TestHighestVersionIsInForceAndTheFirstOfAVersionStays(t *testing.T) {
-	m := NewMachine(decodeNumber)
+	m := NewMachine(decodeNumber, time.Now)
 	assert.DeepEqual(t, apply(t, m, 1, command{Document: []byte("5:a")}), inForce)
 	assert.DeepEqual(t, apply(t, m, 2, command{Document: []byte("5:b")}), superseded)
 	assert.DeepEqual(t, apply(t, m, 3, command{Document: []byte("4:c")}), superseded)
@@ -41,7 +42,7 @@
 }
 
 func TestNamedWeightsOnlyGrow(t *testing.T) {
-	m := NewMachine(decodeNumber)
+	m := NewMachine(decodeNumber, time.Now)
 	apply(t, m, 1, command{Model: "m", Version: 3})
 	before := m.Held()
 	assert.DeepEqual(t, apply(t, m, 2, command{Model: "m", Version: 2}), superseded)
@@ -50,16 +51,29 @@
 	assert.DeepEqual(t, before.Weights, map[string]int64{"m": 3}) // what was handed out must not change
 }
 
+func TestWeightsAreNamedOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	m := NewMachine(decodeNumber, func() time.Time { return now })
+	apply(t, m, 1, command{Model: "m", Version: 3})
+	now = now.Add(time.Second)
+	apply(t, m, 2, command{Model: "m", Version: 3})
+	apply(t, m, 3, command{Model: "n", Version: 1})
+	assert.DeepEqual(t, m.Held().Named, map[string]time.Time{"m": time.Unix(100, 0), "n": time.Unix(101, 0)})
+	apply(t, m, 4, command{Model: "m", Version: 4})
+	assert.DeepEqual(t, m.Held().Named["m"], time.Unix(101, 0))
+}
+
 func TestSnapshotKeepsTheDocumentAsItWasSent(t *testing.T) {
-	m := NewMachine(decodeNumber)
+	m := NewMachine(decodeNumber, time.Now)
 	apply(t, m, 1, command{Document: []byte("5: { \"spaces\" : 1 } ")})
 	apply(t, m, 2, command{Model: "m", Version: 3})
 	var b bytes.Buffer
 	assert.NilError(t, m.Snapshot(&b))
-	other := NewMachine(decodeNumber)
+	other := NewMachine(decodeNumber, time.Now)
 	assert.NilError(t, other.Restore(&b))
 	assert.DeepEqual(t, other.Held().Document, m.Held().Document)
 	assert.DeepEqual(t, other.Held().Weights, m.Held().Weights)
+	assert.Equal(t, len(other.Held().Named), 1)
 	assert.Equal(t, other.Held().Revision, uint64(2))
 	assert.Equal(t, other.Held().Config.Version, int64(5))
 }
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -42,10 +42,12 @@
 type PollReply struct {
 	Term     uint64
 	Revision uint64
-	// Document and Weights come together.
+	// Document and Weights come together. NamedAge is how long ago the weights were named,
+	// as far as the leader has seen.
 	Changed    bool
 	Document   []byte
 	Weights    map[string]int64
+	NamedAge   map[string]time.Duration
 	Servers    uint64
 	ServersSet bool
 	ServerList []fleet.Server
@@ -163,6 +165,10 @@
 	}
 	if held.Revision != args.Revision {
 		reply.Changed, reply.Document, reply.Weights = true, held.Document, held.Weights
+		reply.NamedAge = map[string]time.Duration{}
+		for model, at := range held.Named {
+			reply.NamedAge[model] = s.machine.now().Sub(at)
+		}
 	}
 	if s.version != reply.Servers && s.version > 0 {
 		reply.Servers, reply.ServersSet, reply.ServerList = s.version, true, s.servers
--- a/internal/fleetcontrol/service_test.go
+++ b/internal/fleetcontrol/service_test.go
@@ -33,7 +33,7 @@
 }
 
 func newReplica(leads bool) *replica {
-	r := &replica{machine: NewMachine(decodeNumber), leads: leads, term: 1, changed: make(chan struct{})}
+	r := &replica{machine: NewMachine(decodeNumber, time.Now), leads: leads, term: 1, changed: make(chan struct{})}
 	r.p.Members = consensus.Membership{Members: []consensus.Member{{ID: 1, Address: "a"}, {ID: 2, Address: "b"}}}
 	if leads {
 		r.p.Role = consensus.Leader
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -54,9 +54,12 @@
 	Lister fleetcontrol.Lister
 	// ListCalls is how many reads of the list a second all VMs may make together.
 	ListCalls float64
-	Seeds     []string
-	Now       clock.Clock
-	Log       *zap.Logger
+	// WeightsBound is how long after new weights were named servers with older ones may
+	// still be used; 0 sets no bound.
+	WeightsBound time.Duration
+	Seeds        []string
+	Now          clock.Clock
+	Log          *zap.Logger
 }
 
 // Client follows the control leader. It implements routing.Inventory and watch.Fleet.
@@ -267,6 +270,7 @@
 	if reply.VMsSet {
 		next.VMs = merge(next.VMs, reply.VMList, reply.Settled)
 	}
+	c.expire(&next)
 	c.term, c.servers, c.vms, c.settled = reply.Term, reply.Servers, reply.VMs, reply.Settled
 	c.view.Store(&next)
 	c.wake()
@@ -294,6 +298,7 @@
 func (c *Client) takeConfig(next *View, reply *fleetcontrol.PollReply) {
 	next.Revision = reply.Revision
 	if !maps.Equal(next.Weights, reply.Weights) {
+		next.Named = named(next, reply, c.heard)
 		next.Weights = reply.Weights
 		next.Stock++ // which servers are outdated has changed
 	}
@@ -313,6 +318,35 @@
 	}
 }
 
+// named tells since when the weights of a reply are named. Weights that this VM knew keep
+// their time, as a leader may have started later.
+func named(known *View, reply *fleetcontrol.PollReply, heard time.Time) map[string]time.Time {
+	all := map[string]time.Time{}
+	for model, version := range reply.Weights {
+		all[model] = heard.Add(-reply.NamedAge[model])
+		if known.Weights[model] == version && known.Named[model].Before(all[model]) {
+			all[model] = known.Named[model]
+		}
+	}
+	return all
+}
+
+// expire notes the models whose older weights may not be used any more.
+func (c *Client) expire(next *View) {
+	overdue := map[string]bool{}
+	for model, at := range next.Named {
+		if c.cfg.WeightsBound > 0 && c.cfg.Now().Sub(at) >= c.cfg.WeightsBound {
+			overdue[model] = true
+		}
+	}
+	if maps.Equal(overdue, next.Overdue) {
+		return
+	}
+	next.Overdue = overdue
+	next.Stock++
+	c.cfg.Log.Info("older weights are overdue", zap.Any("models", overdue), zap.Any("weights", next.Weights), zap.Int("out_of_use", next.outOfUse()))
+}
+
 func (c *Client) takeServers(next *View, servers []fleet.Server, from string) {
 	if next.Servers != nil && fleet.SameServers(next.Servers, servers) {
 		return
@@ -360,6 +394,7 @@
 	defer c.mu.Unlock()
 	next := *c.View()
 	c.takeServers(&next, servers, "the platform's list")
+	c.expire(&next)
 	c.servers = 0
 	c.view.Store(&next)
 	c.wake()
--- a/internal/fleetview/client_test.go
+++ b/internal/fleetview/client_test.go
@@ -56,7 +56,7 @@
 		return near, nil
 	}})
 	c := NewClient(Config{
-		VM: membership.VM{Name: "self", Address: "self:1"}, Seeds: seeds, Lister: lister, ListCalls: 40, Now: time.Now, Log: zap.NewNop(),
+		WeightsBound: weightsBound, VM: membership.VM{Name: "self", Address: "self:1"}, Seeds: seeds, Lister: lister, ListCalls: 40, Now: time.Now, Log: zap.NewNop(),
 		Decode: func(text []byte) (*fleet.Config, error) { return &fleet.Config{Version: int64(len(text))}, nil },
 	})
 	c.leader = peer.NewLeaderClient(pool, seeds)
@@ -121,3 +121,46 @@
 		assert.Equal(t, c.Stock().Endpoints[0].Name, "i@x:1")
 	})
 }
+
+const weightsBound = 18 * time.Second
+
+// TestServersWithOverdueWeightsGetNothing: long after new weights were named, a server that
+// comes back with the old ones must not be used, also by a VM that has just started, and
+// is used again once it has loaded.
+func TestServersWithOverdueWeightsGetNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		server := func(id string, version int64) fleet.Server {
+			return fleet.Server{ID: id, Address: id, Service: "s", Weights: []fleet.Weights{{Model: "m", Version: version}}}
+		}
+		servers := []fleet.Server{server("new", 2), server("back", 1)}
+		revision, list := uint64(1), uint64(1)
+		leader := &replica{reply: func(args *fleetcontrol.PollArgs) fleetcontrol.PollReply {
+			r := fleetcontrol.PollReply{Term: 1, Revision: revision, Servers: list}
+			if args.Revision != revision {
+				r.Changed, r.Document, r.Weights = true, []byte("x"), map[string]int64{"m": 2}
+				r.NamedAge = map[string]time.Duration{"m": 10*time.Second + time.Since(began)}
+			}
+			if args.Servers != list {
+				r.ServersSet, r.ServerList = true, servers
+			}
+			return r
+		}}
+		c := start(t, []string{"a:1"}, map[string]*replica{"a:1": leader}, noList{})
+		unused := func() (names []string) {
+			for _, e := range c.Stock().Endpoints {
+				if e.Leaving {
+					names = append(names, e.Run)
+				}
+			}
+			return names
+		}
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, unused(), []string(nil)) // 15 s after
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, unused(), []string{"back"})
+		servers, list = []fleet.Server{server("new", 2), server("back", 2)}, 2
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, unused(), []string(nil))
+	})
+}
--- a/internal/fleetview/metrics.go
+++ b/internal/fleetview/metrics.go
@@ -26,7 +26,7 @@
 func (v *View) outOfUse() int {
 	n := 0
 	for _, s := range v.Servers {
-		if s.Draining || s.Changing {
+		if v.unused(s) {
 			n++
 		}
 	}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -1,6 +1,9 @@
 package fleetview
 
 import (
+	"slices"
+	"time"
+
 	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/membership"
 	"eelgrasshollow/internal/routing"
@@ -12,7 +15,11 @@
 	Revision uint64
 	Config   *fleet.Config
 	Weights  map[string]int64
-	Servers  []fleet.Server
+	// Named is when the weights were named, by this VM's clock. Servers with older weights
+	// of an Overdue model get no requests.
+	Named   map[string]time.Time
+	Overdue map[string]bool
+	Servers []fleet.Server
 	// Stock counts changes of Servers at this VM.
 	Stock uint64
 	VMs   []membership.VM
@@ -67,11 +74,18 @@
 	return stock
 }
 
+// unused reports whether a server gets no requests.
+func (v *View) unused(s fleet.Server) bool {
+	return s.Draining || s.Changing || slices.ContainsFunc(s.Weights, func(w fleet.Weights) bool {
+		return v.Overdue[w.Model] && w.Version < v.Weights[w.Model]
+	})
+}
+
 // endpoint is a server as routing knows it.
 func (v *View) endpoint(s fleet.Server) routing.Endpoint {
 	e := routing.Endpoint{
 		Name: s.Key(), Run: s.ID, Address: s.Address, FailureDomain: s.FailureDomain, Service: s.Service,
-		Leaving: s.Draining || s.Changing, MaxConcurrent: s.Slots, CacheTokens: v.cacheTokens(s.Service),
+		Leaving: v.unused(s), MaxConcurrent: s.Slots, CacheTokens: v.cacheTokens(s.Service),
 	}
 	for _, w := range s.Weights {
 		e.Outdated = e.Outdated || w.Version < v.Weights[w.Model]
--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	k := kernel.New(p.log)
-	machine, promises := fleetcontrol.NewMachine(platform.DecodeConfig), grants.NewMachine()
+	machine, promises := fleetcontrol.NewMachine(platform.DecodeConfig, clock.Boot), grants.NewMachine()
 	mux := statemachine.NewMux()
 	mux.Add(fleetcontrol.Namespace, machine)
 	mux.Add(grants.Namespace, promises)
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -40,6 +40,9 @@
 	// oldestShare is the part of the platform's bound on the age of a configuration that is
 	// used, where cut-off VMs have to refuse.
 	oldestShare = 0.8
+	// weightsShare is the part of the platform's bound on older weights that is used. The rest
+	// is for requests that wait at a server, and for a leader that saw the weights named late.
+	weightsShare = 0.9
 	// grantQueue is how long a request may wait for tokens, and grantOutage how long while
 	// the owner of the grants does not answer.
 	grantQueue  = 200 * time.Millisecond
@@ -82,7 +85,8 @@
 		VM: membership.VM{
 			Name: s.VM, Address: s.CallerAddress, PeerAddress: s.PeerAddress, FailureDomain: s.FailureDomain, Incarnation: rand.Uint64(),
 		},
-		Decode: platform.DecodeConfig, Lister: client, ListCalls: s.ListCalls, Seeds: s.Seeds, Now: clock.Boot, Log: e.log.Named("view"),
+		Decode: platform.DecodeConfig, Lister: client, ListCalls: s.ListCalls,
+		WeightsBound: time.Duration(weightsShare * float64(s.Bounds.Weights)), Seeds: s.Seeds, Now: clock.Boot, Log: e.log.Named("view"),
 	})
 	k.Register(peer.ServerName, peer.NewServerModule(e.log.Named("peer"), s.PeerAddress, nil))
 	k.Register(peer.PoolName, peer.NewPoolModule(peer.Options{}, s.Seeds))
