Do not herd where peers are heard seldom

Cause: with 81 entry VMs a digest comes every 1.7 s from each, and all VMs decide by the same old figures. Three parts: the least loaded server by old news is the same for everybody; old in-flight counts of over 32 made most servers look full; a server that one VM has measured seldom kept the first guess of a token's cost, six times the true one. Calls without a prompt went to the first name of equals. Change: where a round of digests takes over 250 ms, peers' work is leveled over the service, and a request compares three random endpoints besides its home and those that hold a long part of it. The cost of a token is shared by the endpoints of a service until one has ten answers of its own. Ties go by the request's ID. The home charge counts the chain, not what follows it.

--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -35,6 +35,8 @@
 	began      time.Time
 	limits     Limits
 	vms        int
+	draws      uint64 // of random candidates
+	leveled    bool   // see level
 	index      *cacheindex.Index
 	byName     map[string]*State
 	fleet      []*State // in the order of the configuration
@@ -57,6 +59,7 @@
 	forks      []int
 	wanted     map[string]string // version by model
 	previous   map[string]string
+	usual      map[string]usual // by service
 }
 
 // NewCore returns a core without endpoints.
@@ -65,7 +68,7 @@
 		policy: policy, began: now, limits: limits, vms: 1,
 		index:  cacheindex.New(limits.TrackedPrefixes, now),
 		byName: map[string]*State{},
-		peers:  map[string]peerView{}, previous: map[string]string{},
+		peers:  map[string]peerView{}, previous: map[string]string{}, usual: map[string]usual{},
 		retries: budget{share: limits.RetryShare, burst: limits.RetryBurst, left: limits.RetryBurst},
 	}
 }
@@ -82,7 +85,7 @@
 	for _, e := range fleet {
 		s := old[e.Name]
 		if s == nil || s.Address != e.Address {
-			s = c.newState()
+			s = c.newState(e.Service)
 		} else {
 			delete(old, e.Name)
 		}
@@ -120,8 +123,12 @@
 	c.unpark(now)
 }
 
-func (c *Core) newState() *State {
-	return &State{PrefillPerToken: initialPrefillPerToken, Service: initialService, index: c.number()}
+func (c *Core) newState(service string) *State {
+	s := &State{PrefillPerToken: initialPrefillPerToken, Service: initialService, index: c.number()}
+	if u := c.usual[service]; u.answers > 0 {
+		s.PrefillPerToken = u.perToken
+	}
+	return s
 }
 
 // number takes a number in the index, a freed one first.
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -202,3 +202,39 @@
 	c.SetFleet(epoch, fleet[:2])
 	assert.Equal(t, submit(c, epoch, r).Decision.Endpoint, "e1", "rather the same domain than none")
 }
+
+// TestAnUnmeasuredEndpointCostsWhatItsSiblingsDo: a VM of a large fleet asks one endpoint
+// seldom. What the others' answers tell must hold for it until it has told enough itself.
+func TestAnUnmeasuredEndpointCostsWhatItsSiblingsDo(t *testing.T) {
+	servers := engines(20, 8)
+	for i := range servers {
+		servers[i].Models, servers[i].Service, servers[i].Run = nil, "s", fmt.Sprint("run-", i)
+	}
+	now := time.Unix(1_000_000, 0)
+	c := NewCore(Ours(DefaultTuning()), DefaultLimits(), now)
+	c.SetFleet(now, servers[:10])
+	ask := func(perToken time.Duration) string {
+		now = now.Add(time.Second)
+		r := Request{ID: "r", Account: "a", Service: "s", PromptTokens: 10_000}
+		p := submit(c, now, r)
+		s := p.state
+		p.sent = now
+		c.Finish(now.Add(10_000*perToken), p, Result{Incarnation: s.Run, PromptTokens: 10_000, FirstToken: 10_000 * perToken})
+		return p.Decision.Endpoint
+	}
+	for range 5 {
+		ask(20 * time.Microsecond)
+	}
+	c.SetFleet(now, servers) // ten more
+	for name, s := range c.byName {
+		assert.Equal(t, s.PrefillPerToken, 20*time.Microsecond, "%s, measured %d times", name, s.measured)
+	}
+	// One that is slow is known as slow by its own answers.
+	slow := c.fleet[0]
+	for slow.measured < 3*ownMeasures {
+		slow.observe(10_000, 10_000*80*time.Microsecond, 0)
+	}
+	ask(20 * time.Microsecond)
+	assert.Assert(t, slow.PrefillPerToken > 70*time.Microsecond, "%v", slow.PrefillPerToken)
+	assert.Equal(t, c.fleet[19].PrefillPerToken, 20*time.Microsecond)
+}
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -41,13 +41,15 @@
 	for i := range c.candidates {
 		k.Held = max(k.Held, c.candidates[i].Match.Depth)
 	}
+	key := prefix.Hash(nameHash(r.ID)) // any endpoint is as good
 	if len(r.Chain) > 0 {
-		key := levelKey(r.Chain, k.Held)
+		key = levelKey(r.Chain, k.Held)
 		k.Rate = c.index.Rate(key, now)
-		for i := range c.candidates {
-			c.candidates[i].home = rendezvous(key, c.candidates[i].State.hash)
-		}
 	}
+	for i := range c.candidates {
+		c.candidates[i].home = rendezvous(key, c.candidates[i].State.hash)
+	}
+	c.sample(r)
 	c.score(&k)
 	return &c.candidates[c.policy.Picker.Pick(&k, c.candidates)]
 }
@@ -157,7 +159,9 @@
 	if r.CacheUnknown {
 		actual = p.missed
 	}
-	s.observe(p.work-p.missed+actual, r.FirstToken, now.Sub(p.sent))
+	if perToken := s.observe(p.work-p.missed+actual, r.FirstToken, now.Sub(p.sent)); perToken > 0 {
+		c.shareCost(s.Endpoint.Service, perToken)
+	}
 	if len(p.Request.Chain) == 0 || !present {
 		return
 	}
@@ -168,6 +172,23 @@
 	c.index.Stored(s.index, p.Request.Chain, now)
 }
 
+// shareCost lets the endpoints of a service that have answered little yet take the cost of
+// a token from the others. In a large fleet one VM sends a single endpoint few requests,
+// and an unmeasured one would look several times as slow as it is.
+func (c *Core) shareCost(service string, perToken time.Duration) {
+	if service == "" {
+		return // endpoints are grouped by their models
+	}
+	u := c.usual[service]
+	u.add(perToken)
+	c.usual[service] = u
+	for _, s := range c.byService[service] {
+		if s.measured < ownMeasures {
+			s.PrefillPerToken = u.perToken
+		}
+	}
+}
+
 // refusedPause is how long an endpoint that refused a request gets no other: it is full,
 // or loads other weights, and its cache is as it was.
 const refusedPause = 250 * time.Millisecond
@@ -207,8 +228,8 @@
 		s.ended[0] = s.run
 	}
 	delete(c.byAt, digest.Of(s.id, s.run))
-	s.Incarnation, s.run, s.eventSeq, s.told = "", run, 0, false
-	s.PeerInFlight, s.PeerPending = 0, 0
+	s.Incarnation, s.run, s.eventSeq, s.announced = "", run, 0, false
+	s.told, s.PeerInFlight, s.PeerPending = peerWork{}, 0, 0
 	c.byAt[digest.Of(s.id, run)] = s
 	return true
 }
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -20,6 +20,9 @@
 	greatestBackOff        = 5 * time.Second
 	endedRuns              = 4
 	foreignKept            = 3 * time.Second
+	// ownMeasures is how many answers of an endpoint tell its cost of a token; with fewer,
+	// that of its service is taken. At learnShare they weigh two thirds.
+	ownMeasures = 10
 )
 
 // Endpoint is what the configuration says of a server.
@@ -52,7 +55,7 @@
 	InFlight      int
 	PendingTokens int
 	// PeerInFlight and PeerPending are the same for the other entry VMs, as of their
-	// last digests.
+	// last digests. In a fleet with stale knowledge they are the mean of the service.
 	PeerInFlight int
 	PeerPending  int
 	// Foreign counts requests that the endpoint reported and no entry VM is known to
@@ -65,7 +68,9 @@
 	PrefillPerToken time.Duration
 	Service         time.Duration
 
-	peak      int // most requests known to be there since the last report
+	told      peerWork // the sum of the peers' last digests
+	measured  int      // answers that told PrefillPerToken
+	peak      int      // most requests known to be there since the last report
 	index     cacheindex.Endpoint
 	hash      uint64 // of the name
 	queue     fairQueue
@@ -79,7 +84,7 @@
 	heard     []digest.Weights      // what peers say it serves
 	heardAt   time.Time
 	intake    intake    // tokens that go into its cache from this VM
-	told      bool      // the peers have heard of the last change
+	announced bool      // the peers have heard of the last change
 	retellAt  time.Time // when its weights last became due to be told
 }
 
@@ -119,14 +124,32 @@
 const observedWork = 1000
 
 // observe learns from an answer. work is the number of uncached tokens that stood
-// between sending and the first token, own ones included.
-func (s *State) observe(work int, firstToken, service time.Duration) {
-	if work >= observedWork && firstToken > 0 {
-		s.PrefillPerToken = blend(s.PrefillPerToken, firstToken/time.Duration(work))
-	}
+// between sending and the first token, own ones included. It returns the cost of a token,
+// or 0 where the answer does not tell it.
+func (s *State) observe(work int, firstToken, service time.Duration) (perToken time.Duration) {
 	if service > 0 {
 		s.Service = blend(s.Service, service)
 	}
+	if work < observedWork || firstToken <= 0 {
+		return 0
+	}
+	perToken = firstToken / time.Duration(work)
+	s.measured++
+	s.PrefillPerToken = blend(s.PrefillPerToken, perToken)
+	return perToken
+}
+
+// usual is the cost of a token at the endpoints of a service, from all their answers.
+type usual struct {
+	perToken time.Duration
+	answers  int
+}
+
+// add takes an answer in: the mean of the first ones, then with learnShare.
+func (u *usual) add(perToken time.Duration) {
+	u.answers++
+	share := max(learnShare, 1/float64(u.answers))
+	u.perToken += time.Duration(share * float64(perToken-u.perToken))
 }
 
 func blend(old, sample time.Duration) time.Duration {
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -51,7 +51,7 @@
 	}
 	same := s.Load.Role == l.Role && maps.Equal(s.Load.Versions, l.Versions)
 	if !same || now.Sub(s.retellAt) >= weightsKept/4 {
-		s.told, s.retellAt = false, now // peers forget what is not repeated
+		s.announced, s.retellAt = false, now // peers forget what is not repeated
 	}
 	s.report(l, now)
 }
--- a/internal/routing/pick_least.go
+++ b/internal/routing/pick_least.go
@@ -25,7 +25,6 @@
 		if x, y := a.State.InFlight, b.State.InFlight; x != y {
 			return x < y
 		}
-		return a.State.Name < b.State.Name
 	}
 	return a.home > b.home
 }
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -41,7 +41,7 @@
 	if len(chain) == 0 || s.run == 0 {
 		return
 	}
-	s.told = false
+	s.announced = false
 	at := digest.Of(s.id, s.run)
 	for _, h := range chain[held:] {
 		c.urgent = true
@@ -73,13 +73,13 @@
 	d := &digest.Digest{From: from, Placements: c.fresh, Gone: c.gone}
 	c.fresh, c.gone, c.urgent = nil, nil, false
 	for _, s := range c.fleet {
-		if s.InFlight == 0 && s.told {
+		if s.InFlight == 0 && s.announced {
 			continue
 		}
-		if !s.told {
+		if !s.announced {
 			d.Loaded = append(d.Loaded, s.weights()...)
 		}
-		s.told = true
+		s.announced = true
 		d.Loads = append(d.Loads, c.load(s))
 	}
 	slices.SortFunc(d.Loads, func(a, b digest.Load) int {
@@ -125,6 +125,7 @@
 	c.forgetPeer(d.From)
 	c.peers[d.From] = peerView{heard: now, loads: c.addLoads(d.Loads)}
 	c.vms = len(c.peers) + 1
+	c.level()
 	told := map[*State][]digest.Weights{}
 	for _, l := range d.Loaded {
 		if s := c.byAt[l.At]; s != nil {
@@ -167,8 +168,8 @@
 		if s == nil || !c.sameRun(s, l.Run) {
 			continue
 		}
-		s.PeerInFlight += int(l.InFlight)
-		s.PeerPending += int(l.Pending)
+		s.told.add(int(l.InFlight), int(l.Pending))
+		s.PeerInFlight, s.PeerPending = s.told.inFlight, s.told.pending
 		s.note()
 		added = append(added, peerLoad{state: s, run: l.Run, inFlight: int(l.InFlight), pending: int(l.Pending)})
 	}
@@ -188,8 +189,9 @@
 func (c *Core) forgetPeer(name string) {
 	for _, l := range c.peers[name].loads {
 		if l.state.run == l.run {
-			l.state.PeerInFlight -= l.inFlight
-			l.state.PeerPending -= l.pending
+			s := l.state
+			s.told.add(-l.inFlight, -l.pending)
+			s.PeerInFlight, s.PeerPending = s.told.inFlight, s.told.pending
 		}
 	}
 	delete(c.peers, name)
@@ -203,9 +205,14 @@
 		round := time.Duration(float64(len(c.peers)) / c.limits.DigestCalls * float64(time.Second))
 		longest = max(longest, peerRounds*round)
 	}
+	forgot := false
 	for name, v := range c.peers {
 		if now.Sub(v.heard) > longest {
 			c.forgetPeer(name)
+			forgot = true
 		}
 	}
+	if forgot {
+		c.level()
+	}
 }
