Soak the daemons in platform mode as processes

The links of the scenarios moved to internal/loopback, with delay and reset. Ruled out: links between daemons: the platform's format has one address to listen at and to be reached at, so these see signals only.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TESTTIME := 8m
 
 .PHONY: all build test fmt vet lint unit check-model demo soak generate clean \
-	bench bench-entry bench-control bench-grants bench-routing slopes
+	soak-platform bench bench-entry bench-control bench-grants bench-routing slopes
 
 all: build
 
@@ -75,3 +75,10 @@
 
 clean:
 	rm -rf $(BIN)
+
+# make soak-platform SEED=1 SEEDS=50 SECONDS=12   faults against the daemons in platform mode
+SEEDS   := 50
+SECONDS := 12
+soak-platform:
+	$(GO) test -timeout 3h -count 1 -v -run TestSoak ./internal/onplatform \
+	  -soak.seed $(SEED) -soak.seeds $(SEEDS) -soak.seconds $(SECONDS)
--- a/internal/scenario/link_test.go
+++ b/internal/loopback/link.go
@@ -1,4 +1,5 @@
-package scenario
+// Package loopback disturbs connections between processes of a test on one machine.
+package loopback
 
 import (
 	"net"
@@ -6,10 +7,10 @@
 	"time"
 )
 
-// link is a TCP forwarder between two processes that can be cut. What is sent into a
+// Link is a TCP forwarder between two processes that can be cut. What is sent into a
 // cut waits, as TCP would send it again: an end that has not given up by then gets it
 // after the cut.
-type link struct {
+type Link struct {
 	listener net.Listener
 	target   string
 
@@ -17,6 +18,7 @@
 	changed *sync.Cond
 	forward bool // whether bytes from the dialling side get through
 	back    bool
+	delay   time.Duration // of each piece, both ways
 	closed  bool
 	pipes   map[*pipe]bool
 }
@@ -32,25 +34,23 @@
 
 const dialTimeout = 2 * time.Second
 
-func newLink(target string) (*link, error) {
-	l, err := freeListener()
-	if err != nil {
-		return nil, err
-	}
-	k := &link{listener: l, target: target, forward: true, back: true, pipes: map[*pipe]bool{}}
+// New forwards what comes to a listener to a target until Close.
+func New(l net.Listener, target string) *Link {
+	k := &Link{listener: l, target: target, forward: true, back: true, pipes: map[*pipe]bool{}}
 	k.changed = sync.NewCond(&k.mu)
 	go k.serve(l)
-	return k, nil
+	return k
 }
 
-func (k *link) address() string { return k.listener.Addr().String() }
+// Address is where to dial.
+func (k *Link) Address() string { return k.listener.Addr().String() }
 
-// dead makes dialling fail, as it does when no process listens.
-func (k *link) dead() error { return k.listener.Close() }
+// Refuse makes dialling fail, as it does when no process listens.
+func (k *Link) Refuse() error { return k.listener.Close() }
 
-// accept takes connections again after dead.
-func (k *link) accept() error {
-	l, err := net.Listen("tcp", k.address())
+// Accept takes connections again after Refuse.
+func (k *Link) Accept() error {
+	l, err := net.Listen("tcp", k.Address())
 	if err != nil {
 		return err
 	}
@@ -61,7 +61,7 @@
 	return nil
 }
 
-func (k *link) serve(l net.Listener) {
+func (k *Link) serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -71,7 +71,7 @@
 	}
 }
 
-func (k *link) connect(c net.Conn) {
+func (k *Link) connect(c net.Conn) {
 	s, err := net.DialTimeout("tcp", k.target, dialTimeout)
 	if err != nil {
 		_ = c.Close()
@@ -90,10 +90,11 @@
 
 // pump copies one direction until an end closes. A cut or silent pipe tells the other
 // end nothing, a close included.
-func (k *link) pump(p *pipe, dst, src net.Conn, forward bool) {
+func (k *Link) pump(p *pipe, dst, src net.Conn, forward bool) {
 	buffer := make([]byte, holdBytes)
 	for {
 		n, err := src.Read(buffer)
+		time.Sleep(k.held())
 		if !k.passes(p, forward) {
 			break
 		}
@@ -113,8 +114,14 @@
 	k.mu.Unlock()
 }
 
+func (k *Link) held() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.delay
+}
+
 // passes waits until bytes get through; it returns false once the link is closed.
-func (k *link) passes(p *pipe, forward bool) bool {
+func (k *Link) passes(p *pipe, forward bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for !k.closed && (p.silent || forward && !k.forward || !forward && !k.back) {
@@ -123,23 +130,43 @@
 	return !k.closed
 }
 
-// cut holds bytes in the given directions, without a word to either end.
-func (k *link) cut(forward, back bool) {
+// Delay holds each piece of bytes back for a time, both ways; 0 ends that.
+func (k *Link) Delay(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.delay = d
+}
+
+// Reset ends the open connections with a reset, and returns how many there were.
+func (k *Link) Reset() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for p := range k.pipes {
+		for _, end := range []net.Conn{p.client, p.server} {
+			_ = end.(*net.TCPConn).SetLinger(0) // an end that is gone needs no reset
+			_ = end.Close()
+		}
+	}
+	return len(k.pipes)
+}
+
+// Cut holds bytes in the given directions, without a word to either end.
+func (k *Link) Cut(forward, back bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.forward, k.back = k.forward && !forward, k.back && !back
 }
 
-// heal lets bytes through again.
-func (k *link) heal() {
+// Heal lets bytes through again.
+func (k *Link) Heal() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.forward, k.back = true, true
 	k.changed.Broadcast()
 }
 
-// silence makes the open connections silent for good, while new ones work.
-func (k *link) silence() int {
+// Silence makes the open connections silent for good, while new ones work.
+func (k *Link) Silence() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for p := range k.pipes {
@@ -148,7 +175,8 @@
 	return len(k.pipes)
 }
 
-func (k *link) close() {
+// Close ends the link and its connections.
+func (k *Link) Close() {
 	_ = k.listener.Close()
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/scenario/link_check_test.go
+++ b/internal/loopback/link_test.go
@@ -1,4 +1,4 @@
-package scenario
+package loopback
 
 import (
 	"io"
@@ -26,8 +26,14 @@
 	return l.Addr().String()
 }
 
-func dial(t *testing.T, k *link) net.Conn {
-	c, err := net.Dial("tcp", k.address())
+func newLink(t *testing.T) *Link {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return New(l, echo(t))
+}
+
+func dial(t *testing.T, k *Link) net.Conn {
+	c, err := net.Dial("tcp", k.Address())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	return c
@@ -49,28 +55,42 @@
 
 func TestLinkCutAndHeal(t *testing.T) {
 	for _, cut := range [][2]bool{{true, true}, {true, false}, {false, true}} {
-		k, err := newLink(echo(t))
-		assert.NilError(t, err)
-		defer k.close()
+		k := newLink(t)
+		defer k.Close()
 		c := dial(t, k)
 		assert.Assert(t, answered(t, c, longEnough))
-		k.cut(cut[0], cut[1])
+		k.Cut(cut[0], cut[1])
 		assert.Assert(t, !answered(t, c, shortly))
 		assert.Assert(t, !answered(t, dial(t, k), shortly))
-		k.heal()
+		k.Heal()
 		assert.Assert(t, answered(t, dial(t, k), longEnough))
 		assert.Assert(t, answered(t, c, longEnough)) // what was held comes after all
 	}
 }
 
 func TestLinkSilenceSparesNewConnections(t *testing.T) {
-	k, err := newLink(echo(t))
-	assert.NilError(t, err)
-	defer k.close()
+	k := newLink(t)
+	defer k.Close()
 	c := dial(t, k)
 	assert.Assert(t, answered(t, c, longEnough))
-	assert.Equal(t, k.silence(), 1)
+	assert.Equal(t, k.Silence(), 1)
 	assert.Assert(t, !answered(t, c, shortly))
 	assert.Assert(t, answered(t, dial(t, k), longEnough))
 	assert.Assert(t, !answered(t, c, shortly))
 }
+
+func TestLinkResetAndDelay(t *testing.T) {
+	k := newLink(t)
+	defer k.Close()
+	c := dial(t, k)
+	assert.Assert(t, answered(t, c, longEnough))
+	k.Delay(2 * shortly)
+	assert.Assert(t, !answered(t, c, shortly))
+	k.Delay(0)
+	assert.Assert(t, answered(t, dial(t, k), longEnough))
+	assert.Equal(t, k.Reset(), 2)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(longEnough)))
+	_, err := io.ReadAll(c)
+	assert.ErrorContains(t, err, "reset")
+	assert.Assert(t, answered(t, dial(t, k), longEnough))
+}
--- a/internal/onplatform/process_test.go
+++ b/internal/onplatform/process_test.go
@@ -50,6 +50,7 @@
 // deployment is a few real daemons with a stand-in for the platform's list and a service.
 type deployment struct {
 	t        *testing.T
+	slack    int
 	dir, net string // folder and the first three parts of the VMs' addresses
 	vms      map[string]*exec.Cmd
 	logs     map[string]*output
@@ -83,7 +84,7 @@
 		"seeds": []string{d.at(1, operatorPort), d.at(2, operatorPort), d.at(3, operatorPort)}, "bootstrap": first,
 		"limits": map[string]any{"memoryMb": 200}, "cloudApi": map[string]any{"address": d.at(200, listPort), "ratePerS": 40, "maxLagMs": 100},
 		"bounds": map[string]any{"graceS": graceS, "leaseMs": 1000, "retryBudgetRatio": 0.2, "retryBudgetExtra": 50, "budgetWindowS": 10,
-			"quotaOvershoot": 0.1, "quotaSlack": 1000, "quotaWindowS": 8, "ttl_max_s": 5},
+			"quotaOvershoot": 0.1, "quotaSlack": d.slack, "quotaWindowS": 8, "ttl_max_s": 5},
 		"listen": map[string]any{"control": d.at(n, operatorPort)},
 	}
 	if strings.HasPrefix(name, "core") {
@@ -125,12 +126,18 @@
 // eventually polls until f holds.
 func (d *deployment) eventually(what string, f func() bool) {
 	d.t.Helper()
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	if !d.within(patience, f) {
+		d.t.Fatalf("not in time: %s", what)
+	}
+}
+
+func (d *deployment) within(bound time.Duration, f func() bool) bool {
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if f() {
-			return
+			return true
 		}
 	}
-	d.t.Fatalf("not in time: %s", what)
+	return false
 }
 
 // ask makes one call on a connection of its own; status 0 says that none came back.
@@ -192,10 +199,9 @@
 	d.t.Cleanup(func() { _ = server.Close() })
 }
 
+// newDeployment has one server that answers with the account.
 func newDeployment(t *testing.T) *deployment {
-	const octet = 250
-	d := &deployment{t: t, dir: t.TempDir(), vms: map[string]*exec.Cmd{}, logs: map[string]*output{},
-		net: fmt.Sprintf("127.%d.%d", 1+os.Getpid()/octet%octet, 1+os.Getpid()%octet)}
+	d := emptyDeployment(t, 1000)
 	d.serve(d.at(200, listPort), func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintf(w, `{"instances":[{"id":"i-1","service":"app","address":"%s","zone":"a","slots":6,"state":"ready"}],"nextToken":null}`, d.at(201, listPort))
 	})
@@ -204,6 +210,14 @@
 		w.Header().Set("X-Response-Stamp", "stamp")
 		_, _ = io.WriteString(w, r.Header.Get("X-Tenant"))
 	})
+	return d
+}
+
+// emptyDeployment has no list and no servers; slack is what accounts may get beyond their grants.
+func emptyDeployment(t *testing.T, slack int) *deployment {
+	const octet = 250
+	d := &deployment{t: t, slack: slack, dir: t.TempDir(), vms: map[string]*exec.Cmd{}, logs: map[string]*output{},
+		net: fmt.Sprintf("127.%d.%d", 1+os.Getpid()/octet%octet, 1+os.Getpid()%octet)}
 	t.Cleanup(func() {
 		for name := range d.vms {
 			d.kill(name)
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -23,6 +23,7 @@
 	pb "eelgrasshollow/gen/eelgrass/v1"
 	"eelgrasshollow/gen/eelgrass/v1/eelgrassv1connect"
 	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/loopback"
 	"eelgrasshollow/internal/standin"
 )
 
@@ -31,15 +32,15 @@
 
 func table() map[string]command {
 	return map[string]command{
-		"start":     onProcesses((*process).start, (*link).accept),
-		"shutdown":  onProcesses((*process).shutdown, (*link).dead),
-		"crash":     onProcesses((*process).crash, (*link).dead),
+		"start":     onProcesses((*process).start, (*loopback.Link).Accept),
+		"shutdown":  onProcesses((*process).shutdown, (*loopback.Link).Refuse),
+		"crash":     onProcesses((*process).crash, (*loopback.Link).Refuse),
 		"pause":     onProcesses(func(p *process) error { return p.signal(syscall.SIGSTOP) }, nil),
 		"resume":    onProcesses(func(p *process) error { return p.signal(syscall.SIGCONT) }, nil),
-		"cut":       onLinks(func(k *link, _ bool) { k.cut(true, true) }),
-		"cut-out":   onLinks(func(k *link, dialled bool) { k.cut(!dialled, dialled) }),
-		"heal":      onLinks(func(k *link, _ bool) { k.heal() }),
-		"silence":   onLinks(func(k *link, _ bool) { k.silence() }),
+		"cut":       onLinks(func(k *loopback.Link, _ bool) { k.Cut(true, true) }),
+		"cut-out":   onLinks(func(k *loopback.Link, dialled bool) { k.Cut(!dialled, dialled) }),
+		"heal":      onLinks(func(k *loopback.Link, _ bool) { k.Heal() }),
+		"silence":   onLinks(func(k *loopback.Link, _ bool) { k.Silence() }),
 		"ctl":       ctl,
 		"try":       func(f *fleet, args []string) (string, error) { out, _ := ctl(f, args); return out, nil },
 		"vm":        platformVM,
@@ -187,7 +188,7 @@
 }
 
 // onProcesses does something to processes, then to the links that lead to them.
-func onProcesses(do func(*process) error, then func(*link) error) command {
+func onProcesses(do func(*process) error, then func(*loopback.Link) error) command {
 	return func(f *fleet, args []string) (string, error) {
 		for _, n := range args {
 			p := f.processes[n]
@@ -205,7 +206,7 @@
 	}
 }
 
-func (f *fleet) onLinksTo(name string, do func(*link) error) error {
+func (f *fleet) onLinksTo(name string, do func(*loopback.Link) error) error {
 	if do == nil {
 		return nil
 	}
@@ -223,7 +224,7 @@
 // onLinks works on every link between FROM and TO, whichever dials; TO may be a
 // pattern such as "control-*".
 // dialled says that TO is the side that dials.
-func onLinks(do func(k *link, dialled bool)) command {
+func onLinks(do func(k *loopback.Link, dialled bool)) command {
 	return func(f *fleet, args []string) (string, error) {
 		if len(args) != 2 {
 			return "", errors.New("usage: FROM TO")
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"eelgrasshollow/internal/loopback"
 	"fmt"
 	"maps"
 	"net/http"
@@ -30,7 +31,7 @@
 	addresses map[string]string // what a process serves, without a link
 	operators []string
 	mu        sync.Mutex
-	links     map[string]*link // "from>to"
+	links     map[string]*loopback.Link // "from>to"
 	keys      map[string]string
 	keyIDs    map[string]string
 	calls     map[string]*pending
@@ -55,7 +56,7 @@
 
 func newFleet(dir, bin string, s shape) *fleet {
 	return &fleet{dir: dir, bin: bin, shape: s, processes: map[string]*process{}, addresses: map[string]string{},
-		links: map[string]*link{}, keys: map[string]string{}, keyIDs: map[string]string{}, calls: map[string]*pending{}, loads: map[string]*loadRun{}, vmStates: map[string]string{}}
+		links: map[string]*loopback.Link{}, keys: map[string]string{}, keyIDs: map[string]string{}, calls: map[string]*pending{}, loads: map[string]*loadRun{}, vmStates: map[string]string{}}
 }
 
 func domain(i int) string { return failureDomain[i%len(failureDomain) : i%len(failureDomain)+1] }
@@ -93,7 +94,7 @@
 		p.end()
 	}
 	for _, l := range f.allLinks() {
-		l.close()
+		l.Close()
 	}
 }
 
@@ -126,17 +127,18 @@
 	defer f.mu.Unlock()
 	key := from + ">" + to
 	if k := f.links[key]; k != nil {
-		return k.address(), nil
+		return k.Address(), nil
 	}
-	k, err := newLink(f.addresses[to])
+	l, err := freeListener()
 	if err != nil {
 		return "", err
 	}
+	k := loopback.New(l, f.addresses[to])
 	f.links[key] = k
-	return k.address(), nil
+	return k.Address(), nil
 }
 
-func (f *fleet) allLinks() map[string]*link {
+func (f *fleet) allLinks() map[string]*loopback.Link {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return maps.Clone(f.links)
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -26,6 +26,9 @@
 	portsTaken atomic.Int64
 )
 
+// dialTimeout bounds one look whether a process listens.
+const dialTimeout = 2 * time.Second
+
 // freeListener listens on a port that nothing else listens on.
 func freeListener() (net.Listener, error) {
 	for range portCount {
