Charge the whole missed prompt away from home again; measure logging

Change: the home charge is as it was. A benchmark compares a request with and without its line. Conclusion: the chain-only charge is a failed try and gone.

--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"eelgrasshollow/internal/fleet"
+	"eelgrasshollow/internal/logging"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// counted counts what is written.
+type counted struct{ bytes atomic.Int64 }
+
+func (c *counted) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return len(p), nil
+}
+
+// BenchmarkLogging serves a request with the line of its decision and without.
+func BenchmarkLogging(b *testing.B) {
+	out := &counted{}
+	bounded := logging.NewBounded(out)
+	log, err := logging.NewOutput(logging.Settings{Level: "info"}, "eelgrass-entry", "vm", bounded)
+	assert.NilError(b, err)
+	for name, log := range map[string]*zap.Logger{"on": log.Named("gateway"), "off": zap.NewNop()} {
+		b.Run(name, func(b *testing.B) {
+			before := out.bytes.Load()
+			g, up := newGateway(b, setup{kind: fleet.Once, servers: servers{"a": reply(200, "x", false)}}, log)
+			b.ReportAllocs()
+			for b.Loop() {
+				g.Serve(b.Context(), httptest.NewRecorder(), order())
+				up.asked = up.asked[:0]
+			}
+			b.ReportMetric(float64(out.bytes.Load()-before)/float64(b.N), "B/request")
+		})
+	}
+	b.Logf("%d lines dropped", bounded.Dropped())
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -137,9 +137,8 @@
 	servers   map[string]func(context.Context, Attempt) (*Reply, error)
 }
 
-// run serves one request and returns its answer, what was sent, and whether the answer
-// is complete.
-func run(t *testing.T, s setup) (*httptest.ResponseRecorder, *upstream, bool) {
+// newGateway returns a gateway between stand-ins.
+func newGateway(t testing.TB, s setup, log *zap.Logger) (*Gateway, *upstream) {
 	config := &fleet.Config{Version: 1, Services: []*fleet.Service{{Name: "s"}}, Accounts: []*fleet.Account{{Name: "acc", Keys: []string{"key"}, Rate: 100, Burst: 100, PlainTokens: 1}},
 		Routes: []*fleet.Route{{Name: "r", Host: "h", PathPrefix: "/", Kind: s.kind, Resumable: s.resumable, Timeout: time.Second, Target: 100 * time.Millisecond,
 			Attempts: max(s.attempts, 1), Split: []fleet.Share{{Service: "s", Weight: 1}}}}}
@@ -153,10 +152,21 @@
 	g := New(Deps{
 		Directory: directory{&fleetview.View{Config: config}, s.age}, Limiter: limiter{s.limit}, Router: &router{servers: names, wait: s.wait}, Upstream: up,
 		Retries: NewRetries(RetryBounds{Share: 0, Extra: s.budget / retrySafety, VMs: func() int { return 1 }}),
-		Metrics: NewMetrics(prometheus.NewRegistry()), Closing: func() bool { return false }, OldestView: s.oldest, Log: zap.NewNop(),
+		Metrics: NewMetrics(prometheus.NewRegistry()), Closing: func() bool { return false }, OldestView: s.oldest, Log: log,
 	})
+	return g, up
+}
+
+func order() *Request {
+	return &Request{ID: "id", Method: "POST", Host: "h", Path: "/x", Target: "/x", Key: "key", Arrived: time.Now(), Patience: 3 * time.Second}
+}
+
+// run serves one request and returns its answer, what was sent, and whether the answer
+// is complete.
+func run(t *testing.T, s setup) (*httptest.ResponseRecorder, *upstream, bool) {
+	g, up := newGateway(t, s, zap.NewNop())
 	w := httptest.NewRecorder()
-	complete := g.Serve(t.Context(), w, &Request{ID: "id", Method: "POST", Host: "h", Path: "/x", Target: "/x", Key: "key", Arrived: time.Now(), Patience: 3 * time.Second})
+	complete := g.Serve(t.Context(), w, order())
 	return w, up, complete
 }
 
--- a/internal/routing/score_home.go
+++ b/internal/routing/score_home.go
@@ -19,7 +19,7 @@
 // Name names the scorer.
 func (homeScorer) Name() string { return "home" }
 
-// Score charges endpoints away from home with part of what they would compute of the chain.
+// Score charges endpoints away from home with part of what they would compute.
 func (h homeScorer) Score(c *Case, candidates []Candidate, out []float64) {
 	if len(c.Request.Chain) == 0 {
 		return
@@ -29,12 +29,10 @@
 		return
 	}
 	least := nthHighest(candidates, copies)
-	// What follows the chain is the request's own, and computed wherever it goes.
-	shared := c.Request.tokensOf(len(c.Request.Chain)) - c.Request.tokensOf(c.Held)
 	for i := range candidates {
 		if candidates[i].home < least {
 			s := candidates[i].State
-			out[i] = h.weight * float64(min(shared, candidates[i].Missed)) * milliseconds(s.PrefillPerToken)
+			out[i] = h.weight * float64(candidates[i].Missed) * milliseconds(s.PrefillPerToken)
 		}
 	}
 }
