Write a line for each failed try, and the status that the client got

The final line alone said that two servers were asked, but not which was the first and how it failed, and a server's own status 500 looked like a success. Change: 'try failed' with server, error, what is left of the time and whether it may have run; the final line has the status. 'eelctl explain' names a server's own failure, and counts a timeout at a server where everybody failed as the server's. Ruled out: a line for each try that succeeds: the final line has its server. Figures: a test has the lines of a request that three servers were asked for.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -91,6 +91,12 @@
 	assert.Assert(t, strings.Contains(s.Verdict.Reason, "the server was down"), s.Verdict.Reason)
 }
 
+func TestServersOwnFailureIsNamed(t *testing.T) {
+	s, err := Explain(read(t, strings.ReplaceAll(log, `"outcome":"completed","took":5`, `"outcome":"completed","status":500,"took":5`)), "fine")
+	assert.NilError(t, err)
+	assert.Equal(t, s.Verdict.Reason, "the server's own failure, status 500")
+}
+
 func TestPrint(t *testing.T) {
 	lines := read(t, log)
 	s, err := Explain(lines, "lost")
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -213,6 +215,9 @@
 	v := Verdict{Outcome: last.Text("outcome"), Kind: last.Text("kind")}
 	if v.Kind == "" {
 		v.Reason = "it was answered"
+		if status := last.Number("status"); status >= http.StatusInternalServerError {
+			v.Reason = fmt.Sprintf("the server's own failure, status %.0f", status)
+		}
 		return v
 	}
 	v.Reason = "no rule for this kind: see the error"
@@ -221,7 +226,8 @@
 			v.Reason, v.Next = known.Reason, known.Next
 		}
 	}
-	if s.Server != nil && s.Server.Ended > 0 && s.Server.Failed == s.Server.Ended && (v.Kind == errkind.EndpointFailed.String() || v.Kind == errkind.StreamBroken.String()) {
+	serversFault := slices.Contains([]string{errkind.EndpointFailed.String(), errkind.StreamBroken.String(), errkind.Timeout.String()}, v.Kind)
+	if s.Server != nil && s.Server.Ended > 0 && s.Server.Failed == s.Server.Ended && serversFault {
 		v.Reason += ", like every request there at that time: the server was down"
 		v.Next = `lines "list of servers changed" and "servers known" after it`
 	}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -11,6 +11,7 @@
 	"eelgrasshollow/internal/routing"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 )
 
 const (
@@ -42,6 +43,8 @@
 		}
 		last = err
 		exclude = append(exclude, ticket.Decision().Endpoint)
+		g.Log.Info("try failed", zap.String("request", x.ID), zap.String("server", x.server), zap.Int("sends", x.sent()),
+			zap.Bool("may_have_run", x.mayRun), zap.Duration("left", time.Until(x.until)), zap.Error(err))
 		switch {
 		case x.ctx.Err() != nil:
 			return x.ended(err)
@@ -213,6 +216,7 @@
 	}
 	x.mayRun = true
 	x.begun = true
+	x.status = reply.Status
 	h := x.w.Header()
 	copyHeader(h, reply.Header)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,7 @@
 	sends   atomic.Int32     // to servers, with at least one byte
 	mayRun  bool             // a server may have run it
 	begun   bool             // the head of the answer has been written
+	status  int              // of a server's answer that went to the client, or 0
 	server  string           // last one asked
 	place   routing.Decision // the last one
 	resumed int
@@ -248,7 +249,7 @@
 	g.Metrics.finished(route, x.accountName(), kind, took)
 	fields := []zap.Field{
 		zap.String("request", x.ID), zap.String("route", route), zap.String("client_account", x.accountName()),
-		zap.String("server", x.server), zap.Int32("sends", x.sends.Load()), zap.Int("resumed", x.resumed), zap.String("prefix", x.Prompt.first()), zap.Int("prompt_tokens", x.Prompt.Tokens), zap.Int("cached_tokens", x.place.CachedTokens),
+		zap.String("server", x.server), zap.Int("status", x.status), zap.Int32("sends", x.sends.Load()), zap.Int("resumed", x.resumed), zap.String("prefix", x.Prompt.first()), zap.Int("prompt_tokens", x.Prompt.Tokens), zap.Int("cached_tokens", x.place.CachedTokens),
 		zap.String("import_from", x.place.ImportFrom), zap.String("save_to", x.place.SaveTo), zap.String("weights", x.place.Weights),
 		zap.Duration("took", took), zap.Duration("config_age", g.Directory.Age()), zap.String("outcome", string(outcome)),
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -21,6 +22,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 )
 
@@ -314,3 +316,20 @@
 		assert.Equal(t, w.Body.String(), events(1, 2), "a failure is not joined to a stream")
 	})
 }
+
+// TestEveryTryHasItsLine: from its ID an engineer finds each server that a request was sent
+// to, and what the client got.
+func TestEveryTryHasItsLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, lines := observer.New(zap.InfoLevel)
+		g, _ := newGateway(t, setup{kind: fleet.Repeatable, attempts: 3, budget: 9, servers: servers{"a": lost, "b": refuses, "c": reply(500, "no", false)}}, zap.New(core))
+		g.Serve(t.Context(), httptest.NewRecorder(), order())
+		var got []string
+		for _, l := range lines.All() {
+			f := l.ContextMap()
+			assert.Equal(t, f["request"], "id")
+			got = append(got, fmt.Sprint(l.Message, " ", f["server"], " ", f["sends"], " ", f["status"], " ", f["may_have_run"]))
+		}
+		assert.DeepEqual(t, got, []string{"try failed a 1 <nil> true", "try failed b 2 <nil> true", "request served c 3 500 <nil>"})
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -68,6 +68,7 @@
 		return
 	}
 	x.begun = true
+	x.status = reply.Status
 	copyHeader(x.w.Header(), reply.Header)
 	x.w.WriteHeader(reply.Status)
 }
