--- a/internal/onplatform/process_test.go
+++ b/internal/onplatform/process_test.go
@@ -49,7 +49,7 @@
 
 // deployment is a few real daemons with a stand-in for the platform's list and a service.
 type deployment struct {
-	t        *testing.T
+	t        testing.TB
 	slack    int
 	dir, net string // folder and the first three parts of the VMs' addresses
 	vms      map[string]*exec.Cmd
@@ -200,7 +200,7 @@
 }
 
 // newDeployment has one server that answers with the account.
-func newDeployment(t *testing.T) *deployment {
+func newDeployment(t testing.TB) *deployment {
 	d := emptyDeployment(t, 1000)
 	d.serve(d.at(200, listPort), func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintf(w, `{"instances":[{"id":"i-1","service":"app","address":"%s","zone":"a","slots":6,"state":"ready"}],"nextToken":null}`, d.at(201, listPort))
@@ -214,7 +214,7 @@
 }
 
 // emptyDeployment has no list and no servers; slack is what accounts may get beyond their grants.
-func emptyDeployment(t *testing.T, slack int) *deployment {
+func emptyDeployment(t testing.TB, slack int) *deployment {
 	const octet = 250
 	d := &deployment{t: t, slack: slack, dir: t.TempDir(), vms: map[string]*exec.Cmd{}, logs: map[string]*output{},
 		net: fmt.Sprintf("127.%d.%d", 1+os.Getpid()/octet%octet, 1+os.Getpid()%octet)}
