--- a/internal/onplatform/recovery_test.go
+++ b/internal/onplatform/recovery_test.go
@@ -30,20 +30,22 @@
 				d.start(coreName(n), n, true)
 				d.start(entryName(n), entryHost(n), true)
 			}
-			var sum time.Duration
+			var sum, most time.Duration
 			for version := 2; b.Loop(); version++ {
 				d.eventually("all is well before", func() bool { return d.putAny(version*2) && d.serveAll() && d.leader() != "" })
 				start := time.Now()
 				c.lose(d)
 				d.eventually("a change is acknowledged", func() bool { return d.putAny(version*2 + 1) })
 				d.eventually("every VM serves again", d.serveAll)
-				sum += time.Since(start)
+				took := time.Since(start)
+				sum, most = sum+took, max(most, took)
 				for _, name := range cores {
 					if d.vms[name] == nil {
 						d.start(name, hostOf(name), false)
 					}
 				}
 			}
+			b.ReportMetric(float64(most.Milliseconds()), "ms/most")
 			b.ReportMetric(float64(sum.Milliseconds())/float64(b.N), "ms/recovery")
 		})
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -59,7 +59,7 @@
 	forks      []int
 	wanted     map[string]string // version by model
 	previous   map[string]string
-	usual      map[string]usual // by service
+	tokenCosts map[string]tokenCost // by service
 }
 
 // NewCore returns a core without endpoints.
@@ -68,7 +68,7 @@
 		policy: policy, began: now, limits: limits, vms: 1,
 		index:  cacheindex.New(limits.TrackedPrefixes, now),
 		byName: map[string]*State{},
-		peers:  map[string]peerView{}, previous: map[string]string{}, usual: map[string]usual{},
+		peers:  map[string]peerView{}, previous: map[string]string{}, tokenCosts: map[string]tokenCost{},
 		retries: budget{share: limits.RetryShare, burst: limits.RetryBurst, left: limits.RetryBurst},
 	}
 }
@@ -123,10 +123,11 @@
 	c.unpark(now)
 }
 
+// newState is an endpoint of a service, or of none, that has told nothing yet.
 func (c *Core) newState(service string) *State {
 	s := &State{PrefillPerToken: initialPrefillPerToken, Service: initialService, index: c.number()}
-	if u := c.usual[service]; u.answers > 0 {
-		s.PrefillPerToken = u.perToken
+	if t := c.tokenCosts[service]; t.answers > 0 {
+		s.PrefillPerToken = t.perToken
 	}
 	return s
 }
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -172,23 +172,6 @@
 	c.index.Stored(s.index, p.Request.Chain, now)
 }
 
-// shareCost lets the endpoints of a service that have answered little yet take the cost of
-// a token from the others. In a large fleet one VM sends a single endpoint few requests,
-// and an unmeasured one would look several times as slow as it is.
-func (c *Core) shareCost(service string, perToken time.Duration) {
-	if service == "" {
-		return // endpoints are grouped by their models
-	}
-	u := c.usual[service]
-	u.add(perToken)
-	c.usual[service] = u
-	for _, s := range c.byService[service] {
-		if s.measured < ownMeasures {
-			s.PrefillPerToken = u.perToken
-		}
-	}
-}
-
 // refusedPause is how long an endpoint that refused a request gets no other: it is full,
 // or loads other weights, and its cache is as it was.
 const refusedPause = 250 * time.Millisecond
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -15,14 +15,10 @@
 const (
 	initialPrefillPerToken = 100 * time.Microsecond
 	initialService         = 500 * time.Millisecond
-	learnShare             = 0.1
 	firstBackOff           = 250 * time.Millisecond
 	greatestBackOff        = 5 * time.Second
 	endedRuns              = 4
 	foreignKept            = 3 * time.Second
-	// ownMeasures is how many answers of an endpoint tell its cost of a token; with fewer,
-	// that of its service is taken. At learnShare they weigh two thirds.
-	ownMeasures = 10
 )
 
 // Endpoint is what the configuration says of a server.
@@ -119,43 +115,6 @@
 	return s.Foreign
 }
 
-// observedWork is the least work, in tokens, that tells the cost of a token: for less,
-// the fixed time to a first token is most of what is measured.
-const observedWork = 1000
-
-// observe learns from an answer. work is the number of uncached tokens that stood
-// between sending and the first token, own ones included. It returns the cost of a token,
-// or 0 where the answer does not tell it.
-func (s *State) observe(work int, firstToken, service time.Duration) (perToken time.Duration) {
-	if service > 0 {
-		s.Service = blend(s.Service, service)
-	}
-	if work < observedWork || firstToken <= 0 {
-		return 0
-	}
-	perToken = firstToken / time.Duration(work)
-	s.measured++
-	s.PrefillPerToken = blend(s.PrefillPerToken, perToken)
-	return perToken
-}
-
-// usual is the cost of a token at the endpoints of a service, from all their answers.
-type usual struct {
-	perToken time.Duration
-	answers  int
-}
-
-// add takes an answer in: the mean of the first ones, then with learnShare.
-func (u *usual) add(perToken time.Duration) {
-	u.answers++
-	share := max(learnShare, 1/float64(u.answers))
-	u.perToken += time.Duration(share * float64(perToken-u.perToken))
-}
-
-func blend(old, sample time.Duration) time.Duration {
-	return old + time.Duration(learnShare*float64(sample-old))
-}
-
 // failed takes the endpoint out for a while that doubles with every failure in a row.
 func (s *State) failed(now time.Time) {
 	backOff := min(firstBackOff<<min(s.failures, 8), greatestBackOff)
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -120,7 +120,8 @@
 	}
 }
 
-// Absorb takes in a peer's digest. Its work grows with the digest, not with the fleet.
+// Absorb takes in a peer's digest. Its work grows with the digest, not with the fleet, but
+// where level has to look at every endpoint.
 func (c *Core) Absorb(now time.Time, d *digest.Digest) {
 	c.forgetPeer(d.From)
 	c.peers[d.From] = peerView{heard: now, loads: c.addLoads(d.Loads)}
