Take a claim back again once none of its messages can be under way

In the test both fall on one virtual instant and their order is free. Ruled out: the service's batches: the order there is that of arrival. Change: the release is sent again after the bound of one message. It names the same claim, so it does nothing where none came late.

--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		if !errkind.Is(err, errkind.Overloaded) {
 			// The claim may be in the journal, or come in yet. Nothing was sent, so it goes back.
-			c.settleLater(op{Op: opRelease, Account: o.Account, ID: o.ID, Claim: o.Claim})
+			c.takeBack(op{Op: opRelease, Account: o.Account, ID: o.ID, Claim: o.Claim})
 		}
 		return nil, nil, errkind.Of(err).WithOutcome(errkind.NotRun)
 	}
@@ -121,6 +121,16 @@
 	c.wg.Go(func() { _ = c.retrySettle(o) })
 }
 
+// takeBack releases a claim that got no answer, and once more when no message of it can
+// be under way any more: one that comes in after the release claims the ID again.
+func (c *Client) takeBack(release op) {
+	c.wg.Go(func() {
+		_ = c.retrySettle(release) // not held where the claim never came in
+		time.Sleep(claimTry)
+		_ = c.retrySettle(release) // not held where no message was late
+	})
+}
+
 func (c *Client) retrySettle(o op) error {
 	started := time.Now()
 	for {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -61,6 +61,7 @@
 type direct struct {
 	endpoint *Endpoint
 	before   func() // runs ahead of each call
+	late     func(*Call) time.Duration
 }
 
 func (d *direct) Call(ctx context.Context, _ string, args, reply any) error {
@@ -69,7 +70,12 @@
 	}
 	done := make(chan error, 1)
 	var out Outcome
-	go func() { done <- d.endpoint.Do(args.(*Call), &out) }()
+	go func() {
+		if d.late != nil {
+			time.Sleep(d.late(args.(*Call)))
+		}
+		done <- d.endpoint.Do(args.(*Call), &out)
+	}()
 	select {
 	case err := <-done:
 		*reply.(*Outcome) = out
@@ -211,6 +217,28 @@
 	})
 }
 
+// TestClaimThatComesInAfterItsRelease: the caller has given up and taken the claim back
+// when its last message reaches the journal. The ID must be free all the same.
+func TestClaimThatComesInAfterItsRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, testLimits())
+		defer b.stop()
+		calls := 0
+		b.direct.late = func(c *Call) time.Duration {
+			if calls++; c.Op.Op == opClaim && calls <= 2 {
+				return claimTry + 300*time.Millisecond // the second one comes in 300 ms after the release
+			}
+			return 0
+		}
+		_, _, err := b.client.Claim(t.Context(), request("1"))
+		assert.Equal(t, errkind.Of(err).Outcome, errkind.NotRun)
+		assert.NilError(t, b.client.Wait(t.Context()))
+		c, _, err := b.client.Claim(t.Context(), request("1"))
+		assert.NilError(t, err)
+		assert.NilError(t, c.Begin())
+	})
+}
+
 func TestSettlementOutlastsALeaderlessTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, testLimits())
--- a/internal/routing/exchange_test.go
+++ b/internal/routing/exchange_test.go
@@ -214,6 +214,7 @@
 	time.AfterFunc(lasts, cancel)
 	var requests sync.WaitGroup
 	requests.Go(func() {
+		time.Sleep(urgentEvery / 2) // between two looks of the exchange
 		for ctx.Err() == nil {
 			m.mu.Lock()
 			m.core.urgent = true
