Count the bound on old weights for each version by itself

A later version had been named meanwhile, and the time was counted from the newest one only. Change: replicas and entry VMs remember when each of the last versions was named; a server is out of use once any newer version than its own is overdue. Figures: the new test (a version named 5 s after, by a leader that knows the newest only) fails with one time for each model.

--- a/internal/fleetcontrol/machine.go
+++ b/internal/fleetcontrol/machine.go
@@ -12,6 +12,7 @@
 	"encoding/gob"
 	"io"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,11 +59,22 @@
 	Config   *fleet.Config
 	// Weights is the newest version named for each model.
 	Weights map[string]int64
-	// Named is when this replica first saw each of them named. It is not replicated: a
-	// replica that starts from a snapshot counts from then on.
-	Named map[string]time.Time
+	// Named are the last versions of each model, the newest last, with the time at which
+	// this replica first saw them named. It is not replicated: a replica that starts from a
+	// snapshot counts from then on.
+	Named map[string][]Naming
 }
 
+// Naming is a version of a model's weights and when it was named.
+type Naming struct {
+	Version int64
+	At      time.Time
+}
+
+// namingsKept is how many versions of a model are remembered: more than are named within
+// the time that servers have for one.
+const namingsKept = 16
+
 // Machine keeps the newest document. Apply, Snapshot and Restore are called by one
 // goroutine; Held is safe for concurrent use.
 type Machine struct {
@@ -99,9 +111,11 @@
 		}
 		next.Weights, next.Named = maps.Clone(old.Weights), maps.Clone(old.Named)
 		if next.Weights == nil {
-			next.Weights, next.Named = map[string]int64{}, map[string]time.Time{}
+			next.Weights, next.Named = map[string]int64{}, map[string][]Naming{}
 		}
-		next.Weights[c.Model], next.Named[c.Model] = c.Version, m.now()
+		next.Weights[c.Model] = c.Version
+		all := append(slices.Clone(old.Named[c.Model]), Naming{Version: c.Version, At: m.now()})
+		next.Named[c.Model] = all[max(0, len(all)-namingsKept):]
 		m.set(&next)
 		return inForce
 	}
@@ -142,9 +156,9 @@
 	if err := gob.NewDecoder(r).Decode(&i); err != nil {
 		return errors.Wrap(err, "decode fleet")
 	}
-	h := &Held{Revision: i.Revision, Document: i.Document, Weights: i.Weights, Named: map[string]time.Time{}}
-	for model := range i.Weights {
-		h.Named[model] = m.now()
+	h := &Held{Revision: i.Revision, Document: i.Document, Weights: i.Weights, Named: map[string][]Naming{}}
+	for model, version := range i.Weights {
+		h.Named[model] = []Naming{{Version: version, At: m.now()}}
 	}
 	if i.Document != nil {
 		config, err := m.decode(i.Document)
--- a/internal/fleetcontrol/machine_test.go
+++ b/internal/fleetcontrol/machine_test.go
@@ -58,9 +58,13 @@
 	now = now.Add(time.Second)
 	apply(t, m, 2, command{Model: "m", Version: 3})
 	apply(t, m, 3, command{Model: "n", Version: 1})
-	assert.DeepEqual(t, m.Held().Named, map[string]time.Time{"m": time.Unix(100, 0), "n": time.Unix(101, 0)})
+	assert.DeepEqual(t, m.Held().Named, map[string][]Naming{"m": {{3, time.Unix(100, 0)}}, "n": {{1, time.Unix(101, 0)}}})
 	apply(t, m, 4, command{Model: "m", Version: 4})
-	assert.DeepEqual(t, m.Held().Named["m"], time.Unix(101, 0))
+	assert.DeepEqual(t, m.Held().Named["m"], []Naming{{3, time.Unix(100, 0)}, {4, time.Unix(101, 0)}})
+	for v := range int64(2 * namingsKept) {
+		apply(t, m, uint64(5+v), command{Model: "m", Version: 5 + v})
+	}
+	assert.Equal(t, len(m.Held().Named["m"]), namingsKept)
 }
 
 func TestSnapshotKeepsTheDocumentAsItWasSent(t *testing.T) {
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -42,12 +42,12 @@
 type PollReply struct {
 	Term     uint64
 	Revision uint64
-	// Document and Weights come together. NamedAge is how long ago the weights were named,
-	// as far as the leader has seen.
+	// Document and Weights come together. Named is how long ago the last versions of each
+	// model were named, as far as the leader has seen.
 	Changed    bool
 	Document   []byte
 	Weights    map[string]int64
-	NamedAge   map[string]time.Duration
+	Named      map[string][]NamedAge
 	Servers    uint64
 	ServersSet bool
 	ServerList []fleet.Server
@@ -64,6 +64,12 @@
 	Leads  bool
 }
 
+// NamedAge is a version of a model's weights and how long ago it was named.
+type NamedAge struct {
+	Version int64
+	Age     time.Duration
+}
+
 // Service answers polls on the leader.
 type Service struct {
 	machine *Machine
@@ -165,9 +171,11 @@
 	}
 	if held.Revision != args.Revision {
 		reply.Changed, reply.Document, reply.Weights = true, held.Document, held.Weights
-		reply.NamedAge = map[string]time.Duration{}
-		for model, at := range held.Named {
-			reply.NamedAge[model] = s.machine.now().Sub(at)
+		reply.Named = map[string][]NamedAge{}
+		for model, all := range held.Named {
+			for _, n := range all {
+				reply.Named[model] = append(reply.Named[model], NamedAge{Version: n.Version, Age: s.machine.now().Sub(n.At)})
+			}
 		}
 	}
 	if s.version != reply.Servers && s.version > 0 {
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -318,33 +318,50 @@
 	}
 }
 
-// named tells since when the weights of a reply are named. Weights that this VM knew keep
-// their time, as a leader may have started later.
-func named(known *View, reply *fleetcontrol.PollReply, heard time.Time) map[string]time.Time {
-	all := map[string]time.Time{}
-	for model, version := range reply.Weights {
-		all[model] = heard.Add(-reply.NamedAge[model])
-		if known.Weights[model] == version && known.Named[model].Before(all[model]) {
-			all[model] = known.Named[model]
+// named tells since when the versions of a reply are named. One that this VM knew keeps its
+// time where that is earlier, as a leader may have started later; older ones are kept too.
+func named(known *View, reply *fleetcontrol.PollReply, heard time.Time) map[string]map[int64]time.Time {
+	all := map[string]map[int64]time.Time{}
+	for model := range reply.Weights {
+		all[model] = maps.Clone(known.Named[model])
+		if all[model] == nil {
+			all[model] = map[int64]time.Time{}
+		}
+		for _, n := range reply.Named[model] {
+			at := heard.Add(-n.Age)
+			if old, ok := all[model][n.Version]; !ok || at.Before(old) {
+				all[model][n.Version] = at
+			}
 		}
 	}
 	return all
 }
 
-// expire notes the models whose older weights may not be used any more.
+// expire notes the least version of each model that may still be used, and forgets what was
+// named before it.
 func (c *Client) expire(next *View) {
-	overdue := map[string]bool{}
-	for model, at := range next.Named {
-		if c.cfg.WeightsBound > 0 && c.cfg.Now().Sub(at) >= c.cfg.WeightsBound {
-			overdue[model] = true
+	if c.cfg.WeightsBound <= 0 {
+		return
+	}
+	least := map[string]int64{}
+	for model, versions := range next.Named {
+		for version, at := range versions {
+			if c.cfg.Now().Sub(at) >= c.cfg.WeightsBound {
+				least[model] = max(least[model], version)
+			}
 		}
 	}
-	if maps.Equal(overdue, next.Overdue) {
+	if maps.Equal(least, next.Least) {
 		return
 	}
-	next.Overdue = overdue
+	next.Least = least
+	next.Named = maps.Clone(next.Named)
+	for model, versions := range next.Named {
+		next.Named[model] = maps.Clone(versions)
+		maps.DeleteFunc(next.Named[model], func(version int64, _ time.Time) bool { return version < least[model] })
+	}
 	next.Stock++
-	c.cfg.Log.Info("older weights are overdue", zap.Any("models", overdue), zap.Any("weights", next.Weights), zap.Int("out_of_use", next.outOfUse()))
+	c.cfg.Log.Info("older weights are overdue", zap.Any("least", least), zap.Any("weights", next.Weights), zap.Int("out_of_use", next.outOfUse()))
 }
 
 func (c *Client) takeServers(next *View, servers []fleet.Server, from string) {
--- a/internal/fleetview/client_test.go
+++ b/internal/fleetview/client_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,24 +126,29 @@
 
 const weightsBound = 18 * time.Second
 
-// TestServersWithOverdueWeightsGetNothing: long after new weights were named, a server that
-// comes back with the old ones must not be used, also by a VM that has just started, and
-// is used again once it has loaded.
+// TestServersWithOverdueWeightsGetNothing: version 2 was named 10 s before this VM started
+// and version 3 about 5 s after it started. From the bound after each on, servers with an older one must not
+// be used, and a newer version must not start the time of the one before anew.
 func TestServersWithOverdueWeightsGetNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		server := func(id string, version int64) fleet.Server {
-			return fleet.Server{ID: id, Address: id, Service: "s", Weights: []fleet.Weights{{Model: "m", Version: version}}}
+		var newest atomic.Int64
+		newest.Store(2)
+		servers := []fleet.Server{}
+		for v := range int64(3) {
+			servers = append(servers, fleet.Server{ID: fmt.Sprint("on-", v+1), Address: fmt.Sprint(v), Service: "s", Weights: []fleet.Weights{{Model: "m", Version: v + 1}}})
 		}
-		servers := []fleet.Server{server("new", 2), server("back", 1)}
-		revision, list := uint64(1), uint64(1)
 		leader := &replica{reply: func(args *fleetcontrol.PollArgs) fleetcontrol.PollReply {
-			r := fleetcontrol.PollReply{Term: 1, Revision: revision, Servers: list}
+			revision := uint64(newest.Load())
+			r := fleetcontrol.PollReply{Term: 1, Revision: revision, Servers: 1}
 			if args.Revision != revision {
-				r.Changed, r.Document, r.Weights = true, []byte("x"), map[string]int64{"m": 2}
-				r.NamedAge = map[string]time.Duration{"m": 10*time.Second + time.Since(began)}
+				r.Changed, r.Document, r.Weights = true, []byte("x"), map[string]int64{"m": newest.Load()}
+				r.Named = map[string][]fleetcontrol.NamedAge{"m": {{Version: 2, Age: 10*time.Second + time.Since(began)}}}
+				if revision == 3 { // a leader that has started since knows the newest only
+					r.Named["m"] = []fleetcontrol.NamedAge{{Version: 3}}
+				}
 			}
-			if args.Servers != list {
+			if args.Servers == 0 {
 				r.ServersSet, r.ServerList = true, servers
 			}
 			return r
@@ -155,12 +162,12 @@
 			}
 			return names
 		}
-		time.Sleep(5 * time.Second)
-		assert.DeepEqual(t, unused(), []string(nil)) // 15 s after
-		time.Sleep(5 * time.Second)
-		assert.DeepEqual(t, unused(), []string{"back"})
-		servers, list = []fleet.Server{server("new", 2), server("back", 2)}, 2
-		time.Sleep(3 * time.Second)
+		time.Sleep(5 * time.Second) // 15 s after version 2
+		newest.Store(3)
 		assert.DeepEqual(t, unused(), []string(nil))
+		time.Sleep(5 * time.Second) // 20 s after version 2, 5 s after version 3
+		assert.DeepEqual(t, unused(), []string{"on-1"})
+		time.Sleep(15 * time.Second) // 20 s after version 3
+		assert.DeepEqual(t, unused(), []string{"on-1", "on-2"})
 	})
 }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -15,10 +15,10 @@
 	Revision uint64
 	Config   *fleet.Config
 	Weights  map[string]int64
-	// Named is when the weights were named, by this VM's clock. Servers with older weights
-	// of an Overdue model get no requests.
-	Named   map[string]time.Time
-	Overdue map[string]bool
+	// Named is when the last versions of each model were named, by this VM's clock. Servers
+	// with weights older than Least of their model get no requests.
+	Named   map[string]map[int64]time.Time
+	Least   map[string]int64
 	Servers []fleet.Server
 	// Stock counts changes of Servers at this VM.
 	Stock uint64
@@ -77,7 +77,7 @@
 // unused reports whether a server gets no requests.
 func (v *View) unused(s fleet.Server) bool {
 	return s.Draining || s.Changing || slices.ContainsFunc(s.Weights, func(w fleet.Weights) bool {
-		return v.Overdue[w.Model] && w.Version < v.Weights[w.Model]
+		return w.Version < v.Least[w.Model]
 	})
 }
 
