--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -223,9 +223,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, testLimits())
 		defer b.stop()
-		calls := 0
+		var calls atomic.Int64
 		b.direct.late = func(c *Call) time.Duration {
-			if calls++; c.Op.Op == opClaim && calls <= 2 {
+			if c.Op.Op == opClaim && calls.Add(1) <= 2 {
 				return claimTry + 300*time.Millisecond // the second one comes in 300 ms after the release
 			}
 			return 0
