--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -117,10 +117,6 @@
 	}
 }
 
-func (c *Client) settleLater(o op) {
-	c.wg.Go(func() { _ = c.retrySettle(o) })
-}
-
 // takeBack releases a claim that got no answer, and once more when no message of it can
 // be under way any more: one that comes in after the release claims the ID again.
 func (c *Client) takeBack(release op) {
