--- a/internal/onplatform/soak_calls_test.go
+++ b/internal/onplatform/soak_calls_test.go
@@ -200,7 +200,7 @@
 	}
 	request.Host = "h.example"
 	if method == "POST" {
-		// Without these the library would send it again by itself on a connection that was dropped.
+		// With it the library would send the body again by itself on a connection that was dropped.
 		request.GetBody = nil
 	}
 	request.Header = http.Header{"X-Request-Id": {id}, "X-Deadline-Ms": {"2000"}, "Authorization": {"Bearer " + account + "-key"}}
