--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -49,15 +49,11 @@
 	Timeout time.Duration
 	// Target is the time within which an answer is fully useful; of a stream, its first event.
 	Target time.Duration
-	// GapTarget is the longest useful pause between two events of a stream.
-	GapTarget time.Duration
 	Priority  int // 0 is the most urgent
 	Split     []Share
 	Attempts  int // servers that one attempt of a client may be sent to
 	Open      bool
 	Resumable bool
-	// Shared says that the route's prompts share parts with others.
-	Shared bool
 }
 
 // Share is a service's part of a route's requests.
@@ -71,29 +67,22 @@
 
 // Service is a group of servers that can stand in for each other, or a cache store.
 type Service struct {
-	Name       string
-	HealthPath string
-	// Connections is what one server accepts from all callers together.
-	Connections int
-	Engine      *Engine
-	Store       *Store
+	Name   string
+	Engine *Engine
+	Store  *Store
 }
 
 // Engine says how the service's model servers are built.
 type Engine struct {
-	Slots       int
 	CacheTokens int
 	TokenBytes  int
-	Models      []string
-	EventReads  int // cache event reads that one server holds at a time
 }
 
 // Store is a store of kept cache.
 type Store struct {
-	Address       string
-	FailureDomain string
-	CacheTokens   int
-	LinkBits      float64 // a second
+	Address     string
+	CacheTokens int
+	LinkBits    float64 // a second
 }
 
 // Account is a client account.
