--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -48,7 +48,7 @@
 	// Timeout is the longest time that a request may be kept waiting.
 	Timeout time.Duration
 	// Target is the time within which an answer is fully useful; of a stream, its first event.
-	Target time.Duration
+	Target    time.Duration
 	Priority  int // 0 is the most urgent
 	Split     []Share
 	Attempts  int // servers that one attempt of a client may be sent to
