Sample usual log lines while the output is behind; keep those of failures longest

Change: from half of the buffer on one of ten usual lines of each message is kept, from three quarters on none; warnings and errors may use the rest. Dropped lines are counted and told as before.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -87,5 +87,6 @@
 	c := zap.NewProductionEncoderConfig()
 	c.EncodeTime = zapcore.ISO8601TimeEncoder
 	c.EncodeDuration = zapcore.MillisDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), out, level)).Named(daemon).With(zap.String("vm", vm)), nil
+	core := sampled{Core: zapcore.NewCore(zapcore.NewJSONEncoder(c), out, level), out: out, kinds: &sync.Map{}}
+	return zap.New(core).Named(daemon).With(zap.String("vm", vm)), nil
 }
