Decode each log line once when explaining a request

Cause: read again as a whole, the change decoded every line of a log twice, once for the fields that every line has and once for all. Change: one decode; the common fields are taken out of it. A line whose common field is no text is skipped, as before. Seen and left: the soak's probe builds the headers of a call that the process test's call builds too; the ticker loops of group and placement are alike but differ in their first step.

--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -47,15 +47,6 @@
 	return f
 }
 
-// header are the fields that every line has.
-type header struct {
-	VM      string `json:"vm"`
-	TS      string `json:"ts"`
-	Level   string `json:"level"`
-	Message string `json:"msg"`
-	Request string `json:"request"`
-}
-
 // Read reads the structured lines of a log. A line may have the collector's time, in
 // seconds, and the VM's name before it. Other lines are skipped and counted.
 func Read(r io.Reader) (lines []Line, skipped int, err error) {
@@ -76,24 +67,30 @@
 	if start < 0 {
 		return Line{}, false
 	}
-	var h header
-	fields := map[string]any{}
-	if json.Unmarshal(data[start:], &h) != nil {
-		return Line{}, false
-	}
+	l := Line{Fields: map[string]any{}}
 	decoder := json.NewDecoder(bytes.NewReader(data[start:]))
 	decoder.UseNumber() // identities are larger than a float64 holds
-	if decoder.Decode(&fields) != nil {
+	if decoder.Decode(&l.Fields) != nil {
 		return Line{}, false
 	}
-	at, err := time.Parse(timeLayout, h.TS)
-	if err != nil || h.Message == "" {
-		return Line{}, false
+	var written, logger string
+	for name, to := range map[string]*string{
+		"vm": &l.VM, "ts": &written, "level": &l.Level, "msg": &l.Message, "request": &l.Request, "logger": &logger,
+	} {
+		if value, there := l.Fields[name]; there {
+			text, ok := value.(string)
+			if !ok {
+				return Line{}, false
+			}
+			*to = text
+			delete(l.Fields, name)
+		}
 	}
-	for _, f := range []string{"vm", "ts", "level", "msg", "logger", "request"} {
-		delete(fields, f)
+	at, err := time.Parse(timeLayout, written)
+	if err != nil || l.Message == "" {
+		return Line{}, false
 	}
-	l := Line{VM: h.VM, At: at, Level: h.Level, Message: h.Message, Request: h.Request, Fields: fields}
+	l.At = at
 	if before := strings.Fields(string(data[:start])); len(before) > 0 {
 		if seconds, err := strconv.ParseFloat(before[0], 64); err == nil {
 			l.Collected, l.HasCollected = time.Duration(seconds*float64(time.Second)), true
