Check loads of weights at the time they are known to take

Cause: the first check of an ordered server came 1.8 s after the order, a figure of another deployment. Ruled out: the number of loads at once, which is at the platform's limit already.

Change: the planner starts with a check after 300 ms and learns the shortest load of each model. A drained server that waits for its turn is not read until one is free.

The new test fails on the former planner.

--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -31,7 +31,8 @@
 	// which requests move to other servers.
 	DrainPeriod time.Duration
 	// FirstCheckDelay is the time from an accepted order to the first check whether the
-	// server has loaded; CheckInterval is the time between further checks.
+	// server has loaded, until a load of the model has been observed. CheckInterval is the
+	// time between further checks.
 	FirstCheckDelay time.Duration
 	CheckInterval   time.Duration
 	// SlotTimeout is the time after which a server under change no longer counts against
@@ -41,11 +42,11 @@
 	Backoff time.Duration
 }
 
-// DefaultConfig returns the tuning of a control VM. A load takes about 2 s when few run.
+// DefaultConfig returns the tuning of a control VM.
 func DefaultConfig() Config {
 	return Config{
-		MaxLoads: 2, MaxLoadShare: 0.2, DrainAhead: 1, DrainPeriod: 150 * time.Millisecond, FirstCheckDelay: 1800 * time.Millisecond,
-		CheckInterval: 200 * time.Millisecond, SlotTimeout: 12 * time.Second, Backoff: 2 * time.Second,
+		MaxLoads: 2, MaxLoadShare: 0.2, DrainAhead: 1, DrainPeriod: 150 * time.Millisecond, FirstCheckDelay: 300 * time.Millisecond,
+		CheckInterval: 100 * time.Millisecond, SlotTimeout: 12 * time.Second, Backoff: 2 * time.Second,
 	}
 }
 
@@ -76,9 +77,10 @@
 	orderedVersion int64 // version of the last accepted order, or 0
 	startedAt      time.Time
 	nextCallAt     time.Time
-	orderPending   bool // the result of an order is outstanding
-	busy           bool // Busy of the last report
-	callPending    bool // the result of a check or an order is outstanding
+	orderedAt      time.Time // time of the response to the last accepted order
+	orderPending   bool      // the result of an order is outstanding
+	busy           bool      // Busy of the last report
+	callPending    bool      // the result of a check or an order is outstanding
 }
 
 // Planner decides which servers change their weights and when. It is not safe for
@@ -87,12 +89,13 @@
 	config       Config
 	changes      map[string]*change         // by server key
 	reported     map[string][]fleet.Weights // from the last reports, newer than the server list
+	shortestLoad map[string]time.Duration   // shortest observed load of each model
 	backoffUntil map[string]time.Time
 }
 
 // NewPlanner returns a planner with no servers under change.
 func NewPlanner(c Config) *Planner {
-	return &Planner{config: c, changes: map[string]*change{}, reported: map[string][]fleet.Weights{}, backoffUntil: map[string]time.Time{}}
+	return &Planner{config: c, changes: map[string]*change{}, reported: map[string][]fleet.Weights{}, shortestLoad: map[string]time.Duration{}, backoffUntil: map[string]time.Time{}}
 }
 
 // countLoading counts the servers of a service that may be loading: those with an order
@@ -152,7 +155,7 @@
 		group := byService[service]
 		p.startChanges(now, group, targetVersions)
 		for _, s := range group {
-			if c := p.changes[s.Key()]; c != nil {
+			if c := p.changes[s.Key()]; c != nil && !p.mustWait(c) {
 				if call, due := c.nextCheck(now, s, targetVersions); due {
 					calls = append(calls, call)
 				}
@@ -211,6 +214,11 @@
 	return ""
 }
 
+// mustWait reports whether a server has no order yet and can't get one while others load.
+func (p *Planner) mustWait(c *change) bool {
+	return c.orderedVersion == 0 && !c.orderPending && !c.busy && p.countLoading(c.service) >= c.maxLoads
+}
+
 // nextCheck returns the status check of a server under change, and whether it is due.
 // Before each order the server's report is read.
 func (c *change) nextCheck(now time.Time, s fleet.Server, targetVersions map[string]int64) (Call, bool) {
@@ -245,8 +253,9 @@
 	case v >= c.targetVersion || v >= c.orderedVersion && c.orderedVersion > 0:
 		// The change ends even if a newer version has become the target meanwhile, so that
 		// servers with lower versions go first.
+		p.recordLoad(now, c)
 		delete(p.changes, key)
-	case c.orderedVersion == 0 && p.countLoading(call.Server.Service) >= c.maxLoads:
+	case p.mustWait(c):
 		// The server is drained and gets its order when another one has loaded.
 	default:
 		c.callPending, c.orderPending = true, true
@@ -265,8 +274,29 @@
 	c.callPending, c.orderPending = false, false
 	c.nextCallAt = now.Add(p.config.CheckInterval)
 	if accepted {
-		c.orderedVersion, c.nextCallAt = call.Version, now.Add(p.config.FirstCheckDelay)
+		c.orderedVersion, c.orderedAt, c.nextCallAt = call.Version, now, now.Add(p.firstCheckDelay(call.Model))
+	}
+}
+
+// recordLoad records the time of a load that has ended.
+func (p *Planner) recordLoad(now time.Time, c *change) {
+	if c.orderedVersion == 0 {
+		return
+	}
+	took := now.Sub(c.orderedAt)
+	if shortest, known := p.shortestLoad[c.model]; !known || took < shortest {
+		p.shortestLoad[c.model] = took
+	}
+}
+
+// firstCheckDelay returns the time from an accepted order to the first check whether the
+// model has been loaded. The shortest observed load includes up to one check interval.
+func (p *Planner) firstCheckDelay(model string) time.Duration {
+	shortest, known := p.shortestLoad[model]
+	if !known {
+		return p.config.FirstCheckDelay
 	}
+	return max(0, shortest-p.config.CheckInterval)
 }
 
 // abandonChange ends the change of a server that can't be changed now. The server is skipped
--- a/internal/rollout/planner_test.go
+++ b/internal/rollout/planner_test.go
@@ -24,6 +24,7 @@
 	delayedOrders  []Call           // orders that the test delivers later
 	delayOrders    bool             // orders get no response and go to delayedOrders
 	maxLoading     int              // greatest number of servers that loaded at the same time
+	checks         int              // status checks made
 	loadTime       time.Duration
 }
 
@@ -65,6 +66,7 @@
 // check makes a status check, and delivers or delays the order that follows.
 func (sim *simulation) check(c Call) {
 	key := c.Server.Key()
+	sim.checks++
 	_, busy := sim.loadingUntil[key]
 	order, due := sim.planner.HandleReport(sim.now, c, Report{Weights: c.Server.Weights, Busy: busy, Sequence: sim.accepted[key]}, nil)
 	if !due {
@@ -174,3 +176,30 @@
 	}
 	assert.DeepEqual(t, sim.versions(), map[int64]int{1: 1, 2: 2})
 }
+
+// TestChecksFollowObservedLoadTime rolls weights out to engines that load three times as fast
+// as others. A server must not stay out of use after it has loaded, so all of them are
+// updated in the time of the loads and little more. The load time is learned from the first
+// servers: checks before a load can have ended are not repeated.
+func TestChecksFollowObservedLoadTime(t *testing.T) {
+	for _, loadTime := range []time.Duration{600 * time.Millisecond, 2 * time.Second, 5 * time.Second} {
+		sim := newSimulation(8)
+		sim.loadTime = loadTime
+		// Four rounds of two servers. For each load: one drain period ahead of the first round,
+		// and at most two check intervals.
+		limit := sim.planner.config.DrainPeriod + 4*(loadTime+2*sim.planner.config.CheckInterval)
+		start := sim.now
+		for sim.versions()[2] < 8 || len(sim.planner.changes) > 0 {
+			sim.step(2)
+			assert.Assert(t, sim.now.Sub(start) <= limit+200*time.Millisecond, "load time %v", loadTime)
+		}
+		assert.Equal(t, sim.maxLoading, 2)
+		// Every server after the first two is checked once before its order and a few times
+		// at the end of its load.
+		checks := sim.checks
+		for sim.versions()[3] < 8 {
+			sim.step(3)
+		}
+		assert.Assert(t, sim.checks-checks <= 8*6, "%d checks, load time %v", sim.checks-checks, loadTime)
+	}
+}
