Elect without waiting once the last leaders of a quorum have restarted

Cause: after a loss of power all replicas refused votes for an election timeout, because a leader might hold a lease that rests on an acknowledgement from before the restart.

Change: replicas store the last leader they acknowledged and report after a start the term they started with. A start term at or above the term of a leadership proves that it ended; voters check that proof. See restart.go. Stores of an older build prove nothing and wait.

The broken variant without the comparison of terms is caught by the random test.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -94,6 +94,11 @@
 	// the followers.
 	commitAdvanced bool
 
+	startTerm         uint64 // term at the start of this process
+	restartReports    map[uint64]restartReport
+	restartCampaignAt time.Time // time of the election of tickRestart; zero if none is planned
+	restartCampaigned bool      // the election of tickRestart has been started
+
 	verifiedBy    map[uint64]bool // replicas that accepted this store since the start
 	storeVerified bool            // the leader or a majority accepted this store
 	nextHello     time.Time
@@ -109,7 +114,8 @@
 // NewCore returns the Core of a replica that starts from stored at time now.
 func NewCore(cfg Config, stored StoredState, now time.Time) *Core {
 	c := &Core{cfg: cfg, id: cfg.ID, now: now, identity: stored.Identity, hardState: stored.HardState,
-		verifiedBy: map[uint64]bool{}, probeSentAt: map[uint64]time.Time{}, lastLeaderContact: now, nextHello: now}
+		verifiedBy: map[uint64]bool{}, probeSentAt: map[uint64]time.Time{}, lastLeaderContact: now, nextHello: now,
+		startTerm: stored.HardState.Term, restartReports: map[uint64]restartReport{}}
 	if c.hardState.Witnesses == nil {
 		c.hardState.Witnesses = map[uint64]Witness{}
 	}
@@ -120,7 +126,7 @@
 	c.reloadMembership()
 	c.resetElectionDeadline()
 	if c.isSoleVoter() {
-		c.campaign(false)
+		c.campaign(Message{})
 	}
 	return c
 }
@@ -143,6 +149,7 @@
 		c.tickLeader()
 		return
 	}
+	c.tickRestart()
 	if !now.Before(c.electionDeadline) {
 		c.resetElectionDeadline()
 		if c.members.isVoter(c.id) && c.isStoreVerified() {
@@ -170,7 +177,7 @@
 		c.handlePreVoteReply(m)
 		return
 	}
-	if m.Kind == MsgVote && !m.Transfer && c.leaderLeaseActive() {
+	if m.Kind == MsgVote && !m.Transfer && c.leaderLeaseActive() && !c.leaseEndedByRestart(m) {
 		return
 	}
 	if m.Term > c.hardState.Term {
@@ -193,7 +200,7 @@
 		c.handleAppendReply(m)
 	case MsgTimeoutNow:
 		if c.members.isVoter(c.id) && c.isStoreVerified() {
-			c.campaign(true)
+			c.campaign(Message{Transfer: true})
 		}
 	}
 }
@@ -244,6 +251,9 @@
 	if m.Kind != MsgPreVote && m.Kind != MsgPreVoteReply {
 		m.Term = c.hardState.Term
 	}
+	if m.Kind == MsgHello || m.Kind == MsgHelloReply {
+		m.StartTerm, m.LastLeader, m.LastLeaderTerm = c.startTerm, c.hardState.Leader, c.hardState.LeaderTerm
+	}
 	m.Identity, m.Writes = c.identity, c.hardState.Writes
 	return m
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -18,16 +18,17 @@
 
 func (c *Core) preCampaign() {
 	if c.isSoleVoter() {
-		c.campaign(false)
+		c.campaign(Message{})
 		return
 	}
 	c.become(PreCandidate, c.hardState.Term, 0)
 	c.votes = map[uint64]bool{c.id: true}
-	c.requestVotes(MsgPreVote, c.hardState.Term+1, false)
+	c.requestVotes(Message{Kind: MsgPreVote, Term: c.hardState.Term + 1})
 }
 
-// campaign starts an election in a new term.
-func (c *Core) campaign(transfer bool) {
+// campaign starts an election in a new term. The request may contain the reason why voters
+// need not wait for the end of a leader lease: Transfer or StartTerms.
+func (c *Core) campaign(request Message) {
 	c.become(Candidate, c.hardState.Term+1, 0)
 	c.hardState.Vote, c.hardStateDirty = c.id, true
 	c.votes = map[uint64]bool{c.id: true}
@@ -36,13 +37,17 @@
 		c.becomeLeader()
 		return
 	}
-	c.requestVotes(MsgVote, c.hardState.Term, transfer)
+	request.Kind = MsgVote
+	c.requestVotes(request)
 }
 
-func (c *Core) requestVotes(kind MessageKind, term uint64, transfer bool) {
+// requestVotes sends the request to all other voters, with the last entry of the log.
+func (c *Core) requestVotes(request Message) {
+	request.Index, request.LogTerm = c.log.lastIndex(), c.log.lastTerm()
 	for _, id := range c.members.voters() {
 		if id != c.id {
-			c.sendAfterSync(Message{Kind: kind, To: id, Term: term, Index: c.log.lastIndex(), LogTerm: c.log.lastTerm(), Transfer: transfer})
+			request.To = id
+			c.sendAfterSync(request)
 		}
 	}
 }
@@ -74,7 +79,7 @@
 		return
 	}
 	if c.recordVote(m.From) {
-		c.campaign(false)
+		c.campaign(Message{})
 	}
 }
 
@@ -86,6 +91,7 @@
 	}
 	if granted {
 		c.resetElectionDeadline()
+		c.restartCampaignAt = c.electionDeadline
 	}
 	c.sendAfterSync(Message{Kind: MsgVoteReply, To: m.From, Reject: !granted})
 }
@@ -111,6 +117,7 @@
 // becomeLeader starts leadership and appends the no-op entry of the new term.
 func (c *Core) becomeLeader() {
 	c.become(Leader, c.hardState.Term, c.id)
+	c.recordLeader(c.id)
 	c.progress = map[uint64]*progress{}
 	c.setMembership(c.members, c.membersIndex)
 	c.unconfirmedRounds, c.confirmedRoundStart = nil, time.Time{}
--- a/internal/consensus/identity.go
+++ b/internal/consensus/identity.go
@@ -44,6 +44,9 @@
 	verdict := witness.check(m.Identity)
 	if verdict == storeAccepted {
 		c.recordWitness(m, witness)
+		if m.Kind == MsgHello || m.Kind == MsgHelloReply {
+			c.restartReports[m.From] = restartReport{startTerm: m.StartTerm, lastLeader: m.LastLeader, lastLeaderTerm: m.LastLeaderTerm}
+		}
 	}
 	if m.Kind == MsgHello && (verdict != storeAccepted || !c.hasLiveLeader()) {
 		leads := c.role == Leader && c.commitIndex >= c.termStartIndex && c.now.Before(c.leaseEnd())
--- a/internal/consensus/random_test.go
+++ b/internal/consensus/random_test.go
@@ -50,6 +50,14 @@
 					s.boot(n)
 				}
 			},
+			"herd": func(t *rapid.T) { // several replicas restart at the same time
+				for _, id := range rapid.SliceOfDistinct(rapid.SampledFrom(slices.Sorted(maps.Keys(s.nodes))), rapid.ID).Draw(t, "herd") {
+					if n := s.nodes[id]; !n.fatal && !n.removed {
+						s.boot(n)
+					}
+				}
+				s.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "after")) * simStep)
+			},
 			"compact": func(*rapid.T) { s.compact(randomNode()) },
 			"image":   func(*rapid.T) { n := randomNode(); n.oldDisk = n.disk.clone() },
 			"spoil": func(t *rapid.T) { // at most one disk is lost or rolled back at a time
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -105,6 +105,7 @@
 		c.become(Follower, m.Term, m.From)
 	}
 	c.lastLeaderContact = c.now
+	c.recordLeader(m.From)
 	c.resetElectionDeadline()
 	c.mergeWitnesses(m.Witnesses)
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -85,6 +85,10 @@
 	Vote      uint64
 	Writes    uint64
 	Witnesses map[uint64]Witness
+	// Leader is the last leader that this replica has followed or was itself, in LeaderTerm.
+	// It is 0 in the store of a program that did not record it.
+	Leader     uint64
+	LeaderTerm uint64
 }
 
 // MessageKind is the type of a message.
@@ -130,7 +134,13 @@
 	// Attested reports whether Age and Commit are valid.
 	Attested bool
 	// Transfer marks a vote request that the leader triggered with MsgTimeoutNow.
-	Transfer  bool
+	Transfer bool
+	// StartTerms is set in a vote request after a restart: the start terms of replicas, by
+	// ID. See restart.go, also for the next three fields, which are the sender's restart
+	// report in a hello or its reply.
+	StartTerms                            map[uint64]uint64
+	StartTerm, LastLeader, LastLeaderTerm uint64
+
 	Witnesses map[uint64]Witness
 	Snapshot  *Snapshot
 	// ReplyTo is the sender's address, for a receiver that has no membership yet.
