Grant from the first moment after a change of the owner

Cause: a new owner counted the former owner's durable cap as outstanding for one lease; in that time accounts inside their rate were refused, and the fallback allowance of a VM was smaller than one long prompt.

Change: where the platform tolerates an overshoot, a new owner counts less of the cap as outstanding and records the difference as an advance in the log. All advances within a window and a lease share 0.35 of the tolerance, the fallback has 0.45. Clocks of VMs can't be compared, so advances are aged by the time that owners have served, as far as it is durable. Without a tolerance nothing changes.

A random test holds the sum of all windows to the share; it found that advances were not committed when no bound changed.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -137,7 +137,7 @@
 func (b *builder) addServices() {
 	grantMachine := grants.NewMachine()
 	b.mux.Add(grants.Namespace, grantMachine)
-	b.kernel.Register(grants.OwnerName, grants.NewOwnerModule(b.settings.Grants, grantMachine, grants.StateLimits{Source: b.machine}, clock.Boot), consensus.ModuleName, state.ModuleName, peer.ServerName)
+	b.kernel.Register(grants.OwnerName, grants.NewOwnerModule(grants.OwnerOptions{Lease: b.settings.Grants.Lease}, grantMachine, grants.StateLimits{Source: b.machine}, clock.Boot), consensus.ModuleName, state.ModuleName, peer.ServerName)
 	journalMachine := journal.NewMachine()
 	b.mux.Add(journal.Namespace, journalMachine)
 	b.kernel.Register(journal.OwnerName, journal.NewOwnerModule(b.settings.Journal, journalMachine), consensus.ModuleName, peer.ServerName)
--- a/internal/grants/bench_test.go
+++ b/internal/grants/bench_test.go
@@ -14,7 +14,7 @@
 	for _, holders := range []int{10, 1400} {
 		b.Run(fmt.Sprintf("holders=%d", holders), func(b *testing.B) {
 			o := NewOwner(1, OwnerOptions{Lease: DefaultLease})
-			o.SetLimit(0, "a", Limit{Rate: 1e6, Burst: 1e8}, nil)
+			o.SetLimit(0, "a", Limit{Rate: 1e6, Burst: 1e8}, nil, 0)
 			o.Committed(o.ProposeBounds(0))
 			names := make([]string, holders)
 			for i := range names {
@@ -61,7 +61,7 @@
 func BenchmarkOwnerPromises(b *testing.B) {
 	o := NewOwner(1, OwnerOptions{Lease: DefaultLease})
 	for i := range 1200 {
-		o.SetLimit(0, fmt.Sprintf("account-%04d", i), Limit{Rate: 1000, Burst: 10000}, nil)
+		o.SetLimit(0, fmt.Sprintf("account-%04d", i), Limit{Rate: 1000, Burst: 10000}, nil, 0)
 	}
 	o.Committed(o.ProposeBounds(0))
 	now := time.Duration(0)
--- a/internal/grants/fallbacklimiter.go
+++ b/internal/grants/fallbacklimiter.go
@@ -19,9 +19,9 @@
 	Window    time.Duration
 }
 
-// fallbackSafety is the fraction of the tolerance that is used. The rest is a margin, because
-// a disconnected VM may share the tolerance with more VMs than it has in its view.
-const fallbackSafety = 0.8
+// fallbackBurstShare is the share of a VM's fallback allowance that it may spend at once. The
+// rest is refilled over a window.
+const fallbackBurstShare = 0.8
 
 // FallbackLimiter is a Limiter that admits requests from a fixed share of the tolerance
 // while the owner of the grants is unreachable. The tokens that all VMs together admit this
@@ -71,21 +71,19 @@
 	if !known || f.tolerance.Window <= 0 {
 		return false
 	}
+	share := fallbackShare * f.tolerance.tokens(limit) / float64(max(f.vmCount(), 1))
+	// The burst and the refill over a window are together the share, so no window gets more.
+	burst := fallbackBurstShare * share
+	refill := (share - burst) / f.tolerance.Window.Seconds()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	window := f.tolerance.Window.Seconds()
-	granted := float64(limit.Rate)*window + float64(limit.Burst)
-	share := fallbackSafety * (f.tolerance.Overshoot*granted + f.tolerance.Slack) / float64(max(f.vmCount(), 1))
-	// Half of the share is the burst and the other half is refilled over a window, so no
-	// window gets more than the share.
-	refill, burst := rate.Limit(share/2/window), int(share/2)
 	b := f.buckets[account]
 	if b == nil {
-		b = rate.NewLimiter(refill, burst)
+		b = rate.NewLimiter(rate.Limit(refill), int(burst))
 		f.buckets[account] = b
 	}
-	b.SetBurstAt(f.now(), burst)
-	b.SetLimitAt(f.now(), refill)
+	b.SetBurstAt(f.now(), int(burst))
+	b.SetLimitAt(f.now(), rate.Limit(refill))
 	return b.AllowN(f.now(), int(tokens))
 }
 
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -281,7 +281,7 @@
 // order. The owner must put the tokens back into the bucket once.
 func TestReturnCountsOnce(t *testing.T) {
 	o := NewOwner(1, OwnerOptions{Lease: DefaultLease})
-	o.SetLimit(0, "a", Limit{Rate: 1, Burst: 1000}, nil)
+	o.SetLimit(0, "a", Limit{Rate: 1, Burst: 1000}, nil, 0)
 	o.Committed(o.ProposeBounds(0))
 	sync := func(seq uint64, gone, returned int64, want int64) {
 		o.Sync(0, &SyncRequest{Holder: "h", Seq: seq, Term: 1, Entries: []SyncEntry{{Account: "a", Gone: gone, Returned: returned, Want: want, Need: want}}})
@@ -301,7 +301,7 @@
 // count it once.
 func TestRefundCountsOnce(t *testing.T) {
 	o := NewOwner(1, OwnerOptions{Lease: DefaultLease})
-	o.SetLimit(0, "a", Limit{Rate: 1, Burst: 1000}, nil)
+	o.SetLimit(0, "a", Limit{Rate: 1, Burst: 1000}, nil, 0)
 	o.Committed(o.ProposeBounds(0))
 	sync := func(seq uint64, gone, want int64, refunds ...Refund) int64 {
 		r := o.Sync(0, &SyncRequest{Holder: "h", Seq: seq, Term: 1, Entries: []SyncEntry{{Account: "a", Gone: gone, Want: want, Need: want, Refunds: refunds}}})
--- a/internal/grants/holder_test.go
+++ b/internal/grants/holder_test.go
@@ -16,7 +16,7 @@
 	for name, formerTerm := range map[string]uint64{"first owner": 0, "owner changed": 6} {
 		t.Run(name, func(t *testing.T) {
 			owner := NewOwner(7, OwnerOptions{Lease: 3 * time.Second})
-			owner.SetLimit(0, "a", Limit{Rate: 1000, Burst: 4000}, nil)
+			owner.SetLimit(0, "a", Limit{Rate: 1000, Burst: 4000}, nil, 0)
 			owner.Committed(owner.ProposeBounds(0))
 			h := NewHolder(HolderOptions{Name: "vm", Interval: time.Second, Horizon: time.Second, QueueTime: 300 * time.Millisecond, MaxQueue: 8})
 			h.changeTerm(formerTerm)
--- a/internal/grants/machine.go
+++ b/internal/grants/machine.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/gob"
 	"io"
+	"slices"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -16,8 +18,10 @@
 // command is an entry of the log with durable bounds from the owner of a term. An entry
 // without changes starts the ownership of the term.
 type command struct {
-	Term    uint64
-	Changes []Change
+	Term     uint64
+	Changes  []Change
+	Advances []Advance
+	Served   ServiceTime
 }
 
 // Machine is the replicated state machine that keeps the last durable bound of each
@@ -25,11 +29,17 @@
 //
 // Invariant: once a command of a term is applied, no command of an earlier term is.
 type Machine struct {
-	mu     sync.Mutex
-	term   uint64
-	bounds map[string]DurableBound
+	mu       sync.Mutex
+	term     uint64
+	bounds   map[string]DurableBound
+	served   ServiceTime
+	advances []Advance // oldest first
 }
 
+// advanceRetention is the service time for which the machine keeps an advance: longer than
+// any advanceHorizon.
+const advanceRetention = time.Minute
+
 // NewMachine returns a machine without durable bounds.
 func NewMachine() *Machine { return &Machine{bounds: map[string]DurableBound{}} }
 
@@ -55,9 +65,36 @@
 	for _, ch := range c.Changes {
 		m.bounds[ch.Account] = ch.Promise
 	}
+	m.served = max(m.served, c.Served)
+	m.advances = append(m.advances, c.Advances...)
+	m.advances = slices.DeleteFunc(m.advances, func(a Advance) bool { return m.served-a.At > advanceRetention })
 	return applied
 }
 
+// Served returns the durable service time.
+func (m *Machine) Served() ServiceTime {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.served
+}
+
+// Advanced returns the tokens that were advanced to an account within the horizon, and
+// whether any account has such an advance.
+func (m *Machine) Advanced(account string, horizon ServiceTime) (tokens int64, some bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range m.advances {
+		if m.served-a.At > horizon {
+			continue
+		}
+		some = true
+		if a.Account == account {
+			tokens += a.Tokens
+		}
+	}
+	return tokens, some
+}
+
 // Bound returns the last durable bound of an account, or false if there is none.
 func (m *Machine) Bound(account string) (DurableBound, bool) {
 	m.mu.Lock()
@@ -81,9 +118,9 @@
 // Snapshot writes the state as one encoded command.
 func (m *Machine) Snapshot(w io.Writer) error {
 	m.mu.Lock()
-	term := m.term
+	c := command{Term: m.term, Advances: slices.Clone(m.advances), Served: m.served}
 	m.mu.Unlock()
-	c := command{Term: term, Changes: m.Bounds()}
+	c.Changes = m.Bounds()
 	return errors.Wrap(gob.NewEncoder(w).Encode(c), "encode durable bounds")
 }
 
@@ -95,7 +132,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.term, m.bounds = c.Term, map[string]DurableBound{}
+	m.term, m.bounds, m.served, m.advances = c.Term, map[string]DurableBound{}, c.Served, c.Advances
 	for _, ch := range c.Changes {
 		m.bounds[ch.Account] = ch.Promise
 	}
--- a/internal/grants/module.go
+++ b/internal/grants/module.go
@@ -97,7 +97,7 @@
 
 // OwnerModule is the module control.grants, the owner on a control VM.
 type OwnerModule struct {
-	cfg     OwnerSettings
+	opt     OwnerOptions
 	machine *Machine
 	limits  Limits
 	now     clock.Clock
@@ -107,13 +107,13 @@
 
 // NewOwnerModule returns the module control.grants. machine must be the one that the
 // replica's log is applied to.
-func NewOwnerModule(cfg OwnerSettings, machine *Machine, limits Limits, now clock.Clock) *OwnerModule {
-	return &OwnerModule{cfg: cfg, machine: machine, limits: limits, now: now}
+func NewOwnerModule(opt OwnerOptions, machine *Machine, limits Limits, now clock.Clock) *OwnerModule {
+	return &OwnerModule{opt: opt, machine: machine, limits: limits, now: now}
 }
 
 // Provision implements kernel.Module.
 func (m *OwnerModule) Provision(k *kernel.Kernel) error {
-	if m.cfg.Lease <= 0 {
+	if m.opt.Lease <= 0 {
 		return errors.New("lease must be above 0")
 	}
 	var (
@@ -125,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	m.service = NewService(OwnerOptions{Lease: m.cfg.Lease}, m.limits, m.machine, proposer, leadership, k.Log.Named("grants"), m.now)
+	m.service = NewService(m.opt, m.limits, m.machine, proposer, leadership, k.Log.Named("grants"), m.now)
 	m.Run = m.service.Run
 	return s.Register("Grants", &Endpoint{m.service})
 }
--- a/internal/grants/owner.go
+++ b/internal/grants/owner.go
@@ -8,6 +8,9 @@
 // OwnerOptions are the owner's settings.
 type OwnerOptions struct {
 	Lease time.Duration // how long a holder may use a slice
+	// Tolerance is what accounts may get beyond their grants; see advance.go. With the zero
+	// value, no account ever exceeds its grant.
+	Tolerance Tolerance
 }
 
 // Owner keeps the buckets of client accounts for one term. It is a deterministic state
@@ -68,9 +71,9 @@
 func (o *Owner) Term() uint64 { return o.term }
 
 // SetLimit adds an account or changes its grant. For an account that is new to this
-// owner, bound is the last durable bound in the log, or nil if there is none. It is
-// ignored for other accounts.
-func (o *Owner) SetLimit(now time.Duration, name string, limit Limit, bound *DurableBound) {
+// owner, bound is the last durable bound in the log, or nil if there is none, and advance
+// the durable advance to the account. They are ignored for other accounts.
+func (o *Owner) SetLimit(now time.Duration, name string, limit Limit, bound *DurableBound, advance int64) {
 	if a := o.accounts[name]; a != nil {
 		o.advance(now, a)
 		a.limit, a.removed = limit, false
@@ -80,9 +83,9 @@
 	if bound != nil {
 		a.bounds.committed = *bound
 		a.bounds.hasCommitted = true
-		a.inherited = bound.Cap
+		a.inherited = bound.Cap - advance
 		a.inheritedEnd = now + OwnerLease(o.opt.Lease)
-		a.window = newWindowBucket(now, limit.Burst-a.inherited-bound.Floor)
+		a.window = newWindowBucket(now, limit.Burst-bound.Cap-bound.Floor)
 	}
 	o.accounts[name] = a
 }
@@ -91,7 +94,7 @@
 // removed and added again doesn't get a full burst.
 func (o *Owner) RemoveLimit(now time.Duration, name string) {
 	if o.accounts[name] != nil {
-		o.SetLimit(now, name, Limit{}, nil)
+		o.SetLimit(now, name, Limit{}, nil, 0)
 		o.accounts[name].removed = true
 	}
 }
--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -62,6 +64,8 @@
 
 	mu             sync.Mutex
 	owner          *Owner        // nil while this replica does not serve
+	served         serviceClock  // of the owner
+	lastServed     time.Duration // when the service time was last made durable for its own sake
 	limitsRevision uint64        // of the grants that the owner uses
 	lastTick       time.Duration // time of the last check for expired slices
 }
@@ -173,31 +177,47 @@
 	if !ok || !s.propose(ctx, command{Term: term}) {
 		return
 	}
-	owner := NewOwner(term, s.opt)
-	changes := owner.initialize(s.now(), limits, s.machine)
-	if len(changes) > 0 {
-		if !s.propose(ctx, command{Term: term, Changes: changes}) {
+	owner, served := NewOwner(term, s.opt), serviceClock{durable: s.machine.Served(), start: s.now()}
+	changes, advances := owner.initialize(s.now(), limits, s.machine)
+	if len(changes) > 0 || len(advances) > 0 {
+		if !s.propose(ctx, command{Term: term, Changes: changes, Advances: advances, Served: served.durable}) {
 			return
 		}
 		owner.Committed(changes)
 	}
 	s.mu.Lock()
-	s.owner, s.limitsRevision = owner, revision
+	s.owner, s.limitsRevision, s.served, s.lastServed = owner, revision, served, s.now()
 	s.mu.Unlock()
-	s.log.Info("owning grants", zap.Uint64("term", term), zap.Int("accounts", len(changes)))
+	s.log.Info("owning grants", zap.Uint64("term", term), zap.Int("accounts", len(changes)), zap.Int("advances", len(advances)),
+		zap.Duration("served", served.durable))
 }
 
 // initialize adds all accounts that have a grant, and those that have a durable bound but no
-// grant any more. It returns the initial changes of durable bounds to commit.
-func (o *Owner) initialize(now time.Duration, limits map[string]Limit, m *Machine) []Change {
+// grant any more. It returns the initial changes of durable bounds and the advances to
+// commit. The owner must not serve before both are committed.
+func (o *Owner) initialize(now time.Duration, limits map[string]Limit, m *Machine) ([]Change, []Advance) {
+	var advances []Advance
+	for name, limit := range limits {
+		bound, known := m.Bound(name)
+		if !known {
+			continue
+		}
+		earlier, _ := m.Advanced(name, o.opt.advanceHorizon())
+		advance := o.opt.allowedAdvance(limit, bound, earlier)
+		if advance > 0 {
+			advances = append(advances, Advance{Account: name, Tokens: advance, At: m.Served()})
+		}
+		o.SetLimit(now, name, limit, &bound, advance)
+	}
+	slices.SortFunc(advances, func(a, b Advance) int { return strings.Compare(a.Account, b.Account) })
 	o.applyLimits(now, limits, m)
 	for _, c := range m.Bounds() {
 		if o.accounts[c.Account] == nil {
-			o.SetLimit(now, c.Account, Limit{}, &c.Promise)
+			o.SetLimit(now, c.Account, Limit{}, &c.Promise, 0)
 			o.RemoveLimit(now, c.Account)
 		}
 	}
-	return o.ProposeBounds(now)
+	return o.ProposeBounds(now), advances
 }
 
 // applyLimits sets the grants of all accounts in limits and removes those of all others.
@@ -207,7 +227,7 @@
 		if b, ok := m.Bound(name); ok {
 			bound = &b
 		}
-		o.SetLimit(now, name, limit, bound)
+		o.SetLimit(now, name, limit, bound, 0)
 	}
 	for _, name := range o.names() {
 		if _, ok := limits[name]; !ok {
@@ -244,11 +264,14 @@
 	s.mu.Lock()
 	owner := s.owner
 	var changes []Change
+	var served ServiceTime
 	if owner != nil {
 		changes = owner.ProposeBounds(s.now())
+		served = s.served.at(s.now())
 	}
+	storeTime := owner != nil && s.mustStoreServiceTime(s.now())
 	s.mu.Unlock()
-	if len(changes) == 0 || !s.propose(ctx, command{Term: owner.Term(), Changes: changes}) {
+	if len(changes) == 0 && !storeTime || !s.propose(ctx, command{Term: owner.Term(), Changes: changes, Served: served}) {
 		return
 	}
 	s.mu.Lock()
@@ -256,6 +279,20 @@
 	owner.Committed(changes)
 }
 
+// serviceTimeInterval is the time between two commits of the service time alone.
+const serviceTimeInterval = time.Second
+
+// mustStoreServiceTime reports whether to commit the service time now, so that advances
+// leave the horizon of the next owner. The caller must hold s.mu.
+func (s *Service) mustStoreServiceTime(now time.Duration) bool {
+	if now-s.lastServed < serviceTimeInterval {
+		return false
+	}
+	s.lastServed = now
+	_, some := s.machine.Advanced("", s.opt.advanceHorizon())
+	return some
+}
+
 // propose commits a command to the log and reports whether it was applied.
 func (s *Service) propose(ctx context.Context, c command) bool {
 	data, err := c.encode()
--- a/internal/grants/sim_test.go
+++ b/internal/grants/sim_test.go
@@ -44,6 +44,7 @@
 	loss, dup float64       // probabilities that a message is lost and repeated
 	drift     float64       // largest rate error of a clock, as a fraction
 	delay     time.Duration // mean delay of a message
+	tolerance Tolerance     // of the owner
 	zeroFloor bool          // commit no floor: a new owner starts with an empty bucket
 	fullCap   bool          // commit the whole burst as cap: a new owner waits for all leases to end
 	seed      uint64
@@ -60,6 +61,7 @@
 type simOwner struct {
 	*Owner
 	drift      float64
+	served     serviceClock
 	dead       bool
 	committing bool // a change of bounds is in flight
 	ready      bool // the first bounds are committed, so the owner replies to reports
@@ -151,10 +153,11 @@
 		if term != s.term {
 			return
 		}
-		o := &simOwner{Owner: NewOwner(term, OwnerOptions{Lease: s.opt.lease}), drift: s.drift()}
+		o := &simOwner{Owner: NewOwner(term, OwnerOptions{Lease: s.opt.lease, Tolerance: s.opt.tolerance}), drift: s.drift()}
 		s.owner = o
-		s.setLimits()
-		s.commitBounds(o)
+		o.served = serviceClock{durable: s.machine.Served(), start: o.clock(s.now)}
+		changes, advances := o.initialize(o.clock(s.now), s.limits, s.machine)
+		s.commit(o, changes, advances)
 		s.tick(o)
 	})
 }
@@ -171,7 +174,7 @@
 		if b, ok := s.machine.Bound(n); ok {
 			bound = &b
 		}
-		s.owner.SetLimit(s.owner.clock(s.now), n, s.limits[n], bound)
+		s.owner.SetLimit(s.owner.clock(s.now), n, s.limits[n], bound, 0)
 	}
 }
 
@@ -184,25 +187,30 @@
 	s.after(tickInterval, func() { s.tick(o) })
 }
 
-// commitBounds commits the bounds that the owner proposes after the time that a commit takes.
-// If the owner stops meanwhile, the commit succeeds with probability 1/2.
+// commitBounds commits the bounds that the owner proposes.
 func (s *sim) commitBounds(o *simOwner) {
 	if o.committing || o.dead {
 		return
 	}
-	changes := o.ProposeBounds(o.clock(s.now))
+	s.commit(o, o.ProposeBounds(o.clock(s.now)), nil)
+}
+
+// commit commits bounds, advances and the service time after the time that a commit takes. If
+// the owner stops meanwhile, the commit succeeds with probability 1/2.
+func (s *sim) commit(o *simOwner, changes []Change, advances []Advance) {
 	s.overrideBounds(changes)
-	if len(changes) == 0 {
+	if len(changes) == 0 && len(advances) == 0 {
 		o.ready = true
 		return
 	}
 	o.committing = true
+	served := o.served.at(o.clock(s.now))
 	s.after(2*s.opt.delay+time.Millisecond, func() {
 		o.committing = false
 		if o.dead && s.rng.IntN(2) == 0 {
 			return
 		}
-		data, _ := command{Term: o.Term(), Changes: changes}.encode()
+		data, _ := command{Term: o.Term(), Changes: changes, Advances: advances, Served: served}.encode()
 		if s.machine.Apply(0, data)[0] == applied[0] && !o.dead {
 			o.Committed(changes)
 			o.ready = true
--- a/internal/onplatform/common.go
+++ b/internal/onplatform/common.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/logging"
 	"eelgrasshollow/platform"
@@ -79,6 +80,11 @@
 	return p, nil
 }
 
+// grantTolerance returns what the platform lets accounts get beyond their grants.
+func grantTolerance(s *platform.Settings) grants.Tolerance {
+	return grants.Tolerance{Overshoot: s.Bounds.GrantOvershoot, Slack: s.Bounds.GrantSlack, Window: s.Bounds.GrantWindow}
+}
+
 // close logs the stop and flushes the log.
 func (p *process) close(err error) {
 	p.log.Info("stop", zap.Error(err))
--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -85,12 +85,13 @@
 		EntriesPerSnapshot: entriesPerSnapshot, RetainedEntries: retainedEntries, Machine: mux,
 		Logger: p.log.Named("consensus"), OnFatal: cancel, Now: clock.Boot,
 	}), peer.ServerName, peer.PoolName)
-	k.Register(grants.OwnerName, grants.NewOwnerModule(grants.OwnerSettings{Lease: grantLease}, grantMachine, machine, clock.Boot),
+	k.Register(grants.OwnerName, grants.NewOwnerModule(grants.OwnerOptions{Lease: grantLease, Tolerance: grantTolerance(s)}, grantMachine, machine, clock.Boot),
 		consensus.ModuleName, peer.ServerName)
 	groupModule := group.NewModule(s.PeerAddress, identity.ReplicaID, s.Seeds, clock.Boot, cancel)
 	k.Register(group.ModuleName, groupModule, consensus.ModuleName)
 	serverClient := platform.NewClient(s.ListAddress, s.VM, p.log.Named("servers"))
 	fleet := fleetcontrol.NewModule(fleetcontrol.ModuleConfig{
+		Self:    fleetcontrol.ControlVM{Address: s.PeerAddress, FailureDomain: s.FailureDomain},
 		Machine: machine, Lister: serverClient, ServerClient: serverClient, OrderLease: s.Bounds.OrderLease, Now: clock.Boot,
 	})
 	k.Register(fleetcontrol.ModuleName, fleet, consensus.ModuleName)
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -113,9 +113,7 @@
 	core := gateway.New(gateway.Deps{
 		Directory: e.view, Router: router, Upstream: client, Log: e.log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
 		Closing: e.closing.Load, MaxViewAge: e.maxViewAge(),
-		Limiter: grants.NewFallbackLimiter(holder, e.grant, grants.Tolerance{
-			Overshoot: s.Bounds.GrantOvershoot, Slack: s.Bounds.GrantSlack, Window: s.Bounds.GrantWindow,
-		}, vms, clock.Boot),
+		Limiter: grants.NewFallbackLimiter(holder, e.grant, grantTolerance(s), vms, clock.Boot),
 		Retries: retries,
 	})
 	front := platform.NewRequestHandler(core.Serve, e.limits, e.leaving.Load, e.log.Named("front"))
