Repeat lost SYNs soon and close idle peer connections

Cause: a VM that is off drops a SYN and TCP repeats it after a second, so after a loss of power VMs that were up for 0.5 s seemed unreachable. And each connection of the pool was pinged for good, also when nobody used it any more.

Change: new attempts to connect after 100 ms, 200 ms and so on within the dial timeout; connections without a call for 5 s are closed.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -61,6 +61,36 @@
 	})
 }
 
+// A VM drops the SYN of a connection while it is off, and accepts one soon after. The pool
+// must not wait until TCP repeats the SYN.
+func TestLostSYNIsRepeatedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEchoServer(t, errkind.Internal)
+		start := time.Now()
+		on := start.Add(150 * time.Millisecond)
+		dials := 0
+		p := NewPool(Options{Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+			dials++
+			if time.Now().Before(on) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			near, far := net.Pipe()
+			s.ServeConn(far)
+			return near, nil
+		}})
+		var out string
+		assert.NilError(t, p.Call(t.Context(), "a", "Echo.Say", "x", &out))
+		assert.Assert(t, time.Since(start) <= 400*time.Millisecond, "%v", time.Since(start))
+		on = time.Now().Add(time.Hour)
+		dials = 0
+		assert.Assert(t, errkind.Is(p.Call(t.Context(), "b", "Echo.Say", "x", &out), errkind.NoQuorum))
+		assert.Assert(t, dials <= 5, "%d dials within the timeout", dials)
+		p.Close()
+		s.Close()
+	})
+}
+
 func TestUnresponsiveConnectionIsClosedAndRedialed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		servers := map[string]*Server{}
@@ -128,3 +158,38 @@
 		assert.NilError(b, p.Call(b.Context(), l.Addr().String(), "Echo.Say", text, &out))
 	}
 }
+
+// A VM that changes its relay or control replica must not keep and ping its connection to the
+// former one for good. A call that lasts longer than the idle timeout keeps its connection.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEchoServer(t, errkind.Internal)
+		dials := 0
+		p := NewPool(Options{Dial: func(context.Context, string) (net.Conn, error) {
+			dials++
+			near, far := net.Pipe()
+			s.ServeConn(far)
+			return near, nil
+		}})
+		var out string
+		for range 4 {
+			assert.NilError(t, p.Call(t.Context(), "a", "Echo.Say", "x", &out))
+			time.Sleep(DefaultIdleTimeout / 2)
+		}
+		assert.Equal(t, dials, 1)
+		time.Sleep(2 * DefaultIdleTimeout)
+		p.mu.Lock()
+		assert.Equal(t, len(p.conns), 0)
+		p.mu.Unlock()
+		assert.NilError(t, p.Call(t.Context(), "a", "Echo.Say", "x", &out))
+		assert.Equal(t, dials, 2)
+		c, err := p.get(t.Context(), "a") // a call in progress
+		assert.NilError(t, err)
+		time.Sleep(3 * DefaultIdleTimeout)
+		p.release(c)
+		assert.NilError(t, p.Call(t.Context(), "a", "Echo.Say", "x", &out))
+		assert.Equal(t, dials, 2)
+		p.Close()
+		s.Close()
+	})
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -19,10 +19,11 @@
 	DialTimeout     time.Duration
 	PingInterval    time.Duration
 	LivenessTimeout time.Duration // for the response to a ping and for a write
+	IdleTimeout     time.Duration // after which a connection without calls is closed
 }
 
-// Pool keeps one connection for each peer address, pings it, and dials a new one after it was
-// lost.
+// Pool keeps one connection for each peer address that is in use, pings it, and dials a new one
+// after it was lost.
 type Pool struct {
 	options Options
 
@@ -38,6 +39,11 @@
 	err   error         // error of the dial
 	done  chan struct{} // closed when the connection is closed
 	once  sync.Once     // for close
+
+	// calls is the number of calls that use the connection, and lastUsed the time when the last
+	// one ended. Pool.mu guards both.
+	calls    int
+	lastUsed time.Time
 }
 
 // NewPool returns an empty pool.
@@ -51,6 +57,9 @@
 	if options.LivenessTimeout == 0 {
 		options.LivenessTimeout = DefaultLivenessTimeout
 	}
+	if options.IdleTimeout == 0 {
+		options.IdleTimeout = DefaultIdleTimeout
+	}
 	if options.Dial == nil {
 		options.Dial = dialTCP
 	}
@@ -64,6 +73,9 @@
 // Unknown.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	c, err := p.get(ctx, address)
+	if c != nil {
+		defer p.release(c)
+	}
 	if err != nil {
 		return errkind.Wrap(err, errkind.NoQuorum, "peer %s is unreachable", address)
 	}
@@ -99,6 +111,7 @@
 }
 
 // get returns the connection to address once it is dialed. It starts the dial if there is none.
+// The caller must release a connection that is not nil, also if there is an error.
 func (p *Pool) get(ctx context.Context, address string) (*clientConn, error) {
 	p.mu.Lock()
 	if p.closed {
@@ -111,13 +124,37 @@
 		p.conns[address] = c
 		go p.dial(address, c)
 	}
+	c.calls++
 	p.mu.Unlock()
 	select {
 	case <-c.ready:
 		return c, c.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return c, ctx.Err()
+	}
+}
+
+// release ends a call's use of a connection.
+func (p *Pool) release(c *clientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.calls--
+	c.lastUsed = time.Now()
+}
+
+// dropIdle removes and closes a connection that has had no call for the idle timeout. It
+// reports whether it did so.
+func (p *Pool) dropIdle(address string, c *clientConn) bool {
+	p.mu.Lock()
+	idle := c.calls == 0 && time.Since(c.lastUsed) > p.options.IdleTimeout
+	if idle && p.conns[address] == c {
+		delete(p.conns, address)
 	}
+	p.mu.Unlock()
+	if idle {
+		c.close()
+	}
+	return idle
 }
 
 // dial connects to address. It runs in its own goroutine with its own timeout, so that the
@@ -126,7 +163,7 @@
 	defer close(c.ready)
 	ctx, cancel := context.WithTimeout(context.Background(), p.options.DialTimeout)
 	defer cancel()
-	conn, err := p.options.Dial(ctx, address)
+	conn, err := p.connect(ctx, address)
 	if err == nil && p.options.TLS != nil {
 		tlsConn := tls.Client(conn, p.options.TLS)
 		err = tlsConn.HandshakeContext(ctx)
@@ -142,6 +179,20 @@
 	go p.pingLoop(address, c)
 }
 
+// connect connects to address, with new attempts until ctx ends. TCP repeats a lost SYN only
+// after a second, which is how long a VM that has just started would seem unreachable.
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	for timeout := firstDialAttempt; ; timeout *= 2 {
+		attempt, cancel := context.WithTimeout(ctx, timeout)
+		conn, err := p.options.Dial(attempt, address)
+		timedOut := attempt.Err() != nil
+		cancel()
+		if err == nil || ctx.Err() != nil || !timedOut {
+			return conn, err
+		}
+	}
+}
+
 // pingLoop pings the connection and drops it when a ping fails or times out.
 func (p *Pool) pingLoop(address string, c *clientConn) {
 	<-c.ready
@@ -154,6 +205,9 @@
 			return
 		case <-ticker.C:
 		}
+		if p.dropIdle(address, c) {
+			return
+		}
 		call := c.rpc.Go("Peer.Ping", Ping{}, &Ping{}, make(chan *rpc.Call, 1))
 		timer := time.NewTimer(p.options.LivenessTimeout)
 		select {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,6 +23,10 @@
 	DefaultPingInterval    = 500 * time.Millisecond
 	DefaultLivenessTimeout = 2 * time.Second
 	DefaultDialTimeout     = time.Second
+	DefaultIdleTimeout     = 5 * time.Second
+	// firstDialAttempt limits the first attempt to connect; each further one takes twice as
+	// long.
+	firstDialAttempt = 100 * time.Millisecond
 )
 
 // Server serves net/rpc receivers to peers.
