Serve the view of entry VMs from every control replica

Cause: all entry VMs polled the leader. Each poll after an election changed the list of VMs, which woke all held polls, and each reply carried the whole list: N^3 entries on a leader of 0.24 of a core, whose heartbeats starved (large site: ten leaders in 20 s).

Change: any replica answers polls, with the attested age of its state. The leader writes the directory of servers and VMs under its term and versions, at most ten times a second; replicas report the VMs that poll them and mirror it. Readers get deltas. Replies name the leader, so a new owner of grants is known at once.

--- /dev/null
+++ b/internal/fleetcontrol/directory.go
@@ -0,0 +1,118 @@
+package fleetcontrol
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"eelgrasshollow/internal/fleet"
+	"eelgrasshollow/internal/membership"
+)
+
+// ControlVM is a control VM as the entry VMs know it.
+type ControlVM struct {
+	Address       string // peer address
+	FailureDomain string
+}
+
+// directory is the leader's knowledge of servers and VMs, which is not in the replicated
+// log. The leader writes it; the other replicas mirror it under the leader's term and
+// versions, so that an entry VM may continue at another replica. It is not safe for
+// concurrent use.
+type directory struct {
+	term    uint64 // of the leader that wrote it; 0 before the first one
+	servers *feed[fleet.Server]
+	vms     *feed[membership.VM]
+	// settled is true if vms is complete, so that VMs not listed are down.
+	settled bool
+	control []ControlVM
+	// asOf is a time, by this replica's clock, at which the directory was the leader's.
+	asOf time.Time
+}
+
+func newDirectory() *directory {
+	return &directory{
+		servers: newFeed(fleet.Server.Key, func(a, b fleet.Server) bool { return fleet.SameServers([]fleet.Server{a}, []fleet.Server{b}) }),
+		vms:     newFeed(VMKey, func(a, b membership.VM) bool { return a == b }),
+	}
+}
+
+// VMKey identifies an entry VM in deltas.
+func VMKey(vm membership.VM) string { return vm.Name }
+
+// position holds the versions of a directory that a reader has.
+type position struct {
+	Term    uint64 // of the leader whose versions they are
+	Servers uint64
+	VMs     uint64
+	Settled bool // VMs is the version of a complete list
+}
+
+// update holds what a reader of a directory lacks.
+type update struct {
+	Term    uint64
+	Servers Delta[fleet.Server]
+	VMs     Delta[membership.VM]
+	// Settled is true if the list of VMs is complete, so that VMs not listed are down. A new
+	// leader has not heard of every VM yet.
+	Settled bool
+	Control []ControlVM
+}
+
+// news reports whether the update changes anything for the reader.
+func (u *update) news(has position) bool {
+	return u.Term != has.Term || u.Servers.Changes() || u.VMs.Changes() || u.Settled != has.Settled
+}
+
+// since returns what a reader lacks. A reader whose term is newer has newer knowledge.
+func (d *directory) since(has position) update {
+	if d.term < has.Term {
+		return update{Term: has.Term, Settled: has.Settled,
+			Servers: Delta[fleet.Server]{Version: has.Servers}, VMs: Delta[membership.VM]{Version: has.VMs}}
+	}
+	servers, vms := has.Servers, has.VMs
+	if d.term != has.Term {
+		servers, vms = 0, 0
+	} else if has.Servers > d.servers.version || has.VMs > d.vms.version {
+		// The reader has been at a replica that is ahead of this one in the same term.
+		servers, vms = max(servers, d.servers.version), max(vms, d.vms.version)
+	}
+	if d.settled && !has.Settled {
+		vms = 0
+	}
+	u := update{Term: d.term, Settled: d.settled, Servers: d.servers.since(min(servers, d.servers.version)), VMs: d.vms.since(min(vms, d.vms.version))}
+	u.Servers.Version, u.VMs.Version = max(u.Servers.Version, servers), max(u.VMs.Version, vms)
+	u.Control = d.control
+	return u
+}
+
+// apply applies an update from the leader.
+func (d *directory) apply(u update, asOf time.Time) {
+	d.term, d.settled, d.asOf = u.Term, u.Settled, asOf
+	if u.Servers.Changes() || u.Servers.Version != d.servers.version {
+		d.servers.apply(u.Servers)
+	}
+	if u.VMs.Changes() || u.VMs.Version != d.vms.version {
+		d.vms.apply(u.VMs)
+	}
+	if u.Control != nil {
+		d.control = u.Control
+	}
+}
+
+// lead makes this replica the author of the directory in a term. It keeps what it has
+// mirrored until it knows better; the versions start anew.
+func (d *directory) lead(term uint64) {
+	d.term, d.settled = term, false
+	servers, vms, known := d.servers.list(), d.vms.list(), d.servers.version > 0
+	next := newDirectory()
+	d.servers, d.vms = next.servers, next.vms
+	if known {
+		d.servers.set(servers)
+	}
+	d.vms.set(vms)
+}
+
+func sortControl(control []ControlVM) {
+	slices.SortFunc(control, func(a, b ControlVM) int { return strings.Compare(a.Address, b.Address) })
+}
--- a/internal/fleetcontrol/machine.go
+++ b/internal/fleetcontrol/machine.go
@@ -83,13 +83,15 @@
 type Machine struct {
 	decode Decode
 	now    clock.Clock
-	mu     sync.RWMutex
-	state  *State
+
+	mu      sync.RWMutex
+	state   *State
+	changed chan struct{} // closed when the state changes
 }
 
 // NewMachine returns an empty machine.
 func NewMachine(decode Decode, now clock.Clock) *Machine {
-	return &Machine{decode: decode, now: now, state: &State{}}
+	return &Machine{decode: decode, now: now, state: &State{}, changed: make(chan struct{})}
 }
 
 // State returns the current state.
@@ -99,6 +101,13 @@
 	return m.state
 }
 
+// Changed returns a channel that is closed when the state changes after the call.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
+
 // Apply executes a committed command and returns inForce, superseded or refused.
 func (m *Machine) Apply(index uint64, data []byte) []byte {
 	var c command
@@ -138,6 +147,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = s
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // image is the encoded form of a snapshot.
--- a/internal/fleetcontrol/module.go
+++ b/internal/fleetcontrol/module.go
@@ -16,6 +16,7 @@
 
 // ModuleConfig configures a Module.
 type ModuleConfig struct {
+	Self         ControlVM
 	Machine      *Machine
 	Lister       ServerLister
 	ServerClient ServerClient
@@ -52,7 +53,7 @@
 		return err
 	}
 	log := k.Log.Named("fleet")
-	m.service = NewService(m.cfg.Machine, replica, log)
+	m.service = NewService(m.cfg.Self, m.cfg.Machine, replica, pool, m.cfg.Now, log)
 	m.OperatorAPI = NewOperatorAPI(m.cfg.Machine, replica, pool, log)
 	m.reconciler = NewReconciler(m.service, m.cfg.Lister, m.cfg.ServerClient, m.cfg.OrderLease, m.cfg.Now, log)
 	return server.Register(ServiceName, &receiver{m.service})
@@ -81,6 +82,11 @@
 // Poll implements the net/rpc method Poll.
 func (r *receiver) Poll(args *PollArgs, reply *PollReply) error { return r.service.Poll(args, reply) }
 
+// Follow implements the net/rpc method Follow.
+func (r *receiver) Follow(args *FollowArgs, reply *FollowReply) error {
+	return r.service.Follow(args, reply)
+}
+
 // Propose implements the net/rpc method Propose.
 func (r *receiver) Propose(args *ProposeArgs, reply *ProposeReply) error {
 	return r.service.Propose(args, reply)
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -6,8 +6,11 @@
 	"sync"
 	"time"
 
+	"eelgrasshollow/internal/clock"
+	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/membership"
+	"eelgrasshollow/internal/peer"
 
 	"go.uber.org/zap"
 )
@@ -20,11 +23,21 @@
 	// of an entry VM while nothing changes.
 	MaxHold = time.Second
 	// vmTimeout is the time since an entry VM's last contact after which clients are sent to
-	// other VMs. It allows for a held poll and one lost and resent round trip.
+	// other VMs. It allows for a held poll, the way of the report to the leader, and one lost
+	// and resent round trip.
 	vmTimeout = 2 * time.Second
 	// settleTime is the time after which a new leader's list of entry VMs is complete: every
-	// live VM polls within that time.
-	settleTime = vmTimeout
+	// live VM polls some replica within that time, which reports it.
+	settleTime = vmTimeout + reportInterval
+	// publishInterval is the minimum time between two changes of the lists of servers and VMs.
+	// Every entry VM reads each of them.
+	publishInterval = 100 * time.Millisecond
+	// reportInterval is the time between two reports of a replica to the leader.
+	reportInterval = 250 * time.Millisecond
+	// followTimeout limits a report in addition to its hold, and followRetryPause is the wait
+	// after one that failed.
+	followTimeout    = 500 * time.Millisecond
+	followRetryPause = 50 * time.Millisecond
 )
 
 // PollArgs holds the versions that an entry VM has.
@@ -34,37 +47,36 @@
 	Revision uint64 // of the document and the target weights versions
 	Servers  uint64
 	VMs      uint64
-	Settled  bool          // VMs is the version of a complete list
-	Hold     time.Duration // longest wait for a change; limited by MaxHold
+	Settled  bool   // VMs is the version of a complete list
+	Leader   string // peer address of the leader that the VM knows
+	Hold     time.Duration
 }
 
-// PollReply holds what is newer than the versions in PollArgs.
+// PollReply holds what is newer than the versions in PollArgs. Any replica sends it.
 type PollReply struct {
+	// Serves is false if this replica has no state that a leader has ever attested. It then
+	// sets nothing else but Control and Leader.
+	Serves bool
+	// Age is the time since everything in this reply was the leader's state, and Held the time
+	// from the poll's arrival to the reply.
+	Age      time.Duration
+	Held     time.Duration
 	Term     uint64
 	Revision uint64
 	// Document, Weights and Named are set together, if Changed is. Weights is the target
 	// version of each model. Named is the age of the recent target versions of each model, as
-	// far back as the leader has applied them.
+	// far back as the replica has applied them.
 	Changed  bool
 	Document []byte
 	Weights  map[string]int64
 	Named    map[string][]TargetVersionAge
-	// Servers and VMs are the versions of ServerList and VMList. The lists themselves are set
-	// only if ServersSet and VMsSet are.
-	Servers    uint64
-	ServersSet bool
-	ServerList []fleet.Server
-	VMs        uint64
-	VMsSet     bool
-	VMList     []membership.VM
-	// Settled is true if VMList is complete, so that VMs not listed are down. A new leader has
-	// not been polled by every VM yet.
-	Settled     bool
-	ControlList []string // peer addresses of the control replicas
-	// Leader is the peer address of the leader, or "" if unknown. It is set by a replica that
-	// does not lead, which sets nothing else but ControlList.
-	Leader string
-	Leads  bool
+	Servers  Delta[fleet.Server]
+	VMs      Delta[membership.VM]
+	// Settled is true if the list of VMs is complete, so that VMs not listed are down. A new
+	// leader has not heard of every VM yet.
+	Settled bool
+	Control []ControlVM
+	Leader  string // peer address of the leader, or "" if unknown
 }
 
 // TargetVersionAge is a target weights version and the time since it became the target.
@@ -73,37 +85,49 @@
 	Age     time.Duration
 }
 
-// Service serves the polls of entry VMs on the leader.
+// Service serves the polls of entry VMs on every control replica. The leader writes the
+// directory of servers and VMs; the other replicas report the VMs that poll them to the
+// leader and mirror its directory. The leader's work therefore depends on the number of
+// replicas and on what changes, not on the number of polls.
 type Service struct {
+	self    ControlVM
 	machine *Machine
 	replica Replica
-	vmTable *membership.Table
+	peers   Caller
+	now     clock.Clock
 	log     *zap.Logger
+	vmTable *membership.Table // VMs that polled this replica and, on the leader, reported ones
 
-	mu             sync.Mutex
-	changed        chan struct{} // closed when servers or VMs change
-	servers        []fleet.Server
-	serversVersion uint64 // 0 before the first list
-	term           uint64
-	termStart      time.Time // when this replica first responded as the leader of term
-	vmsVersion     uint64    // version of the list of VMs of which held polls were last notified
+	mu          sync.Mutex
+	changed     chan struct{} // closed when the directory or the leader changes
+	directory   *directory
+	pending     []fleet.Server // servers to publish; nil if there are none
+	nextPublish time.Time
+	termStart   time.Time // when this replica started to write the directory
+	leader      string    // peer address of the leader that held polls know of
+	controlVMs  map[string]reportedControl
 }
 
-// NewService returns a service without a list of servers.
-func NewService(m *Machine, r Replica, log *zap.Logger) *Service {
-	return &Service{machine: m, replica: r, vmTable: membership.NewTable(vmTimeout), log: log, changed: make(chan struct{})}
+// reportedControl is a control VM and the time of its last report to the leader.
+type reportedControl struct {
+	vm         ControlVM
+	reportedAt time.Time
 }
 
-// SetServers publishes the list of servers.
+// NewService returns a service without a list of servers. self is this control VM.
+func NewService(self ControlVM, m *Machine, r Replica, peers Caller, now clock.Clock, log *zap.Logger) *Service {
+	return &Service{
+		self: self, machine: m, replica: r, peers: peers, now: now, log: log, vmTable: membership.NewTable(vmTimeout), changed: make(chan struct{}),
+		directory: newDirectory(), controlVMs: map[string]reportedControl{},
+	}
+}
+
+// SetServers sets the servers to publish. Only the leader calls it.
 func (s *Service) SetServers(servers []fleet.Server) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.serversVersion > 0 && fleet.SameServers(s.servers, servers) {
-		return
-	}
-	s.servers = servers
-	s.serversVersion++
-	s.wake()
+	s.pending = servers
+	s.mu.Unlock()
+	s.publish()
 }
 
 // wake makes held polls check for changes; the caller holds the mutex.
@@ -112,114 +136,303 @@
 	s.changed = make(chan struct{})
 }
 
+// publish writes the servers and VMs to the directory on the leader, at most once per
+// publishInterval, and wakes held polls if that changes anything.
+func (s *Service) publish() {
+	term, leads := s.replica.Leading()
+	now := s.now()
+	vms, _ := s.vmTable.VMs(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !leads {
+		return
+	}
+	changed := false
+	if s.directory.term != term {
+		s.directory.lead(term)
+		s.termStart, s.controlVMs, changed = now, map[string]reportedControl{}, true
+	}
+	s.directory.asOf = now
+	settled := now.Sub(s.termStart) >= settleTime
+	if !changed && now.Before(s.nextPublish) && settled == s.directory.settled {
+		return
+	}
+	if s.pending != nil && s.directory.servers.set(s.pending) {
+		changed = true
+	}
+	if !settled {
+		vms = withMissing(vms, s.directory.vms.list())
+	}
+	before := len(s.directory.vms.items)
+	if s.directory.vms.set(vms) {
+		changed = true
+		s.log.Info("entry VMs changed", zap.Int("before", before), zap.Int("now", len(vms)), zap.Uint64("version", s.directory.vms.version))
+	}
+	if settled != s.directory.settled || s.updateControl(now) {
+		changed = true
+	}
+	s.directory.settled = settled
+	if changed {
+		s.nextPublish = now.Add(publishInterval)
+		s.wake()
+	}
+}
+
+// withMissing returns vms and those of known whose names are not among them.
+func withMissing(vms, known []membership.VM) []membership.VM {
+	names := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		names[vm.Name] = true
+	}
+	all := slices.Clone(vms)
+	for _, vm := range known {
+		if !names[vm.Name] {
+			all = append(all, vm)
+		}
+	}
+	return all
+}
+
+// updateControl updates the list of control VMs: those that reported lately and this one. It
+// reports whether the list has changed. The caller holds the mutex.
+func (s *Service) updateControl(now time.Time) bool {
+	control := []ControlVM{s.self}
+	for address, reported := range s.controlVMs {
+		if now.Sub(reported.reportedAt) > vmTimeout {
+			delete(s.controlVMs, address)
+			continue
+		}
+		control = append(control, reported.vm)
+	}
+	sortControl(control)
+	if slices.Equal(control, s.directory.control) {
+		return false
+	}
+	s.directory.control = control
+	return true
+}
+
 // Poll responds once something is newer than what the entry VM has, or after args.Hold. A
-// replica that does not lead responds immediately with the leader's address.
+// replica without an attested state responds immediately.
 func (s *Service) Poll(args *PollArgs, reply *PollReply) error {
 	timer := time.NewTimer(min(args.Hold, MaxHold))
 	defer timer.Stop()
+	arrived := s.now()
 	s.recordContact(args.VM)
-	for {
-		stateChanged := s.replica.Changed()
-		listsChanged, newer := s.fillReply(args, reply)
-		if newer {
+	for elapsed := false; ; {
+		stateChanged := s.machine.Changed()
+		directoryChanged, newer := s.fillReply(args, reply)
+		if newer || elapsed {
 			s.recordContact(args.VM)
+			reply.Held = s.now().Sub(arrived)
 			return nil
 		}
 		select {
 		case <-stateChanged:
-		case <-listsChanged:
+		case <-directoryChanged:
 		case <-timer.C:
-			s.recordContact(args.VM)
-			s.fillReply(args, reply)
-			return nil
+			elapsed = true
 		}
 	}
 }
 
-// recordContact records the contact of an entry VM and wakes held polls if that changes the
-// list of VMs.
+// recordContact records the contact of an entry VM. The leader publishes it with the next
+// change of the directory, another replica reports it to the leader.
 func (s *Service) recordContact(vm membership.VM) {
-	s.vmTable.RecordReport(membership.Report{VM: vm}, time.Now())
-	_, version := s.vmTable.VMs(time.Now())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if version != s.vmsVersion {
-		s.vmsVersion = version
-		s.wake()
-	}
+	s.vmTable.RecordReport(membership.Report{VM: vm}, s.now())
 }
 
 // fillReply writes what is newer than args into the reply; newer reports whether there is
-// anything. changed is closed when the servers or VMs change after that. The state is read
-// before the lease is checked, so it is the leader's state at the time of the check.
+// anything. changed is closed when the directory or the leader changes after that. The
+// freshness is read before the state, so that the state is at least as new as it claims.
 func (s *Service) fillReply(args *PollArgs, reply *PollReply) (changed <-chan struct{}, newer bool) {
+	freshAsOf := s.replica.Status().FreshAsOf
 	state := s.machine.State()
-	vms, vmsVersion := s.vmTable.VMs(time.Now())
+	leader := s.replica.Leader()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	term, leads := s.replica.Leading()
-	var control []string
-	for _, m := range s.replica.Status().Members.Members {
-		control = append(control, m.Address)
-	}
-	if !leads {
-		*reply = PollReply{ControlList: control, Leader: s.replica.Leader()}
-		return nil, true
+	*reply = PollReply{Control: s.directory.control, Leader: leader}
+	if freshAsOf.IsZero() || s.directory.term == 0 {
+		for _, m := range s.replica.Status().Members.Members {
+			reply.Control = append(slices.Clone(reply.Control), ControlVM{Address: m.Address})
+		}
+		return s.changed, true
 	}
-	if term != s.term {
-		s.term, s.termStart = term, time.Now()
+	if s.directory.asOf.Before(freshAsOf) {
+		freshAsOf = s.directory.asOf
 	}
-	newTerm := args.Term != term
-	*reply = PollReply{Term: term, Revision: state.Revision, Servers: args.Servers, VMs: args.VMs, ControlList: control, Leads: true}
-	if newTerm {
-		reply.Servers, reply.VMs = 0, 0
+	reply.Serves, reply.Age = true, s.now().Sub(freshAsOf)
+	has := position{Term: args.Term, Servers: args.Servers, VMs: args.VMs, Settled: args.Settled}
+	u := s.directory.since(has)
+	reply.Term, reply.Servers, reply.VMs, reply.Settled = u.Term, u.Servers, u.VMs, u.Settled
+	reply.Revision = state.Revision
+	if state.Revision > args.Revision {
+		s.fillState(state, reply)
 	}
-	if state.Revision != args.Revision {
-		reply.Changed, reply.Document, reply.Weights = true, state.Document, state.TargetVersions
-		reply.Named = map[string][]TargetVersionAge{}
-		for model, history := range state.TargetHistory {
-			for _, target := range history {
-				reply.Named[model] = append(reply.Named[model], TargetVersionAge{Version: target.Version, Age: s.machine.now().Sub(target.At)})
-			}
+	return s.changed, u.news(has) || reply.Changed || leader != "" && leader != args.Leader
+}
+
+// fillState writes the replicated state into the reply.
+func (s *Service) fillState(state *State, reply *PollReply) {
+	reply.Changed, reply.Document, reply.Weights = true, state.Document, state.TargetVersions
+	reply.Named = map[string][]TargetVersionAge{}
+	for model, history := range state.TargetHistory {
+		for _, target := range history {
+			reply.Named[model] = append(reply.Named[model], TargetVersionAge{Version: target.Version, Age: s.machine.now().Sub(target.At)})
 		}
 	}
-	if s.serversVersion != reply.Servers && s.serversVersion > 0 {
-		reply.Servers, reply.ServersSet, reply.ServerList = s.serversVersion, true, s.servers
-	}
-	reply.Settled = time.Since(s.termStart) >= settleTime
-	if vmsVersion != reply.VMs || reply.Settled && !args.Settled {
-		reply.VMs, reply.VMsSet, reply.VMList = vmsVersion, true, vms
-	}
-	newer = newTerm || reply.Changed || reply.ServersSet || reply.VMsSet
-	return s.changed, newer
 }
 
-// VMs lists the live entry VMs.
-func (s *Service) VMs() []membership.VM {
-	vms, _ := s.vmTable.VMs(time.Now())
-	return vms
+// FollowArgs is a replica's report to the leader, and what it has of the leader's directory.
+type FollowArgs struct {
+	Self     ControlVM
+	Position position
+	Reports  []membership.Report // of the entry VMs that have polled the replica
+	Hold     time.Duration
+}
+
+// FollowReply holds what the replica lacks of the directory.
+type FollowReply struct{ Update update }
+
+// Follow records a replica's report and responds once the directory has news for it, or after
+// args.Hold. It returns an encoded errkind.NotLeader on a replica that does not lead.
+func (s *Service) Follow(args *FollowArgs, reply *FollowReply) error {
+	timer := time.NewTimer(min(args.Hold, MaxHold))
+	defer timer.Stop()
+	now := s.now()
+	for _, r := range args.Reports {
+		s.vmTable.RecordReport(r, now)
+	}
+	s.publish()
+	for {
+		term, leads := s.replica.Leading()
+		s.mu.Lock()
+		if !leads || s.directory.term != term {
+			s.mu.Unlock()
+			return peer.EncodeError(errkind.New(errkind.NotLeader, "this replica does not lead"))
+		}
+		s.controlVMs[args.Self.Address] = reportedControl{args.Self, now}
+		reply.Update = s.directory.since(args.Position)
+		changed := s.changed
+		s.mu.Unlock()
+		if reply.Update.news(args.Position) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil
+		}
+	}
 }
 
-// Run removes entry VMs that have timed out and wakes held polls, until ctx ends.
+// Run maintains the directory on the leader and mirrors it on the other replicas, until ctx
+// ends.
 func (s *Service) Run(ctx context.Context) {
-	ticker := time.NewTicker(vmTimeout / 4)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { s.announceLeader(ctx) })
+	wg.Go(func() { s.mirror(ctx) })
+	ticker := time.NewTicker(publishInterval)
 	defer ticker.Stop()
-	var last []membership.VM
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			s.publish()
+		}
+	}
+}
+
+// announceLeader wakes held polls when the leader changes, until ctx ends.
+func (s *Service) announceLeader(ctx context.Context) {
+	for {
+		changed := s.replica.Changed()
+		leader := s.replica.Leader()
+		s.mu.Lock()
+		if leader != s.leader {
+			s.leader = leader
+			s.wake()
+		}
+		s.mu.Unlock()
+		s.publish() // a new leader starts its directory immediately
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
 		}
-		vms, version := s.vmTable.VMs(time.Now())
-		if slices.Equal(vms, last) {
+	}
+}
+
+// mirror reports to the leader and applies its directory while another replica leads, until
+// ctx ends.
+func (s *Service) mirror(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s.followLeader(ctx) {
 			continue
 		}
-		s.log.Info("entry VMs changed", zap.Int("before", len(last)), zap.Int("now", len(vms)), zap.Uint64("version", version))
-		last = vms
-		s.mu.Lock()
-		s.vmsVersion = version
+		select {
+		case <-ctx.Done():
+		case <-time.After(followRetryPause):
+		}
+	}
+}
+
+// followLeader makes one report to the leader and applies the reply. It returns false if there
+// is no leader to follow.
+func (s *Service) followLeader(ctx context.Context) bool {
+	leader := s.replica.Leader()
+	if leader == "" || leader == s.self.Address {
+		return false
+	}
+	args := &FollowArgs{Self: s.self, Reports: s.vmTable.Reports(s.now()), Hold: reportInterval}
+	s.mu.Lock()
+	d := s.directory
+	args.Position = position{Term: d.term, Servers: d.servers.version, VMs: d.vms.version, Settled: d.settled}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, reportInterval+followTimeout)
+	defer cancel()
+	go s.cancelOnNewLeader(ctx, cancel, leader)
+	sent := s.now()
+	var reply FollowReply
+	if err := s.peers.Call(ctx, leader, ServiceName+".Follow", args, &reply); err != nil {
+		s.log.Debug("report to the leader failed", zap.String("leader", leader), zap.Error(err))
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reply.Update.Term < s.directory.term {
+		return false
+	}
+	news := reply.Update.news(args.Position)
+	s.directory.apply(reply.Update, sent)
+	if news {
 		s.wake()
-		s.mu.Unlock()
 	}
+	return true
+}
+
+// cancelOnNewLeader calls cancel once another replica than leader leads, or returns when ctx
+// ends. A leader that was replaced may not respond at all.
+func (s *Service) cancelOnNewLeader(ctx context.Context, cancel context.CancelFunc, leader string) {
+	for {
+		changed := s.replica.Changed()
+		if current := s.replica.Leader(); current != leader && current != "" {
+			cancel()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// VMs lists the live entry VMs.
+func (s *Service) VMs() []membership.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.vms.list()
 }
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -1,5 +1,5 @@
 // Package fleetview maintains an entry VM's view of the fleet: the configuration in force, the
-// servers, and the other entry VMs. It polls the control leader for them.
+// servers, and the other entry VMs. It polls one of the control replicas for them.
 //
 // Invariants:
 //   - The version of the configuration never decreases while the process runs.
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -34,8 +35,14 @@
 const (
 	// pollTimeout limits one poll, in addition to its hold.
 	pollTimeout = 700 * time.Millisecond
-	// retryPause is the wait after a failed poll.
+	// retryPause is the mean wait after a failed poll.
 	retryPause = 100 * time.Millisecond
+	// maxReplicaAge is the age of a replica's state from which on this VM polls another one:
+	// the replica has lost the leader, or there is none.
+	maxReplicaAge = time.Second
+	// preferInterval is the time after which a VM that had to leave its first replica returns
+	// to it.
+	preferInterval = 10 * time.Second
 	// controlTimeout is the time since the last contact with control after which control is
 	// unreachable and this VM reads the list of servers itself.
 	controlTimeout = 2 * time.Second
@@ -65,12 +72,13 @@
 	Log   *zap.Logger
 }
 
-// Client polls the control leader and holds the view. It implements routing.Inventory and
+// Client polls a control replica and holds the view. It implements routing.Inventory and
 // watch.Fleet.
 type Client struct {
 	kernel.Background
 	cfg    Config
-	leader *peer.LeaderClient
+	peers  fleetcontrol.Caller
+	leader *peer.LeaderClient // for the grants, which only the leader has
 	view   atomic.Pointer[View]
 
 	mu             sync.Mutex
@@ -79,15 +87,18 @@
 	term           uint64
 	serversVersion uint64
 	vmsVersion     uint64
-	settled        bool      // vmsVersion is that of a complete list
-	control        []string  // peer addresses of the control replicas
-	lastContact    time.Time // when the last poll that the leader responded to was sent
+	settled        bool // vmsVersion is that of a complete list
+	control        []fleetcontrol.ControlVM
+	leaderAddress  string // peer address of the leader that a replica named last
+	replicas       replicaChoice
+	leftFirst      time.Time // when this VM left its first replica
+	lastContact    time.Time // time as of which the view was the leader's
 	controlLost    bool      // "control lost" was logged
 }
 
 // NewClient returns a client with an empty view.
 func NewClient(cfg Config) *Client {
-	c := &Client{cfg: cfg, vm: cfg.VM, changed: make(chan struct{}), lastContact: cfg.Now()}
+	c := &Client{cfg: cfg, vm: cfg.VM, changed: make(chan struct{}), lastContact: cfg.Now(), replicas: replicaChoice{vm: cfg.VM}}
 	c.view.Store(&View{})
 	return c
 }
@@ -98,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	c.leader = pool.LeaderClient()
+	c.peers, c.leader = pool, pool.LeaderClient()
 	c.Run = c.run
 	return nil
 }
@@ -106,8 +117,7 @@
 // View returns the current view. Its Config is nil until the first configuration is received.
 func (c *Client) View() *View { return c.view.Load() }
 
-// Age returns the time since the last poll that the leader responded to was sent. The view was
-// current at that time.
+// Age returns the time since the view was certainly the leader's.
 func (c *Client) Age() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -139,25 +149,20 @@
 func (c *Client) Leave(ctx context.Context) error {
 	c.mu.Lock()
 	c.vm.Leaving = true
-	args := c.args()
+	args, address := c.args(), c.replicas.current()
 	c.mu.Unlock()
 	args.Hold = 0
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	var reply fleetcontrol.PollReply
-	err := c.leader.Call(ctx, fleetcontrol.ServiceName+".Poll", args, &reply)
-	if err == nil && !reply.Leads {
-		return errkind.New(errkind.NotLeader, "the replica does not lead; the next poll announces the stop")
-	}
-	return err
+	return c.peers.Call(ctx, address, fleetcontrol.ServiceName+".Poll", args, &fleetcontrol.PollReply{})
 }
 
 // SetSeeds replaces the seeds, after a change of the settings.
 func (c *Client) SetSeeds(seeds []string) {
 	c.mu.Lock()
 	c.cfg.Seeds = seeds
+	c.setControl(nil, "")
 	c.mu.Unlock()
-	c.setControl(nil)
 }
 
 // Revision implements routing.Inventory.
@@ -182,78 +187,89 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { c.readListWhileLost(ctx) })
-	c.setControl(nil)
+	c.mu.Lock()
+	c.setControl(nil, "")
+	c.mu.Unlock()
 	for ctx.Err() == nil {
 		if c.poll(ctx) {
 			continue
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryPause):
+		case <-time.After(retryPause/2 + rand.N(retryPause)):
 		}
 	}
 }
 
-// setControl sets the addresses of control: the given replicas, or the last ones if nil, and the
-// seeds, which may be the only addresses that are still valid.
-func (c *Client) setControl(replicas []string) {
-	c.mu.Lock()
-	if replicas != nil {
-		c.control = replicas
+// setControl sets the control VMs, or keeps the last ones if nil, and the leader's address if
+// it is known. The caller holds the mutex.
+func (c *Client) setControl(control []fleetcontrol.ControlVM, leader string) {
+	if len(control) > 0 {
+		c.control = control
 	}
-	all := append([]string(nil), c.control...)
-	known := map[string]bool{}
-	for _, a := range all {
-		known[a] = true
+	leaderChanged := leader != "" && leader != c.leaderAddress
+	if leaderChanged {
+		c.leaderAddress = leader
 	}
-	for _, a := range c.cfg.Seeds {
-		if !known[a] {
-			all = append(all, a)
-		}
+	c.replicas.update(c.control, c.leaderAddress, c.cfg.Seeds)
+	c.leader.SetAddresses(c.replicas.ranked)
+	if leaderChanged {
+		c.leader.Prefer(leader)
 	}
-	c.mu.Unlock()
-	c.leader.SetAddresses(all)
 }
 
 // args returns the arguments of the next poll; the caller holds the mutex.
 func (c *Client) args() *fleetcontrol.PollArgs {
 	return &fleetcontrol.PollArgs{
-		VM: c.vm, Term: c.term, Revision: c.View().Revision, Servers: c.serversVersion, VMs: c.vmsVersion, Settled: c.settled, Hold: fleetcontrol.MaxHold,
+		VM: c.vm, Term: c.term, Revision: c.View().Revision, Servers: c.serversVersion, VMs: c.vmsVersion, Settled: c.settled,
+		Leader: c.leaderAddress, Hold: fleetcontrol.MaxHold,
 	}
 }
 
-// poll polls the leader once and applies the reply. It returns false if the leader did not
-// respond.
+// poll polls a replica once and applies the reply. It returns false if the replica did not
+// respond or has no state.
 func (c *Client) poll(ctx context.Context) bool {
 	c.mu.Lock()
-	args := c.args()
+	if !c.replicas.first() && c.cfg.Now().Sub(c.leftFirst) > preferInterval {
+		c.replicas.reset()
+	}
+	args, address := c.args(), c.replicas.current()
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, args.Hold+pollTimeout)
 	defer cancel()
 	sent := c.cfg.Now()
 	var reply fleetcontrol.PollReply
-	err := c.leader.Call(ctx, fleetcontrol.ServiceName+".Poll", args, &reply)
+	err := c.peers.Call(ctx, address, fleetcontrol.ServiceName+".Poll", args, &reply)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err != nil {
-		c.handleFailure(err)
+		c.skipReplica()
+		c.logLoss(err)
 		return false
 	}
-	if len(reply.ControlList) > 0 {
-		c.setControl(reply.ControlList)
-	}
-	if !reply.Leads {
-		// The next poll goes to the leader if the reply has its address, else to another replica.
-		c.leader.Skip()
-		c.leader.Prefer(reply.Leader)
+	c.setControl(reply.Control, reply.Leader)
+	if !reply.Serves {
+		c.skipReplica()
+		c.logLoss(errkind.New(errkind.NoQuorum, "control VM %s has no attested state", address))
 		return false
 	}
-	c.apply(sent, &reply)
+	c.apply(sent.Add(reply.Held-reply.Age), &reply)
+	if reply.Age > maxReplicaAge {
+		c.skipReplica()
+	}
 	return true
 }
 
-// handleFailure logs the loss of control once the timeout has passed.
-func (c *Client) handleFailure(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// skipReplica makes the next poll go to another replica; the caller holds the mutex.
+func (c *Client) skipReplica() {
+	if c.replicas.first() {
+		c.leftFirst = c.cfg.Now()
+	}
+	c.replicas.skip()
+}
+
+// logLoss logs the loss of control once the timeout has passed; the caller holds the mutex.
+func (c *Client) logLoss(err error) {
 	age := c.cfg.Now().Sub(c.lastContact)
 	if !c.controlLost && age > controlTimeout {
 		c.controlLost = true
@@ -261,12 +277,13 @@
 	}
 }
 
-// apply applies a reply of the leader to the view; sent is when the poll was sent.
-func (c *Client) apply(sent time.Time, reply *fleetcontrol.PollReply) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastContact = sent
-	if c.controlLost {
+// apply applies a replica's reply to the view. The reply was the leader's state at asOf. The
+// caller holds the mutex.
+func (c *Client) apply(asOf time.Time, reply *fleetcontrol.PollReply) {
+	if asOf.After(c.lastContact) {
+		c.lastContact = asOf
+	}
+	if c.controlLost && c.cfg.Now().Sub(c.lastContact) <= controlTimeout {
 		c.controlLost = false
 		c.cfg.Log.Info("control regained", zap.Uint64("term", reply.Term))
 	}
@@ -274,14 +291,18 @@
 	if reply.Changed && reply.Revision > next.Revision {
 		c.applyConfig(&next, reply)
 	}
-	if reply.ServersSet {
-		c.applyServers(&next, reply.ServerList, "control")
+	if reply.Servers.Changes() {
+		servers := fleetcontrol.ApplyDelta(next.Servers, reply.Servers, fleet.Server.Key)
+		fleet.SortServers(servers)
+		c.applyServers(&next, servers, "control")
 	}
-	if reply.VMsSet {
-		next.VMs = mergeVMs(next.VMs, reply.VMList, reply.Settled)
+	if reply.VMs.Changes() {
+		// VMs that a new leader has not heard of yet are kept until its list is complete.
+		received := fleetcontrol.ApplyDelta(next.VMs, reply.VMs, fleetcontrol.VMKey)
+		next.VMs = mergeVMs(next.VMs, received, reply.Settled || !reply.VMs.Full)
 	}
 	c.expire(&next)
-	c.term, c.serversVersion, c.vmsVersion, c.settled = reply.Term, reply.Servers, reply.VMs, reply.Settled
+	c.term, c.serversVersion, c.vmsVersion, c.settled = reply.Term, reply.Servers.Version, reply.VMs.Version, reply.Settled
 	c.view.Store(&next)
 	c.wake()
 }
@@ -311,7 +332,7 @@
 func (c *Client) applyConfig(next *View, reply *fleetcontrol.PollReply) {
 	next.Revision = reply.Revision
 	if !maps.Equal(next.TargetVersions, reply.Weights) {
-		next.TargetSince = targetSince(next, reply, c.lastContact)
+		next.TargetSince = targetSince(next, reply, c.cfg.Now())
 		next.TargetVersions = reply.Weights
 		next.InventoryRevision++ // other servers are outdated now
 	}
@@ -332,9 +353,9 @@
 }
 
 // targetSince returns the times since which the target versions of a reply and of the last view
-// are the target. If both have a version, the earlier time applies, as the leader may have
+// are the target. If both have a version, the earlier time applies, as the replica may have
 // started after the version became the target.
-func targetSince(last *View, reply *fleetcontrol.PollReply, sent time.Time) map[string]map[int64]time.Time {
+func targetSince(last *View, reply *fleetcontrol.PollReply, received time.Time) map[string]map[int64]time.Time {
 	all := map[string]map[int64]time.Time{}
 	for model := range reply.Weights {
 		all[model] = maps.Clone(last.TargetSince[model])
@@ -342,7 +363,7 @@
 			all[model] = map[int64]time.Time{}
 		}
 		for _, target := range reply.Named[model] {
-			at := sent.Add(-target.Age)
+			at := received.Add(-target.Age)
 			if old, ok := all[model][target.Version]; !ok || at.Before(old) {
 				all[model][target.Version] = at
 			}
