Exchange digests over relays in large fleets

Cause: digests went from every VM to every other one: 9,000 messages a second, 400 connections and 26 MB on each of 191 VMs, and news was 4 s old on average.

Change: where a round to all peers would take over 250 ms, VMs form cells within their failure domains, of the square root of their number at least. One VM of a cell relays: it sums loads and keeps a numbered list of news that its cell fetches. All VMs agree on cells and relays from the list of VMs, without a message.

--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -37,6 +37,7 @@
 	startedAt        time.Time
 	limits           Limits
 	vmCount          int    // entry VMs that send digests, including this one
+	relayedVMs       int    // see setRelayedVMs
 	sampleCounter    uint64 // varies the random samples between requests
 	loadsEqualized   bool   // see equalizePeerLoads
 	index            *cacheindex.Index
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -53,6 +53,9 @@
 	r.module.mu.Lock()
 	defer r.module.mu.Unlock()
 	r.module.core.ApplyDigest(time.Now(), d)
+	if len(r.module.hub.members) > 0 {
+		r.module.hub.record(d.From, d) // for the cell that this VM relays to
+	}
 	return nil
 }
 
@@ -72,13 +75,19 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
-// digestExchange sends digests to the other entry VMs.
+// digestExchange exchanges digests with the other entry VMs; see topology.
 type digestExchange struct {
 	module   *Module
 	pool     peerCaller
 	lastSent time.Time // time of the last digest
 	limiter  *rate.Limiter
 
+	// lastRelay is the relay of the last exchange; relayEpoch and relayAfter are the last
+	// RelayReply from it.
+	lastRelay  string
+	relayEpoch uint64
+	relayAfter uint64
+
 	mu              sync.Mutex
 	inFlight        map[string]bool // peers with a call in progress
 	recallAsked     map[string]bool // peers that were asked to recall
@@ -104,32 +113,62 @@
 			return nil
 		case now := <-ticker.C:
 			if x.due(now) {
-				x.sendRound(ctx, &calls)
+				x.runRound(ctx, &calls)
 			}
 		}
 	}
 }
 
-// due reports whether to send a digest now, either a regular or an early one.
+// due reports whether to send a digest now, either a regular or an early one. Digests over
+// relays are never early, as every VM would get them one by one.
 func (x *digestExchange) due(now time.Time) bool {
 	x.module.mu.Lock()
-	urgent := x.module.core.DigestUrgent()
+	urgent, interval := x.module.core.DigestUrgent(), x.module.settings.DigestEvery
+	if x.module.core.relayedVMs > 0 {
+		urgent, interval = false, relayInterval
+	}
 	x.module.mu.Unlock()
-	if !urgent && now.Sub(x.lastSent) < x.module.settings.DigestEvery {
+	if !urgent && now.Sub(x.lastSent) < interval {
 		return false
 	}
 	x.lastSent = now
 	return true
 }
 
-// sendRound sends a digest to every peer at the limited rate. It skips peers whose
-// previous call has not returned.
-func (x *digestExchange) sendRound(ctx context.Context, calls *sync.WaitGroup) {
+// runRound exchanges digests as the current topology says.
+func (x *digestExchange) runRound(ctx context.Context, calls *sync.WaitGroup) {
+	m := x.module
+	t := newTopology(m.self(), m.allVMs(), m.settings.DigestCalls)
+	m.mu.Lock()
+	relayedVMs := 0
+	if t.relayed {
+		relayedVMs = t.vms
+	}
+	m.core.setRelayedVMs(relayedVMs)
+	m.mu.Unlock()
+	switch {
+	case !t.relayed:
+		x.sendRound(ctx, t.direct, calls)
+	case t.relay != "":
+		x.exchangeWithRelay(ctx, t.relay)
+	default:
+		x.sendToRelays(ctx, t.relays, calls)
+	}
+}
+
+// sendRound sends a digest to every peer.
+func (x *digestExchange) sendRound(ctx context.Context, peers []string, calls *sync.WaitGroup) {
 	m := x.module
 	m.mu.Lock()
 	body := m.core.NextDigest(m.self(), m.settings.DigestBytes).Encode()
 	m.mu.Unlock()
-	for _, address := range x.sendOrder(m.peers()) {
+	x.sendAll(ctx, peers, body, calls)
+}
+
+// sendAll sends an encoded digest to peers at the limited rate. It skips peers whose previous
+// call has not returned.
+func (x *digestExchange) sendAll(ctx context.Context, peers []string, body []byte, calls *sync.WaitGroup) {
+	for _, address := range x.sendOrder(peers) {
 		if x.limiter.Wait(ctx) != nil {
 			return // ctx has ended
 		}
@@ -158,7 +197,7 @@
 		x.module.log.Debug("digest delivery failed", zap.String("peer", address), zap.Error(err))
 		return
 	}
-	x.recall(ctx, address)
+	x.recall(ctx, address) // also on a relay: its cell asks it for its state
 }
 
 // recall asks a peer for its state when this VM has reached it for the first time.
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -55,6 +56,7 @@
 
 	mu          sync.Mutex
 	core        *Core
+	hub         *relayHub
 	revision    uint64
 	hasRevision bool
 
@@ -81,6 +83,7 @@
 	}
 	m.log = k.Log.Named("routing")
 	m.core = NewCore(m.policy, m.settings.limits(), time.Now())
+	m.hub = newRelayHub(rand.Uint64())
 	m.entryVMs, _ = kernel.Lookup[watch.Fleet](k, "entry.directory")
 	m.monitor, _ = kernel.Lookup[EndpointMonitor](k, "entry.engine")
 	m.exporter, _ = kernel.Lookup[PrefixExporter](k, "entry.engine")
@@ -115,13 +118,18 @@
 	return m.server.Address()
 }
 
-// peers returns the peer addresses of the other entry VMs.
-func (m *Module) peers() []string {
+// allVMs lists the entry VMs, or none without peers.
+func (m *Module) allVMs() []watch.VM {
 	if m.entryVMs == nil || m.server == nil {
 		return nil
 	}
+	return m.entryVMs.VMs()
+}
+
+// peers returns the peer addresses of the other entry VMs.
+func (m *Module) peers() []string {
 	var all []string
-	for _, vm := range m.entryVMs.VMs() {
+	for _, vm := range m.allVMs() {
 		if vm.PeerAddress != "" && vm.PeerAddress != m.self() {
 			all = append(all, vm.PeerAddress)
 		}
--- /dev/null
+++ b/internal/routing/relay.go
@@ -0,0 +1,259 @@
+package routing
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"eelgrasshollow/internal/digest"
+	"eelgrasshollow/internal/peer"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// relayInterval is the time between two exchanges of a VM with its relay, and of the
+	// relays with each other.
+	relayInterval = 500 * time.Millisecond
+	// relayDigestBytes limits a digest from a relay.
+	relayDigestBytes = 4 << 10
+	// maxRelayedNews is the number of news items that a relay keeps for the VMs that have not
+	// fetched them yet.
+	maxRelayedNews = 4096
+	// memberTimeout is the time since a VM's last exchange after which a relay no longer
+	// counts it among its cell.
+	memberTimeout = 3 * time.Second
+)
+
+// RelayArgs carries a VM's digest to its relay. Epoch and After are the relay's start and the
+// last news that the VM has; zero if it has none.
+type RelayArgs struct {
+	Body  []byte
+	Epoch uint64
+	After uint64
+}
+
+// RelayReply carries the relay's digest, which contains the loads of all other VMs and the
+// news after RelayArgs.After.
+type RelayReply struct {
+	Body  []byte
+	Epoch uint64
+	Next  uint64 // number of the last news item in Body
+}
+
+// newsItem is one placement, eviction or set of loaded weights in a digest.
+type newsItem struct {
+	origin    string // peer address of the VM that it came from
+	placement digest.Placement
+	loaded    digest.LoadedWeights
+	kind      newsKind
+}
+
+type newsKind uint8
+
+const (
+	newsPlacement newsKind = iota
+	newsEvicted
+	newsLoaded
+)
+
+// relayHub is what a relay keeps for its cell: which VMs belong to it, and the news that they
+// fetch at their own pace. It is not safe for concurrent use.
+type relayHub struct {
+	epoch   uint64
+	members map[string]time.Time // time of the last exchange, by peer address
+	items   []newsItem
+	next    uint64 // number of the last item
+	sent    uint64 // number of the last item that the other relays have got
+}
+
+func newRelayHub(epoch uint64) *relayHub {
+	return &relayHub{epoch: epoch, members: map[string]time.Time{}}
+}
+
+// record keeps the news of a digest from origin.
+func (h *relayHub) record(origin string, d *digest.Digest) {
+	for _, p := range d.Placements {
+		h.items = append(h.items, newsItem{origin: origin, kind: newsPlacement, placement: p})
+	}
+	for _, p := range d.Evicted {
+		h.items = append(h.items, newsItem{origin: origin, kind: newsEvicted, placement: p})
+	}
+	for _, l := range d.Loaded {
+		h.items = append(h.items, newsItem{origin: origin, kind: newsLoaded, loaded: l})
+	}
+	h.next += uint64(len(d.Placements) + len(d.Evicted) + len(d.Loaded))
+	h.items = h.items[max(0, len(h.items)-maxRelayedNews):]
+}
+
+// appendNews adds the items after a number to the digest, as far as it stays within maxBytes
+// and wanted accepts their origin. It returns the number of the last item that is dealt with.
+func (h *relayHub) appendNews(d *digest.Digest, after uint64, maxBytes int, wanted func(origin string) bool) uint64 {
+	first := h.next - uint64(len(h.items)) // number of the item before items[0]
+	start := 0
+	if after > first {
+		start = int(min(after, h.next) - first)
+	}
+	for i, item := range h.items[start:] {
+		if !wanted(item.origin) {
+			continue
+		}
+		if d.Size()+placementSize > maxBytes {
+			return first + uint64(start+i)
+		}
+		switch item.kind {
+		case newsPlacement:
+			d.Placements = append(d.Placements, item.placement)
+		case newsEvicted:
+			d.Evicted = append(d.Evicted, item.placement)
+		case newsLoaded:
+			d.Loaded = append(d.Loaded, item.loaded)
+		}
+	}
+	return h.next
+}
+
+// placementSize is at least the encoded size of one news item, in bytes.
+const placementSize = 12
+
+// expireMembers forgets VMs that exchange digests with another relay now, or with none.
+func (h *relayHub) expireMembers(now time.Time) {
+	for address, last := range h.members {
+		if now.Sub(last) > memberTimeout {
+			delete(h.members, address)
+		}
+	}
+}
+
+// Relay applies the digest of a VM of this relay's cell and returns what other VMs have sent.
+func (r digestReceiver) Relay(args RelayArgs, reply *RelayReply) error {
+	d, err := digest.Decode(args.Body)
+	if err != nil {
+		return peer.EncodeError(err)
+	}
+	m, now := r.module, time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hub.members[d.From] = now
+	m.core.ApplyDigest(now, d)
+	m.hub.record(d.From, d)
+	reply.Epoch = m.hub.epoch
+	if args.Epoch != m.hub.epoch {
+		// A VM that this relay does not know yet gets its state instead of the news.
+		state := m.core.RecallDigest(now, m.self(), maxRecallBytes)
+		state.Loads = m.core.otherLoads(d.From)
+		state.TrimTo(maxRecallBytes)
+		reply.Body, reply.Next = state.Encode(), m.hub.next
+		return nil
+	}
+	news := &digest.Digest{From: m.self(), Loads: m.core.otherLoads(d.From)}
+	news.TrimTo(relayDigestBytes / 2)
+	reply.Next = m.hub.appendNews(news, args.After, relayDigestBytes, func(origin string) bool { return origin != d.From })
+	reply.Body = news.Encode()
+	return nil
+}
+
+// otherLoads returns the sum of the loads of this VM and its peers except one.
+func (c *Core) otherLoads(except string) []digest.Load {
+	return c.sumLoads(func(s *State) reportedLoad {
+		return reportedLoad{s.InFlight + s.peerReported.inFlight, s.PendingTokens + s.peerReported.pendingTokens}
+	}, except, -1)
+}
+
+// cellLoads returns the sum of the loads of this VM and the given peers.
+func (c *Core) cellLoads(members map[string]time.Time) []digest.Load {
+	sums := map[*State]*reportedLoad{}
+	for address := range members {
+		for _, l := range c.peers[address].loads {
+			if l.state.run != l.run {
+				continue
+			}
+			if sums[l.state] == nil {
+				sums[l.state] = &reportedLoad{}
+			}
+			sums[l.state].add(l.inFlight, l.pendingTokens)
+		}
+	}
+	return c.sumLoads(func(s *State) reportedLoad {
+		sum := reportedLoad{s.InFlight, s.PendingTokens}
+		if cell := sums[s]; cell != nil {
+			sum.add(cell.inFlight, cell.pendingTokens)
+		}
+		return sum
+	}, "", 0)
+}
+
+// sumLoads returns the endpoints' loads, plus sign times those of one peer, without the
+// endpoints that have none. The highest loads come first.
+func (c *Core) sumLoads(load func(*State) reportedLoad, peer string, sign int) []digest.Load {
+	own := map[*State]reportedLoad{}
+	for _, l := range c.peers[peer].loads {
+		if l.state.run == l.run {
+			own[l.state] = reportedLoad{sign * l.inFlight, sign * l.pendingTokens}
+		}
+	}
+	var loads []digest.Load
+	for _, s := range c.endpoints {
+		sum := load(s)
+		sum.add(own[s].inFlight, own[s].pendingTokens)
+		if sum.inFlight <= 0 {
+			continue
+		}
+		loads = append(loads, digest.Load{Endpoint: s.id, Run: s.run, InFlight: clampUint16(sum.inFlight), PendingTokens: uint32(max(sum.pendingTokens, 0))})
+	}
+	slices.SortFunc(loads, compareLoads)
+	return loads
+}
+
+// compareLoads orders the higher load first.
+func compareLoads(a, b digest.Load) int {
+	return cmp.Or(cmp.Compare(b.PendingTokens, a.PendingTokens), cmp.Compare(a.Endpoint, b.Endpoint))
+}
+
+// exchangeWithRelay sends this VM's digest to its relay and applies the reply.
+func (x *digestExchange) exchangeWithRelay(ctx context.Context, relay string) {
+	m := x.module
+	m.mu.Lock()
+	if relay != x.lastRelay {
+		m.core.removePeer(x.lastRelay)
+		x.lastRelay, x.relayEpoch, x.relayAfter = relay, 0, 0
+	}
+	args := RelayArgs{Body: m.core.NextDigest(m.self(), m.settings.DigestBytes).Encode(), Epoch: x.relayEpoch, After: x.relayAfter}
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
+	defer cancel()
+	var reply RelayReply
+	err := x.pool.Call(ctx, relay, DigestService+".Relay", args, &reply)
+	var d *digest.Digest
+	if err == nil {
+		d, err = digest.Decode(reply.Body)
+	}
+	if err != nil {
+		m.log.Debug("exchange with the relay failed", zap.String("relay", relay), zap.Error(err))
+		return
+	}
+	d.From = relay
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x.relayEpoch, x.relayAfter = reply.Epoch, reply.Next
+	m.core.ApplyDigest(time.Now(), d)
+}
+
+// sendToRelays sends the other relays the loads of this relay's cell and its news since the
+// last call.
+func (x *digestExchange) sendToRelays(ctx context.Context, relays []string, calls *sync.WaitGroup) {
+	m := x.module
+	m.mu.Lock()
+	m.hub.expireMembers(time.Now())
+	m.hub.record(m.self(), m.core.NextDigest(m.self(), m.settings.DigestBytes))
+	d := &digest.Digest{From: m.self(), Loads: m.core.cellLoads(m.hub.members)}
+	d.TrimTo(relayDigestBytes / 2)
+	m.hub.sent = m.hub.appendNews(d, m.hub.sent, relayDigestBytes, func(origin string) bool {
+		_, member := m.hub.members[origin]
+		return member || origin == m.self()
+	})
+	m.mu.Unlock()
+	x.sendAll(ctx, relays, d.Encode(), calls)
+}
--- a/internal/routing/sample.go
+++ b/internal/routing/sample.go
@@ -23,7 +23,7 @@
 
 // digestsStale reports whether digests arrive too seldom to compare endpoints by load.
 func (c *Core) digestsStale() bool {
-	return c.limits.DigestsPerSecond > 0 && float64(len(c.peers))/c.limits.DigestsPerSecond > staleDigestInterval.Seconds()
+	return c.digestRound() > staleDigestInterval
 }
 
 // reportedLoad is the load of other entry VMs at an endpoint, as of their digests.
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -84,9 +83,7 @@
 		s.announced = true
 		d.Loads = append(d.Loads, c.digestLoad(s))
 	}
-	slices.SortFunc(d.Loads, func(a, b digest.Load) int {
-		return cmp.Or(cmp.Compare(b.PendingTokens, a.PendingTokens), cmp.Compare(a.Endpoint, b.Endpoint))
-	})
+	slices.SortFunc(d.Loads, compareLoads)
 	d.TrimTo(maxBytes)
 	return d
 }
@@ -117,9 +114,11 @@
 	return d
 }
 
+func clampUint16(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
+
 func (c *Core) digestLoad(s *State) digest.Load {
 	return digest.Load{
-		Endpoint: s.id, Run: s.run, InFlight: uint16(min(s.InFlight, math.MaxUint16)), PendingTokens: uint32(max(s.PendingTokens, 0)),
+		Endpoint: s.id, Run: s.run, InFlight: clampUint16(s.InFlight), PendingTokens: uint32(max(s.PendingTokens, 0)),
 	}
 }
 
@@ -128,7 +127,7 @@
 func (c *Core) ApplyDigest(now time.Time, d *digest.Digest) {
 	c.removePeer(d.From)
 	c.peers[d.From] = peerView{receivedAt: now, loads: c.addLoads(d.Loads)}
-	c.vmCount = len(c.peers) + 1
+	c.updateVMCount()
 	c.equalizePeerLoads()
 	weightsByState := map[*State][]digest.WeightsID{}
 	for _, l := range d.Loaded {
@@ -200,16 +199,45 @@
 		}
 	}
 	delete(c.peers, name)
+	c.updateVMCount()
+}
+
+// setRelayedVMs sets the number of entry VMs while digests go over relays, or 0 while every VM
+// sends its digests to all others.
+func (c *Core) setRelayedVMs(vms int) {
+	if c.relayedVMs != vms {
+		c.relayedVMs = vms
+		c.updateVMCount()
+		c.equalizePeerLoads()
+	}
+}
+
+func (c *Core) updateVMCount() {
 	c.vmCount = len(c.peers) + 1
+	if c.relayedVMs > 0 {
+		c.vmCount = c.relayedVMs
+	}
+}
+
+// relayHops is the number of exchanges after which a digest has reached every VM: to the relay,
+// to the other relays, and to their cells.
+const relayHops = 3
+
+// digestRound returns the time in which the digests of all other VMs arrive.
+func (c *Core) digestRound() time.Duration {
+	switch {
+	case c.relayedVMs > 0:
+		return relayHops * relayInterval
+	case c.limits.DigestsPerSecond > 0:
+		return time.Duration(float64(len(c.peers)) / c.limits.DigestsPerSecond * float64(time.Second))
+	}
+	return 0
 }
 
 // expirePeers removes the peers whose digests have stopped.
 func (c *Core) expirePeers(now time.Time) {
 	timeout := minPeerTimeout
-	if c.limits.DigestsPerSecond > 0 {
-		round := time.Duration(float64(len(c.peers)) / c.limits.DigestsPerSecond * float64(time.Second))
-		timeout = max(timeout, peerTimeoutRounds*round)
-	}
+	timeout = max(timeout, peerTimeoutRounds*c.digestRound())
 	expired := false
 	for name, view := range c.peers {
 		if now.Sub(view.receivedAt) > timeout {
--- /dev/null
+++ b/internal/routing/topology_test.go
@@ -0,0 +1,151 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"eelgrasshollow/internal/digest"
+	"eelgrasshollow/internal/watch"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// fleetOf returns VMs spread over failure domains.
+func fleetOf(vms, domains int) []watch.VM {
+	var all []watch.VM
+	for i := range vms {
+		all = append(all, watch.VM{Name: fmt.Sprint("vm", i), PeerAddress: fmt.Sprintf("vm-%04d:1", i), FailureDomain: fmt.Sprint("d", i%domains)})
+	}
+	return all
+}
+
+const digestCallsOfSmallVM = 48
+
+// The pattern: each of N small VMs has news all the time. Messages and connections of a VM must
+// grow with the square root of N at most, and all VMs must agree without a message.
+func TestTopologyOfLargeFleets(t *testing.T) {
+	for _, n := range []int{64, 191, 300, 1400} {
+		vms := fleetOf(n, 6)
+		bound := 4 * (minCellSize + int(math.Sqrt(float64(n))))
+		members := map[string]int{} // by relay
+		var relays []string
+		byAddress := map[string]topology{}
+		for _, vm := range vms {
+			topo := newTopology(vm.PeerAddress, vms, digestCallsOfSmallVM)
+			byAddress[vm.PeerAddress] = topo
+			assert.Assert(t, topo.relayed)
+			assert.Equal(t, topo.vms, n)
+			if topo.relay == "" {
+				relays = append(relays, vm.PeerAddress)
+			} else {
+				members[topo.relay]++
+			}
+		}
+		domainOf := map[string]string{}
+		for _, vm := range vms {
+			domainOf[vm.PeerAddress] = vm.FailureDomain
+		}
+		for _, vm := range vms {
+			topo := byAddress[vm.PeerAddress]
+			if topo.relay != "" {
+				assert.Assert(t, slices.Contains(relays, topo.relay), "%d VMs: %s is no relay by its own view", n, topo.relay)
+				assert.Equal(t, domainOf[topo.relay], vm.FailureDomain)
+				continue
+			}
+			assert.Equal(t, len(topo.relays), len(relays)-1)
+			assert.Assert(t, len(topo.relays)+members[vm.PeerAddress] <= bound, "%d VMs: relay exchanges with %d", n, len(topo.relays)+members[vm.PeerAddress])
+		}
+	}
+}
+
+func TestSmallOrFastFleetHasNoRelays(t *testing.T) {
+	vms := fleetOf(9, 4)
+	topo := newTopology(vms[3].PeerAddress, vms, digestCallsOfSmallVM)
+	assert.Assert(t, !topo.relayed)
+	assert.Equal(t, len(topo.direct), 8)
+	vms = fleetOf(81, 5)
+	assert.Assert(t, !newTopology(vms[3].PeerAddress, vms, 500).relayed, "every VM is reached within the interval")
+	assert.Assert(t, newTopology(vms[3].PeerAddress, vms, digestCallsOfSmallVM).relayed)
+}
+
+// A relay that leaves or is gone is replaced, and only its own cell is affected.
+func TestLostRelayIsReplaced(t *testing.T) {
+	vms := fleetOf(191, 6)
+	before := map[string]topology{}
+	for _, vm := range vms {
+		before[vm.PeerAddress] = newTopology(vm.PeerAddress, vms, digestCallsOfSmallVM)
+	}
+	lost := before[vms[0].PeerAddress].relay
+	if lost == "" {
+		lost = vms[0].PeerAddress
+	}
+	changed := slices.Clone(vms)
+	for i := range changed {
+		changed[i].Leaving = changed[i].PeerAddress == lost
+	}
+	for _, vm := range changed {
+		after := newTopology(vm.PeerAddress, changed, digestCallsOfSmallVM)
+		assert.Assert(t, after.relay != lost)
+		if old := before[vm.PeerAddress].relay; old != "" && old != lost {
+			assert.Equal(t, after.relay, old)
+		}
+	}
+}
+
+// relayedFleet starts the exchange of a fleet in memory. Every module knows the same engines.
+func relayedFleet(t *testing.T, vms []watch.VM) map[string]*Module {
+	net, modules := &memoryNetwork{}, map[string]*Module{}
+	for _, vm := range vms {
+		m := &Module{
+			settings: Settings{DigestEvery: 250 * time.Millisecond, DigestBytes: 1024, DigestCalls: digestCallsOfSmallVM},
+			core:     NewCore(DefaultPolicy(DefaultTuning()), DefaultLimits(), time.Now()), hub: newRelayHub(1),
+			entryVMs: &vmDirectory{vms: vms}, server: &memoryServer{net: net, address: vm.PeerAddress}, log: zap.NewNop(),
+		}
+		m.core.SetEndpoints(time.Now(), engines(9, 8))
+		for _, s := range m.core.endpoints {
+			m.core.RecordIncarnation(s, "i1")
+		}
+		net.Store(vm.PeerAddress, digestReceiver{m})
+		modules[vm.PeerAddress] = m
+		go func() { _ = newDigestExchange(m, &memoryPool{net: net}).run(t.Context()) }()
+	}
+	return modules
+}
+
+// A prefix that one VM has sent to an engine, and the loads of all VMs, reach every other VM
+// within a round over the relays. The loads of a VM are counted once at each other VM.
+func TestNewsReachesEveryVMOverRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vms := fleetOf(100, 4)
+		modules := relayedFleet(t, vms)
+		time.Sleep(2 * time.Second) // the topology is known and all have met their relay
+		origin := modules[vms[17].PeerAddress]
+		origin.mu.Lock()
+		s := origin.core.endpoints[3]
+		s.InFlight, s.PendingTokens = 2, 700
+		origin.core.queuePlacement(digest.Placement{EndpointRun: digest.EndpointRunOf(s.id, s.run), Prefix: 99})
+		origin.mu.Unlock()
+		other := modules[vms[60].PeerAddress]
+		other.mu.Lock()
+		other.core.endpoints[3].InFlight = 1
+		other.mu.Unlock()
+		time.Sleep((relayHops + 1) * relayInterval)
+		for _, vm := range vms {
+			m := modules[vm.PeerAddress]
+			m.mu.Lock()
+			e := m.core.endpoints[3]
+			want := 3 - e.InFlight
+			assert.Equal(t, e.peerReported.inFlight, want, vm.PeerAddress)
+			assert.Equal(t, m.core.vmCount, 100)
+			if vm.PeerAddress != vms[17].PeerAddress {
+				assert.Assert(t, m.core.index.Contains(99), vm.PeerAddress)
+			}
+			m.mu.Unlock()
+		}
+	})
+}
