Decide at once while the owner of the grants or the configuration is away

Cause: a request waited 300 ms for an owner whose reports had already failed, and a report to a frozen leader blocked the next one for up to a second after another leader was known. After a restart, entry VMs refused everything until their first configuration, however close it was.

Change: beside a fallback, a request does not wait once the last report failed or got no reply for as long as a request would wait. Naming another leader ends calls in progress to the former one. Requests wait for the first configuration for a sixteenth of their client's timeout, 256 at most; Retry-After follows the shorter election.

Each part has a test that fails before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,8 @@
 	View() *fleetview.View
 	// Age returns the time since the view was last confirmed to be current.
 	Age() time.Duration
+	// Changed returns a channel that is closed when the view changes after the call.
+	Changed() <-chan struct{}
 }
 
 // Deps holds the dependencies of a Gateway.
@@ -42,10 +44,13 @@
 }
 
 // Gateway routes client requests to servers and relays the responses.
-type Gateway struct{ Deps }
+type Gateway struct {
+	Deps
+	configWaiters atomic.Int32 // requests that wait for the first configuration
+}
 
 // New returns a Gateway with the given dependencies.
-func New(d Deps) *Gateway { return &Gateway{d} }
+func New(d Deps) *Gateway { return &Gateway{Deps: d} }
 
 const (
 	// responseMargin is the part of the client's timeout that is reserved for the response
@@ -60,7 +65,11 @@
 	// typicalElectionTime is the usual time from a VM's start until it receives a
 	// configuration, if the control VMs restarted at the same time: one leader election and
 	// one poll.
-	typicalElectionTime = 1200 * time.Millisecond
+	typicalElectionTime = 600 * time.Millisecond
+	// configWaitShare is the share of the client's timeout that a request may wait for the
+	// first configuration, and maxConfigWaiters the number of requests that may.
+	configWaitShare  = 1.0 / 16
+	maxConfigWaiters = 256
 	// queueTargetShare is the share of the route's target time that a request may wait for
 	// a slot, so that it can still be served within the target.
 	queueTargetShare = 0.9
@@ -105,7 +114,7 @@
 	if g.Closing() {
 		return errkind.New(errkind.Draining, "this VM is stopping").WithRetryAfter(retryAfterDraining)
 	}
-	view := g.Directory.View()
+	view := g.awaitConfig(x)
 	if view.Config == nil {
 		return errkind.New(errkind.Stale, "no configuration has been received yet").WithRetryAfter(max(typicalElectionTime-g.Directory.Age(), retryAfterShort))
 	}
@@ -145,6 +154,35 @@
 	return err
 }
 
+// awaitConfig returns the current view. If there is no configuration yet, it waits for the
+// first one for a short part of the client's timeout.
+func (g *Gateway) awaitConfig(x *exchange) *fleetview.View {
+	changed := g.Directory.Changed()
+	view := g.Directory.View()
+	if view.Config != nil {
+		return view
+	}
+	if g.configWaiters.Add(1) > maxConfigWaiters {
+		g.configWaiters.Add(-1)
+		return view
+	}
+	defer g.configWaiters.Add(-1)
+	timer := time.NewTimer(time.Duration(configWaitShare * float64(x.ClientTimeout)))
+	defer timer.Stop()
+	for view.Config == nil {
+		select {
+		case <-changed:
+		case <-timer.C:
+			return view
+		case <-x.ctx.Done():
+			return view
+		}
+		changed = g.Directory.Changed()
+		view = g.Directory.View()
+	}
+	return view
+}
+
 // errDeadline is the cancelation cause of a request whose deadline has passed.
 var errDeadline = errors.New("request deadline exceeded")
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync"
 	"strconv"
 	"strings"
 	"testing"
@@ -31,8 +32,9 @@
 	age  time.Duration
 }
 
-func (d fakeDirectory) View() *fleetview.View { return d.view }
-func (d fakeDirectory) Age() time.Duration    { return d.age }
+func (d fakeDirectory) View() *fleetview.View  { return d.view }
+func (d fakeDirectory) Age() time.Duration     { return d.age }
+func (fakeDirectory) Changed() <-chan struct{} { return nil }
 
 // fakeRouter picks the first server that is not excluded, or blocks until the context ends
 // if waitForever is set.
@@ -336,3 +338,58 @@
 		assert.DeepEqual(t, got, []string{"try failed a 1 <nil> true", "try failed b 2 <nil> true", "request served c 3 500 <nil>"})
 	})
 }
+
+// lateDirectory has no configuration until it is set.
+type lateDirectory struct {
+	mu      sync.Mutex
+	view    *fleetview.View
+	changed chan struct{}
+}
+
+func (d *lateDirectory) View() *fleetview.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view
+}
+func (d *lateDirectory) Age() time.Duration { return 0 }
+func (d *lateDirectory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+func (d *lateDirectory) set(v *fleetview.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view = v
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// A VM that has just started gets its first configuration within a moment. Requests with time
+// left wait for it; the others, and all above the limit, are refused as not run.
+func TestRequestWaitsBrieflyForFirstConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, up := newGateway(t, setup{servers: servers{"a": reply(200, "ok", false)}}, zap.NewNop())
+		view := g.Directory.View()
+		d := &lateDirectory{view: &fleetview.View{}, changed: make(chan struct{})}
+		g.Directory = d
+		start := time.Now()
+		w := httptest.NewRecorder()
+		g.Serve(t.Context(), w, newRequest())
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, time.Since(start), time.Duration(configWaitShare*float64(newRequest().ClientTimeout)))
+		g.configWaiters.Store(maxConfigWaiters)
+		start = time.Now()
+		w = httptest.NewRecorder()
+		g.Serve(t.Context(), w, newRequest())
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		g.configWaiters.Store(0)
+		time.AfterFunc(100*time.Millisecond, func() { d.set(view) })
+		w = httptest.NewRecorder()
+		g.Serve(t.Context(), w, newRequest())
+		assert.Equal(t, w.Code, http.StatusOK)
+		assert.Equal(t, len(up.sent), 1)
+		assert.Equal(t, g.configWaiters.Load(), int32(0))
+	})
+}
--- a/internal/grants/holder.go
+++ b/internal/grants/holder.go
@@ -16,6 +16,9 @@
 	QueueTime time.Duration // how long a request may wait for tokens
 	OwnerWait time.Duration // how long a request may wait while the owner does not respond
 	MaxQueue  int           // largest number of waiting requests of one account
+	// FallBack is set if a FallbackLimiter decides while the owner is away: requests then do
+	// not wait for an owner that is known not to respond.
+	FallBack bool
 }
 
 // Holder admits the requests of one VM from its slices. It is a deterministic state machine:
--- a/internal/grants/limiter.go
+++ b/internal/grants/limiter.go
@@ -34,6 +34,8 @@
 	mu               sync.Mutex
 	holder           *Holder
 	lastReportFailed bool
+	reporting        bool          // a report is in progress
+	reportedAt       time.Duration // when it was sent
 }
 
 // NewClient returns a limiter that reports to owner once Run is called. Leases are measured
@@ -54,11 +56,17 @@
 	now := c.now()
 	r, w, err := c.holder.Reserve(now, account, tokens)
 	refill := c.holder.NeedsRefill(now, account)
+	away := w != nil && c.ownerAway(now)
+	if away {
+		c.holder.Cancel(w)
+	}
 	c.mu.Unlock()
 	if refill {
 		c.wake()
 	}
 	switch {
+	case away:
+		return nil, errkind.New(errkind.NoQuorum, "the owner of the grants does not respond").WithRetryAfter(c.opt.Interval)
 	case err != nil:
 		return nil, err
 	case r != nil:
@@ -67,6 +75,12 @@
 	return c.wait(ctx, w)
 }
 
+// ownerAway reports whether a request need not wait for the owner, because the last report
+// failed or got no reply for as long as a request would wait. The caller must hold c.mu.
+func (c *Client) ownerAway(now time.Duration) bool {
+	return c.opt.FallBack && (c.lastReportFailed || c.reporting && now-c.reportedAt > c.opt.OwnerWait)
+}
+
 // wait waits for a waiter's result, its deadline or the end of ctx.
 func (c *Client) wait(ctx context.Context, w *waiter) (Reservation, error) {
 	timer := time.NewTimer(c.opt.QueueTime)
@@ -182,6 +196,7 @@
 	c.mu.Lock()
 	sent := c.now()
 	req := c.holder.Report(sent)
+	c.reporting, c.reportedAt = req != nil, sent
 	c.mu.Unlock()
 	if req == nil {
 		return
@@ -192,7 +207,7 @@
 	err := c.owner.Call(ctx, "Grants.Sync", req, &reply)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastReportFailed = err != nil
+	c.lastReportFailed, c.reporting = err != nil, false
 	if err != nil {
 		c.log.Debug("grant report failed", zap.Error(err))
 		return
--- a/internal/grants/module.go
+++ b/internal/grants/module.go
@@ -21,6 +21,7 @@
 	QueueTime time.Duration `ini:"queue_time" default:"300ms" doc:"how long a request may wait for tokens"`
 	OwnerWait time.Duration `ini:"owner_wait" default:"2s" doc:"how long a request may wait for tokens while the owner does not answer, as when it changes"`
 	MaxQueue  int           `ini:"queue_length" default:"64" doc:"requests of one client account that may wait"`
+	FallBack  bool          `ini:"-"` // see HolderOptions
 }
 
 // OwnerSettings is the section [grants] of a control VM's settings.
@@ -63,7 +64,7 @@
 	}
 	opt := HolderOptions{
 		Name: uuid.NewString(), Interval: m.cfg.Interval, Horizon: m.cfg.Horizon,
-		QueueTime: m.cfg.QueueTime, OwnerWait: m.cfg.OwnerWait, MaxQueue: m.cfg.MaxQueue,
+		QueueTime: m.cfg.QueueTime, OwnerWait: m.cfg.OwnerWait, MaxQueue: m.cfg.MaxQueue, FallBack: m.cfg.FallBack,
 	}
 	m.client = NewClient(opt, p.Leader(), k.Log.Named("grants"), m.now)
 	return nil
--- a/internal/grants/service_test.go
+++ b/internal/grants/service_test.go
@@ -178,3 +178,27 @@
 		assert.Equal(t, errkind.Of(err).Outcome, errkind.NotRun)
 	})
 }
+
+// TestNoWaitForOwnerThatIsAway: beside a fallback, a request waits for the owner only while it
+// is not known to be away.
+func TestNoWaitForOwnerThatIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFixture(t, 100, 1000)
+		defer f.stop()
+		f.client.opt.FallBack, f.client.opt.OwnerWait = true, 300*time.Millisecond
+		_, err := f.client.Reserve(t.Context(), "a", 1)
+		assert.NilError(t, err)
+		f.replica.term.Store(0)
+		time.Sleep(3 * time.Second) // the slice has ended and reports fail
+		_, err = f.client.Reserve(t.Context(), "a", 300)
+		assert.Equal(t, errkind.Of(err).Kind, errkind.NoQuorum)
+		start := time.Now()
+		_, err = f.client.Reserve(t.Context(), "a", 300)
+		assert.Equal(t, errkind.Of(err).Kind, errkind.NoQuorum)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		f.replica.term.Store(2)
+		time.Sleep(2 * time.Second) // the next regular report finds the new owner
+		_, err = f.client.Reserve(t.Context(), "a", 300)
+		assert.NilError(t, err)
+	})
+}
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -98,7 +98,7 @@
 	k.Register(peer.PoolName, peer.NewPoolModule(peer.Options{}, s.Seeds))
 	k.Register(fleetview.ModuleName, e.view, peer.PoolName)
 	holder := grants.NewHolderModule(grants.HolderSettings{
-		Interval: time.Second, Horizon: 2500 * time.Millisecond, QueueTime: grantQueueTime, OwnerWait: grantOwnerWait, MaxQueue: 64,
+		Interval: time.Second, Horizon: 2500 * time.Millisecond, QueueTime: grantQueueTime, OwnerWait: grantOwnerWait, MaxQueue: 64, FallBack: true,
 	}, clock.Boot)
 	k.Register("entry.grants", holder, peer.PoolName, fleetview.ModuleName)
 	router := routing.NewModule(routing.Settings{
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -25,12 +25,13 @@
 	addresses []string
 
 	mu      sync.Mutex
-	current int // index in addresses of the replica to call first
+	current int           // index in addresses of the replica to call first
+	moved   chan struct{} // closed when Prefer names another replica
 }
 
 // NewLeaderClient returns a client of the replicas at addresses.
 func NewLeaderClient(pool *Pool, addresses []string) *LeaderClient {
-	return &LeaderClient{pool: pool, addresses: addresses}
+	return &LeaderClient{pool: pool, addresses: addresses, moved: make(chan struct{})}
 }
 
 // SetAddresses replaces the replicas. The replica to call first stays the same if addresses
@@ -50,12 +51,15 @@
 }
 
 // Prefer makes the replica at address the first to call, for example when another replica
-// reported it as the leader. An address that is not in the list is ignored.
+// reported it as the leader. An address that is not in the list is ignored. Calls in progress to
+// other replicas end with an error of kind Timeout, as a former leader may not respond at all.
 func (l *LeaderClient) Prefer(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at := slices.Index(l.addresses, address); at >= 0 {
+	if at := slices.Index(l.addresses, address); at >= 0 && at != l.current {
 		l.current = at
+		close(l.moved)
+		l.moved = make(chan struct{})
 	}
 }
 
@@ -70,7 +74,7 @@
 		var err error
 		for range l.count() {
 			address := l.currentAddress()
-			err = l.pool.Call(ctx, address, method, args, reply)
+			err = l.callUnlessMoved(ctx, address, method, args, reply)
 			if err == nil {
 				return nil
 			}
@@ -90,6 +94,23 @@
 	}
 }
 
+// callUnlessMoved calls the replica at address until ctx ends or Prefer names another one.
+func (l *LeaderClient) callUnlessMoved(ctx context.Context, address, method string, args, reply any) error {
+	l.mu.Lock()
+	moved := l.moved
+	l.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-moved:
+			cancel()
+		}
+	}()
+	return l.pool.Call(ctx, address, method, args, reply)
+}
+
 // timedOut reports whether the replica sent no response: it is paused, partitioned, or behind a
 // middlebox that accepts connections and drops their data.
 func timedOut(err error) bool { return errkind.Is(err, errkind.Timeout) }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -193,3 +193,22 @@
 		s.Close()
 	})
 }
+
+// A call to a leader that no longer responds ends as soon as another leader is named.
+func TestCallEndsWhenAnotherLeaderIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEchoServer(t, errkind.Internal)
+		p := NewPool(Options{Dial: pipeDialer(map[string]*Server{"new": s})})
+		l := NewLeaderClient(p, []string{"frozen", "new"})
+		time.AfterFunc(200*time.Millisecond, func() { l.Prefer("new") })
+		start := time.Now()
+		var out string
+		err := l.Call(t.Context(), "Echo.Say", "x", &out)
+		assert.Equal(t, errkind.Of(err).Kind, errkind.Timeout)
+		assert.Equal(t, errkind.Of(err).Outcome, errkind.Unknown)
+		assert.Equal(t, time.Since(start), 200*time.Millisecond)
+		assert.NilError(t, l.Call(t.Context(), "Echo.Say", "x", &out))
+		p.Close()
+		s.Close()
+	})
+}
