Do not poll a leader because the other replicas' states are old

A replica is left for its age only after 1.5 s, and never for the leader. The new test fails before.

--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -38,8 +38,8 @@
 	// retryPause is the mean wait after a failed poll.
 	retryPause = 100 * time.Millisecond
 	// maxReplicaAge is the age of a replica's state from which on this VM polls another one:
-	// the replica has lost the leader, or there is none.
-	maxReplicaAge = time.Second
+	// the replica has lost the leader. It is longer than an election.
+	maxReplicaAge = 1500 * time.Millisecond
 	// preferInterval is the time after which a VM that had to leave its first replica returns
 	// to it.
 	preferInterval = 10 * time.Second
@@ -256,6 +256,9 @@
 	c.apply(sent.Add(reply.Held-reply.Age), &reply)
 	if reply.Age > maxReplicaAge {
 		c.skipReplica()
+		if c.replicas.current() == c.leaderAddress {
+			c.replicas.reset() // if no replica has a current state, the leader is down
+		}
 	}
 	return true
 }
--- a/internal/fleetview/client_test.go
+++ b/internal/fleetview/client_test.go
@@ -136,6 +136,24 @@
 	})
 }
 
+// While the leader is frozen, the states of all replicas grow old. A VM must not try the leader
+// then: its poll would hang while the others already follow a new leader.
+func TestFrozenLeaderIsNotPolledWhileReplicasAreOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := controlVMs("a", "b", "leader")
+		old := func(args *fleetcontrol.PollArgs) fleetcontrol.PollReply {
+			r := document(5, "x")(args)
+			r.Age = 2 * maxReplicaAge
+			return r
+		}
+		a, b, leader := &fakeReplica{leader: "leader", control: control, reply: old}, &fakeReplica{leader: "leader", control: control, reply: old}, &fakeReplica{}
+		start(t, []string{"a", "b"}, map[string]*fakeReplica{"a": a, "b": b, "leader": leader}, noList{})
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, a.polls.Load() > 0 && b.polls.Load() > 0)
+		assert.Equal(t, leader.polls.Load(), int64(0))
+	})
+}
+
 // Every VM polls a replica of its own failure domain that does not lead, and the VMs of a domain
 // use all of its replicas. When one is lost, only the VMs that polled it move.
 func TestReplicasAreSharedOutByFailureDomain(t *testing.T) {
