--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -149,8 +149,8 @@
 	}
 	changed := false
 	if s.directory.term != term {
-		s.directory.lead(term)
-		s.termStart, s.controlVMs, changed = now, map[string]reportedControl{}, true
+		s.lead(term, now)
+		changed = true
 	}
 	s.directory.asOf = now
 	settled := now.Sub(s.termStart) >= settleTime
@@ -178,6 +178,18 @@
 	}
 }
 
+// lead starts the directory of a new term. The control VMs that this replica knows stay in it
+// until they have had time to report. The caller holds the mutex.
+func (s *Service) lead(term uint64, now time.Time) {
+	s.directory.lead(term)
+	s.termStart, s.controlVMs = now, map[string]reportedControl{}
+	for _, vm := range s.directory.control {
+		if vm.Address != s.self.Address {
+			s.controlVMs[vm.Address] = reportedControl{vm, now}
+		}
+	}
+}
+
 // withMissing returns vms and those of known whose names are not among them.
 func withMissing(vms, known []membership.VM) []membership.VM {
 	names := make(map[string]bool, len(vms))
