--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -91,6 +91,7 @@
 	control        []fleetcontrol.ControlVM
 	leaderAddress  string // peer address of the leader that a replica named last
 	replicas       replicaChoice
+	lastReplica    string    // peer address of the replica that served the last poll
 	leftFirst      time.Time // when this VM left its first replica
 	lastContact    time.Time // time as of which the view was the leader's
 	controlLost    bool      // "control lost" was logged
@@ -247,6 +248,11 @@
 		c.logLoss(err)
 		return false
 	}
+	if address != c.lastReplica && reply.Serves {
+		c.cfg.Log.Info("control replica changed", zap.String("from", c.lastReplica), zap.String("to", address), zap.Duration("age", reply.Age),
+			zap.String("leader", reply.Leader))
+		c.lastReplica = address
+	}
 	c.setControl(reply.Control, reply.Leader)
 	if !reply.Serves {
 		c.skipReplica()
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -82,6 +82,8 @@
 	lastSent time.Time // time of the last digest
 	limiter  *rate.Limiter
 
+	lastTopology topology
+
 	// lastRelay is the relay of the last exchange; relayEpoch and relayAfter are the last
 	// RelayReply from it.
 	lastRelay  string
@@ -146,6 +148,7 @@
 	}
 	m.core.setRelayedVMs(relayedVMs)
 	m.mu.Unlock()
+	x.logTopology(t)
 	switch {
 	case !t.relayed:
 		x.sendRound(ctx, t.direct, calls)
@@ -156,6 +159,17 @@
 	}
 }
 
+// logTopology logs a change of the VMs with which this one exchanges digests.
+func (x *digestExchange) logTopology(t topology) {
+	last := x.lastTopology
+	if t.relayed == last.relayed && t.relay == last.relay && len(t.relays) == len(last.relays) {
+		return
+	}
+	x.lastTopology = t
+	x.module.log.Info("digest exchange changed", zap.Bool("relayed", t.relayed), zap.String("relay", t.relay),
+		zap.Int("other_relays", len(t.relays)), zap.Int("vms", t.vms))
+}
+
 // sendRound sends a digest to every peer.
 func (x *digestExchange) sendRound(ctx context.Context, peers []string, calls *sync.WaitGroup) {
 	m := x.module
--- /dev/null
+++ b/internal/routing/metrics.go
@@ -0,0 +1,33 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Collectors returns the metrics of the digest exchange.
+func (m *Module) Collectors() []prometheus.Collector {
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "eelgrass", Subsystem: "routing", Name: name, Help: help}, func() float64 {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return value()
+		})
+	}
+	return []prometheus.Collector{
+		gauge("digest_peers", "Entry VMs whose digests this one has.", func() float64 { return float64(len(m.core.peers)) }),
+		gauge("digest_age_seconds", "Time since the oldest of these digests arrived.", func() float64 { return m.core.oldestDigest(time.Now()).Seconds() }),
+		gauge("relay_members", "Entry VMs to which this one relays digests.", func() float64 { return float64(len(m.hub.members)) }),
+	}
+}
+
+// oldestDigest returns the time since the oldest of the peers' last digests arrived, or 0
+// without peers.
+func (c *Core) oldestDigest(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, view := range c.peers {
+		oldest = max(oldest, now.Sub(view.receivedAt))
+	}
+	return oldest
+}
