Divide fallback and retry burst only among VMs that are known; drop servers of a former term

Found on reading the change. After a restart of all VMs each knows only a few others at first. - The fallback allowance and the burst of the retry budget were divided by that number, and the retry burst kept its first value for good. Each has a test that fails before.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -25,6 +25,15 @@
 	return &Budget{deposit: int64(share * unitsPerRetry), reserve: reserveUnits, balance: reserveUnits}
 }
 
+// SetReserve changes the number of retries that can accumulate. A higher reserve fills up by
+// first attempts.
+func (b *Budget) SetReserve(reserve int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserve = int64(max(0, reserve)) * unitsPerRetry
+	b.balance = min(b.balance, b.reserve)
+}
+
 // Deposit counts a first attempt.
 func (b *Budget) Deposit() {
 	b.mu.Lock()
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -145,6 +145,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !leads {
+		s.pending = nil // of a former term
 		return
 	}
 	changed := false
@@ -182,6 +183,7 @@
 // until they have had time to report. The caller holds the mutex.
 func (s *Service) lead(term uint64, now time.Time) {
 	s.directory.lead(term)
+	s.pending = nil // of a former term; the next read of the list sets it again
 	s.termStart, s.controlVMs = now, map[string]reportedControl{}
 	for _, vm := range s.directory.control {
 		if vm.Address != s.self.Address {
--- a/internal/fleetcontrol/service_test.go
+++ b/internal/fleetcontrol/service_test.go
@@ -179,6 +179,29 @@
 	})
 }
 
+// A replica that leads again must not publish the servers of its former term: it has mirrored
+// newer ones since.
+func TestFormerServersAreNotPublishedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeReplica(true)
+		s := newTestService(r)
+		s.publish()
+		s.SetServers([]fleet.Server{{ID: "i", Address: "x"}})
+		r.leads = false
+		s.directory.apply(update{Term: 2, Servers: Delta[fleet.Server]{Version: 9, Full: true, Set: []fleet.Server{{ID: "i", Address: "x", Draining: true}}}}, time.Now())
+		r.leads, r.term = true, 3
+		for range 5 {
+			time.Sleep(publishInterval)
+			s.publish()
+		}
+		assert.Assert(t, s.directory.servers.list()[0].Draining)
+		s.SetServers([]fleet.Server{{ID: "j", Address: "x"}})
+		time.Sleep(publishInterval)
+		s.publish()
+		assert.Equal(t, s.directory.servers.list()[0].ID, "j")
+	})
+}
+
 // A replica that can't confirm that it is up to date must not return a configuration.
 func TestConfigIsRefusedWithoutReadBarrier(t *testing.T) {
 	r := newFakeReplica(true)
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -141,6 +141,13 @@
 	return all
 }
 
+// VMCount returns the number of entry VMs; complete is false until this VM has once received
+// the list of all of them.
+func (c *Client) VMCount() (count int, complete bool) {
+	v := c.View()
+	return len(v.VMs), v.VMsComplete
+}
+
 // watchVM returns an entry VM in the form of package watch.
 func watchVM(vm membership.VM) watch.VM {
 	return watch.VM{Name: vm.Name, Address: vm.Address, PeerAddress: vm.PeerAddress, FailureDomain: vm.FailureDomain, Leaving: vm.Leaving}
@@ -313,6 +320,7 @@
 	c.expire(&next)
 	c.term, c.serversVersion, c.vmsVersion = reply.Term, reply.Servers.Version, reply.VMs.Version
 	c.settled = reply.Settled || c.settled && !reply.VMs.Full // deltas keep a complete list complete
+	next.VMsComplete = next.VMsComplete || c.settled
 	c.view.Store(&next)
 	c.wake()
 }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -26,6 +26,8 @@
 	// of them are outdated or unused, and of the stores.
 	InventoryRevision uint64
 	VMs               []membership.VM
+	// VMsComplete is true once VMs has been the list of all VMs.
+	VMsComplete bool
 	// byKey holds the servers by fleet.Server.Key.
 	byKey map[string]fleet.Server
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -156,7 +156,7 @@
 	up := &fakeUpstream{replies: s.servers}
 	g := New(Deps{
 		Directory: fakeDirectory{&fleetview.View{Config: config}, s.age}, Limiter: fakeLimiter{s.limitErr}, Router: &fakeRouter{servers: names, waitForever: s.waitForever}, Upstream: up,
-		Retries: NewRetryBudgets(RetryLimits{Share: 0, Burst: s.budget / retrySafetyFactor, VMs: func() int { return 1 }}),
+		Retries: NewRetryBudgets(RetryLimits{Share: 0, Burst: s.budget / retrySafetyFactor, VMs: func() (int, bool) { return 1, true }}),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Closing: func() bool { return false }, MaxViewAge: s.maxAge, Log: log,
 	})
 	return g, up
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -14,8 +14,9 @@
 	// window; Burst is the number of retries allowed beyond that.
 	Share float64
 	Burst float64
-	// VMs returns the number of VMs that share Burst.
-	VMs func() int
+	// VMs returns the number of VMs that share Burst, or false while this VM may not know all
+	// of them. It then retries only what its own requests have earned.
+	VMs func() (int, bool)
 }
 
 // retrySafetyFactor is the share of the limits that the known VMs use. The rest covers VMs that
@@ -26,20 +27,40 @@
 type RetryBudgets struct {
 	limits  RetryLimits
 	mu      sync.Mutex
+	reserve int // of each budget
 	budgets map[string]*budget.Budget
 }
 
-// NewRetryBudgets returns budgets that start full.
+// NewRetryBudgets returns budgets that start full, if the number of VMs is known by then.
 func NewRetryBudgets(limits RetryLimits) *RetryBudgets {
 	return &RetryBudgets{limits: limits, budgets: map[string]*budget.Budget{}}
 }
 
+// earnedReserve is the reserve while the number of VMs is not known: enough for one retry.
+const earnedReserve = 1
+
 func (r *RetryBudgets) forService(service string) *budget.Budget {
+	vms, known := r.limits.VMs()
+	reserve := earnedReserve
+	if known {
+		reserve = int(r.limits.Burst * retrySafetyFactor / float64(max(vms, 1)))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if reserve != r.reserve {
+		r.reserve = reserve
+		for _, b := range r.budgets {
+			b.SetReserve(reserve)
+		}
+	}
 	b := r.budgets[service]
 	if b == nil {
-		b = budget.New(r.limits.Share*retrySafetyFactor, int(r.limits.Burst*retrySafetyFactor/float64(max(r.limits.VMs(), 1))))
+		initial := reserve
+		if !known {
+			initial = 0
+		}
+		b = budget.New(r.limits.Share*retrySafetyFactor, initial)
+		b.SetReserve(reserve)
 		r.budgets[service] = b
 	}
 	return b
--- a/internal/grants/fallbacklimiter.go
+++ b/internal/grants/fallbacklimiter.go
@@ -31,8 +31,10 @@
 	limiter   Limiter
 	limit     func(account string) (Limit, bool)
 	tolerance Tolerance
-	vmCount   func() int // number of VMs that share the tolerance
-	now       clock.Clock
+	// vmCount returns the number of VMs that share the tolerance, or false while this VM may
+	// not know all of them.
+	vmCount func() (int, bool)
+	now     clock.Clock
 
 	mu      sync.Mutex
 	buckets map[string]*rate.Limiter // by account
@@ -40,8 +42,9 @@
 
 // NewFallbackLimiter returns a limiter that falls back if the given limiter can't reach the
 // owner. limit returns an account's grant, or false if it is unknown. vmCount returns the
-// number of VMs that share the tolerance.
-func NewFallbackLimiter(limiter Limiter, limit func(string) (Limit, bool), tolerance Tolerance, vmCount func() int, now clock.Clock) *FallbackLimiter {
+// number of VMs that share the tolerance, or false if it is unknown; the limiter then admits
+// nothing.
+func NewFallbackLimiter(limiter Limiter, limit func(string) (Limit, bool), tolerance Tolerance, vmCount func() (int, bool), now clock.Clock) *FallbackLimiter {
 	return &FallbackLimiter{limiter: limiter, limit: limit, tolerance: tolerance, vmCount: vmCount, now: now, buckets: map[string]*rate.Limiter{}}
 }
 
@@ -68,10 +71,11 @@
 // if so.
 func (f *FallbackLimiter) admit(account string, tokens int64) bool {
 	limit, known := f.limit(account)
-	if !known || f.tolerance.Window <= 0 {
+	vms, counted := f.vmCount()
+	if !known || !counted || f.tolerance.Window <= 0 {
 		return false
 	}
-	share := fallbackShare * f.tolerance.tokens(limit) / float64(max(f.vmCount(), 1))
+	share := fallbackShare * f.tolerance.tokens(limit) / float64(max(vms, 1))
 	// The burst and the refill over a window are together the share, so no window gets more.
 	burst := fallbackBurstShare * share
 	refill := (share - burst) / f.tolerance.Window.Seconds()
--- a/internal/grants/fallbacklimiter_test.go
+++ b/internal/grants/fallbacklimiter_test.go
@@ -28,7 +28,7 @@
 	var all []*FallbackLimiter
 	for range vms {
 		all = append(all, NewFallbackLimiter(unreachableOwner{errkind.New(errkind.NoQuorum, "unreachable")},
-			func(string) (Limit, bool) { return limit, true }, tolerance, func() int { return vms }, func() time.Time { return now }))
+			func(string) (Limit, bool) { return limit, true }, tolerance, func() (int, bool) { return vms, true }, func() time.Time { return now }))
 	}
 	type admission struct {
 		at     time.Time
@@ -63,7 +63,19 @@
 func TestFallbackIsNotForAccountsOverTheirRate(t *testing.T) {
 	over := errkind.New(errkind.RateLimited, "over").WithRetryAfter(time.Second)
 	s := NewFallbackLimiter(unreachableOwner{over}, func(string) (Limit, bool) { return Limit{Rate: 1000, Burst: 1000}, true },
-		Tolerance{Overshoot: 1, Slack: 1e6, Window: time.Second}, func() int { return 1 }, time.Now)
+		Tolerance{Overshoot: 1, Slack: 1e6, Window: time.Second}, func() (int, bool) { return 1, true }, time.Now)
 	_, err := s.Reserve(t.Context(), "a", 1)
 	assert.Equal(t, errkind.Of(err), over)
 }
+
+// A VM that has just started may not know the other VMs yet. It must not take their shares.
+func TestNoFallbackBeforeAllVMsAreKnown(t *testing.T) {
+	known := false
+	s := NewFallbackLimiter(unreachableOwner{errkind.New(errkind.NoQuorum, "unreachable")}, func(string) (Limit, bool) { return Limit{Rate: 1000, Burst: 1000}, true },
+		Tolerance{Overshoot: 1, Slack: 1e6, Window: time.Second}, func() (int, bool) { return 1, known }, time.Now)
+	_, err := s.Reserve(t.Context(), "a", 1)
+	assert.Assert(t, errkind.Is(err, errkind.RateLimited))
+	known = true
+	_, err = s.Reserve(t.Context(), "a", 1)
+	assert.NilError(t, err)
+}
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -106,15 +106,14 @@
 		DigestBytes: 1024, DigestCalls: digestCallsPerSecond(s.CPUCores), LoadEvery: 500 * time.Millisecond, RetryShare: 1, PeerImports: true,
 	}, e.view)
 	k.Register(routing.ModuleName, router, fleetview.ModuleName, peer.ServerName, peer.PoolName)
-	vms := func() int { return len(e.view.VMs()) }
-	retries := gateway.NewRetryBudgets(gateway.RetryLimits{Share: s.Bounds.RetryShare, Burst: s.Bounds.RetryExtra, VMs: vms})
+	retries := gateway.NewRetryBudgets(gateway.RetryLimits{Share: s.Bounds.RetryShare, Burst: s.Bounds.RetryExtra, VMs: e.view.VMCount})
 	e.registry.MustRegister(holder, retries)
 	e.registry.MustRegister(e.view.Collectors()...)
 	e.registry.MustRegister(router.Collectors()...)
 	core := gateway.New(gateway.Deps{
 		Directory: e.view, Router: router, Upstream: client, Log: e.log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
 		Closing: e.closing.Load, MaxViewAge: e.maxViewAge(),
-		Limiter: grants.NewFallbackLimiter(holder, e.grant, grantTolerance(s), vms, clock.Boot),
+		Limiter: grants.NewFallbackLimiter(holder, e.grant, grantTolerance(s), e.view.VMCount, clock.Boot),
 		Retries: retries,
 	})
 	front := platform.NewRequestHandler(core.Serve, e.limits, e.leaving.Load, e.log.Named("front"))
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -110,6 +110,7 @@
 		}
 		return d.Size() < maxBytes
 	})
+	slices.Reverse(d.Placements) // TrimTo keeps those at the end
 	d.TrimTo(maxBytes)
 	return d
 }
--- a/internal/routing/topology_test.go
+++ b/internal/routing/topology_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"eelgrasshollow/internal/digest"
+	"eelgrasshollow/internal/prefix"
 	"eelgrasshollow/internal/watch"
 
 	"go.uber.org/zap"
@@ -149,3 +150,25 @@
 		}
 	})
 }
+
+// A VM that has just started asks its relay for its state. If that has no room for all
+// placements, the most recently used ones must be in it.
+func TestRecallKeepsNewestPlacements(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	c := newCore(2, 8)
+	s := c.endpoints[0]
+	c.RecordIncarnation(s, "i1")
+	const placements = 200
+	for i := range placements {
+		c.index.Touch(s.index, []prefix.Hash{prefix.Hash(i + 1)}, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	const maxBytes = 500
+	d := c.RecallDigest(now.Add(time.Second), "self", maxBytes)
+	assert.Assert(t, d.Size() <= maxBytes)
+	var oldest, newest prefix.Hash = placements, 0
+	for _, p := range d.Placements {
+		oldest, newest = min(oldest, p.Prefix), max(newest, p.Prefix)
+	}
+	assert.Equal(t, newest, prefix.Hash(placements))
+	assert.Equal(t, int(newest-oldest)+1, len(d.Placements))
+}
