--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -55,13 +55,24 @@
 // Dropped returns the number of lines dropped since the start.
 func (b *BoundedWriter) Dropped() int64 { return b.dropped.Load() }
 
-// Close writes the buffered lines and ends the goroutine. It waits at most timeout for this,
-// but only once the buffer has room: while the buffer is full, Close blocks without a limit.
+// Close writes the buffered lines and ends the goroutine. It waits at most timeout for this:
+// while the output is blocked, lines and the goroutine remain.
 func (b *BoundedWriter) Close(timeout time.Duration) {
-	b.stop.Do(func() { b.lines <- nil })
+	expired := time.After(timeout)
+	queued := true
+	b.stop.Do(func() {
+		select {
+		case b.lines <- nil:
+		case <-expired:
+			queued = false
+		}
+	})
+	if !queued {
+		return
+	}
 	select {
 	case <-b.done:
-	case <-time.After(timeout):
+	case <-expired:
 	}
 }
 
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -84,3 +85,23 @@
 	defer out.mu.Unlock()
 	assert.Equal(t, strings.Count(out.written.String(), "configuration in force"), 1)
 }
+
+// A daemon that stops while its output is blocked and the buffer is full must still exit.
+func TestCloseOfFullBufferEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blockedWriter{release: make(chan struct{})}
+		b := NewBoundedWriter(out)
+		for range 2 * maxBufferedLines {
+			_, err := b.Write([]byte("line"))
+			assert.NilError(t, err)
+		}
+		start := time.Now()
+		b.Close(300 * time.Millisecond)
+		assert.Equal(t, time.Since(start), 300*time.Millisecond)
+		b.Close(300 * time.Millisecond)
+		assert.Equal(t, time.Since(start), 600*time.Millisecond)
+		close(out.release)
+		b.lines <- nil // ends the goroutine
+		<-b.done
+	})
+}
