--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -157,51 +157,51 @@
 
 // otherLoads returns the sum of the loads of this VM and its peers except one.
 func (c *Core) otherLoads(except string) []digest.Load {
-	return c.sumLoads(func(s *State) reportedLoad {
-		return reportedLoad{s.InFlight + s.peerReported.inFlight, s.PendingTokens + s.peerReported.pendingTokens}
-	}, except, -1)
+	excepted := c.peerLoads(except)
+	return c.listLoads(func(s *State) reportedLoad {
+		sum := reportedLoad{s.InFlight + s.peerReported.inFlight, s.PendingTokens + s.peerReported.pendingTokens}
+		sum.add(-excepted[s].inFlight, -excepted[s].pendingTokens)
+		return sum
+	})
 }
 
 // cellLoads returns the sum of the loads of this VM and the given peers.
 func (c *Core) cellLoads(members map[string]time.Time) []digest.Load {
-	sums := map[*State]*reportedLoad{}
+	addresses := make([]string, 0, len(members))
 	for address := range members {
-		for _, l := range c.peers[address].loads {
-			if l.state.run != l.run {
-				continue
-			}
-			if sums[l.state] == nil {
-				sums[l.state] = &reportedLoad{}
-			}
-			sums[l.state].add(l.inFlight, l.pendingTokens)
-		}
+		addresses = append(addresses, address)
 	}
-	return c.sumLoads(func(s *State) reportedLoad {
+	cell := c.peerLoads(addresses...)
+	return c.listLoads(func(s *State) reportedLoad {
 		sum := reportedLoad{s.InFlight, s.PendingTokens}
-		if cell := sums[s]; cell != nil {
-			sum.add(cell.inFlight, cell.pendingTokens)
-		}
+		sum.add(cell[s].inFlight, cell[s].pendingTokens)
 		return sum
-	}, "", 0)
+	})
 }
 
-// sumLoads returns the endpoints' loads, plus sign times those of one peer, without the
-// endpoints that have none. The highest loads come first.
-func (c *Core) sumLoads(load func(*State) reportedLoad, peer string, sign int) []digest.Load {
-	own := map[*State]reportedLoad{}
-	for _, l := range c.peers[peer].loads {
-		if l.state.run == l.run {
-			own[l.state] = reportedLoad{sign * l.inFlight, sign * l.pendingTokens}
+// peerLoads returns the sum of the last loads of the given peers, without those of endpoints
+// that have restarted since.
+func (c *Core) peerLoads(addresses ...string) map[*State]reportedLoad {
+	sums := map[*State]reportedLoad{}
+	for _, address := range addresses {
+		for _, l := range c.peers[address].loads {
+			if l.state.run == l.run {
+				sum := sums[l.state]
+				sum.add(l.inFlight, l.pendingTokens)
+				sums[l.state] = sum
+			}
 		}
 	}
+	return sums
+}
+
+// listLoads returns the loads of the endpoints that have any, the highest first.
+func (c *Core) listLoads(load func(*State) reportedLoad) []digest.Load {
 	var loads []digest.Load
 	for _, s := range c.endpoints {
-		sum := load(s)
-		sum.add(own[s].inFlight, own[s].pendingTokens)
-		if sum.inFlight <= 0 {
-			continue
+		if sum := load(s); sum.inFlight > 0 {
+			loads = append(loads, digest.Load{Endpoint: s.id, Run: s.run, InFlight: clampUint16(sum.inFlight), PendingTokens: uint32(max(sum.pendingTokens, 0))})
 		}
-		loads = append(loads, digest.Load{Endpoint: s.id, Run: s.run, InFlight: clampUint16(sum.inFlight), PendingTokens: uint32(max(sum.pendingTokens, 0))})
 	}
 	slices.SortFunc(loads, compareLoads)
 	return loads
