--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -89,7 +89,7 @@
 		return err
 	}
 	k.Register(watch.ClientName, newDirectory(s, log), peer.PoolName)
-	k.Register("entry.grants", grants.NewHolderModule(s.Grants, clock.Boot), peer.PoolName)
+	k.Register("entry.grants", grants.NewHolderModule(s.Grants, false, clock.Boot), peer.PoolName)
 	k.Register("entry.journal", journal.NewClientModule(s.Journal), peer.PoolName)
 	k.Register("entry.engine", engine.NewModule(s.Engine))
 	k.Register("entry.routing", routing.NewModule(s.Routing, nil), watch.ClientName, "entry.engine", peer.ServerName, peer.PoolName)
--- a/internal/grants/module.go
+++ b/internal/grants/module.go
@@ -21,7 +21,6 @@
 	QueueTime time.Duration `ini:"queue_time" default:"300ms" doc:"how long a request may wait for tokens"`
 	OwnerWait time.Duration `ini:"owner_wait" default:"2s" doc:"how long a request may wait for tokens while the owner does not answer, as when it changes"`
 	MaxQueue  int           `ini:"queue_length" default:"64" doc:"requests of one client account that may wait"`
-	FallBack  bool          `ini:"-"` // see HolderOptions
 }
 
 // OwnerSettings is the section [grants] of a control VM's settings.
@@ -41,16 +40,18 @@
 
 // HolderModule is the module entry.grants, the Limiter of an entry VM.
 type HolderModule struct {
-	cfg    HolderSettings
-	now    clock.Clock
-	client *Client
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	cfg      HolderSettings
+	fallBack bool
+	now      clock.Clock
+	client   *Client
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
 }
 
-// NewHolderModule returns the module entry.grants.
-func NewHolderModule(cfg HolderSettings, now clock.Clock) *HolderModule {
-	return &HolderModule{cfg: cfg, now: now}
+// NewHolderModule returns the module entry.grants. fallBack is set if a FallbackLimiter decides
+// while the owner is away.
+func NewHolderModule(cfg HolderSettings, fallBack bool, now clock.Clock) *HolderModule {
+	return &HolderModule{cfg: cfg, fallBack: fallBack, now: now}
 }
 
 // Provision implements kernel.Module.
@@ -64,7 +65,7 @@
 	}
 	opt := HolderOptions{
 		Name: uuid.NewString(), Interval: m.cfg.Interval, Horizon: m.cfg.Horizon,
-		QueueTime: m.cfg.QueueTime, OwnerWait: m.cfg.OwnerWait, MaxQueue: m.cfg.MaxQueue, FallBack: m.cfg.FallBack,
+		QueueTime: m.cfg.QueueTime, OwnerWait: m.cfg.OwnerWait, MaxQueue: m.cfg.MaxQueue, FallBack: m.fallBack,
 	}
 	m.client = NewClient(opt, p.Leader(), k.Log.Named("grants"), m.now)
 	return nil
