--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -124,6 +124,7 @@
 
 // SetServers sets the servers to publish. Only the leader calls it.
 func (s *Service) SetServers(servers []fleet.Server) {
+	s.publish() // starts the directory of a new term, if needed, without servers to publish
 	s.mu.Lock()
 	s.pending = servers
 	s.mu.Unlock()
--- a/internal/fleetview/client_test.go
+++ b/internal/fleetview/client_test.go
@@ -25,6 +25,7 @@
 	control []fleetcontrol.ControlVM
 	reply   func(*fleetcontrol.PollArgs) fleetcontrol.PollReply
 	polls   atomic.Int64
+	lost    atomic.Bool // the replica has lost the leader: its state is a minute old
 }
 
 func (r *fakeReplica) Poll(args *fleetcontrol.PollArgs, reply *fleetcontrol.PollReply) error {
@@ -35,6 +36,9 @@
 	}
 	*reply = r.reply(args)
 	reply.Serves, reply.Control, reply.Leader = true, r.control, r.leader
+	if r.lost.Load() {
+		reply.Age = time.Minute
+	}
 	if !reply.Changed {
 		time.Sleep(args.Hold)
 	}
@@ -113,23 +117,15 @@
 func TestReplicaThatLostTheLeaderIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		control := controlVMs("a", "b", "leader")
-		stale := func(args *fleetcontrol.PollArgs) fleetcontrol.PollReply {
-			r := document(5, "x")(args)
-			r.Age = time.Minute
-			return r
-		}
-		a := &fakeReplica{leader: "leader", control: control, reply: stale}
+		a := &fakeReplica{leader: "leader", control: control, reply: document(5, "x")}
+		a.lost.Store(true)
 		b := &fakeReplica{leader: "leader", control: control, reply: document(7, "xx")}
 		c := start(t, []string{"a", "b"}, map[string]*fakeReplica{"a": a, "b": b}, noList{})
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, c.View().Config.Version, int64(2))
 		assert.Assert(t, c.Age() <= 2*time.Second)
 		before := b.polls.Load()
-		b.reply = func(args *fleetcontrol.PollArgs) fleetcontrol.PollReply {
-			r := document(7, "xx")(args)
-			r.Age = time.Minute
-			return r
-		}
+		b.lost.Store(true)
 		time.Sleep(4 * time.Second)
 		assert.Assert(t, c.Age() > controlTimeout)
 		assert.Assert(t, a.polls.Load()+b.polls.Load()-before < 20, "polls are held")
--- a/internal/fleetview/scale_test.go
+++ b/internal/fleetview/scale_test.go
@@ -178,11 +178,16 @@
 	for i := range servers {
 		servers[i] = fleet.Server{ID: fmt.Sprint("i-", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i), Weights: []fleet.Weights{{Model: "m", Version: 1}}}
 	}
+	var replicas []*fleetcontrol.Service
 	for i := range scaleReplicas {
 		self := fleetcontrol.ControlVM{Address: replicaAddress(i), FailureDomain: fmt.Sprint("d", i%scaleDomains)}
 		machine := fleetcontrol.NewMachine(func([]byte) (*fleet.Config, error) { return &fleet.Config{}, nil }, time.Now)
-		g.services[self.Address] = fleetcontrol.NewService(self, machine, groupReplica{g, i}, caller{g, self.Address}, time.Now, zap.NewNop())
-		running.Go(func() { g.services[self.Address].Run(ctx) })
+		s := fleetcontrol.NewService(self, machine, groupReplica{g, i}, caller{g, self.Address}, time.Now, zap.NewNop())
+		g.services[self.Address] = s
+		replicas = append(replicas, s)
+	}
+	for _, s := range replicas {
+		running.Go(func() { s.Run(ctx) })
 	}
 	fleet.SortServers(servers)
 	g.services[replicaAddress(0)].SetServers(servers)
@@ -216,7 +221,7 @@
 	current(servers)
 	changed := slices.Clone(servers)
 	costs["change of one server"] = g.measure(func() {
-		changed[7].Draining = true
+		changed[7].Draining = true // an item of changed, which no VM has yet
 		g.services[replicaAddress(4)].SetServers(changed)
 		time.Sleep(observed)
 	})
