Encode the whole list of servers once for all its readers

All entry VMs read the whole list at once; each replica encoded 3,001 entries for each of 36 readers, replies took longer than the poll's timeout, and the readers asked the next replica for the same.

--- a/internal/fleetcontrol/directory.go
+++ b/internal/fleetcontrol/directory.go
@@ -74,6 +74,15 @@
 
 // since returns what a reader lacks. A reader whose term is newer has newer knowledge.
 func (d *directory) since(has position) update {
+	u := d.sinceWithoutServers(has)
+	if u.Servers.Full {
+		u.Servers.Set = d.servers.list()
+	}
+	return u
+}
+
+// sinceWithoutServers is since without the items of a whole list of servers.
+func (d *directory) sinceWithoutServers(has position) update {
 	if d.term < has.Term {
 		return update{Term: has.Term, Settled: has.Settled,
 			Servers: Delta[fleet.Server]{Version: has.Servers}, VMs: Delta[membership.VM]{Version: has.VMs}}
@@ -95,6 +104,9 @@
 	}
 	u := update{Term: d.term, Settled: d.settled, Servers: d.servers.since(min(servers, d.servers.version)), VMs: d.vms.since(min(vms, d.vms.version))}
 	u.Servers.Version, u.VMs.Version = max(u.Servers.Version, servers), max(u.VMs.Version, vms)
+	if u.VMs.Full {
+		u.VMs.Set = d.vms.list()
+	}
 	u.Control, u.Former = d.control, d.former
 	return u
 }
--- a/internal/fleetcontrol/feed.go
+++ b/internal/fleetcontrol/feed.go
@@ -74,21 +74,22 @@
 	}
 }
 
-// since returns what a reader with the given version lacks; 0 if it has no list.
+// since returns what a reader with the given version lacks; 0 if it has no list. If that is the
+// whole list, Set is left empty.
 func (f *feed[T]) since(version uint64) Delta[T] {
 	d := Delta[T]{Version: f.version}
 	if f.version == 0 || version == f.version {
 		return d
 	}
 	d.Full = version == 0 || version < f.forgotten || version > f.version
+	if d.Full {
+		return d
+	}
 	for _, v := range f.items {
-		if d.Full || v.changedAt > version {
+		if v.changedAt > version {
 			d.Set = append(d.Set, v.item)
 		}
 	}
-	if d.Full {
-		return d
-	}
 	for _, r := range f.removed {
 		if _, back := f.items[r.key]; r.removedAt > version && !back {
 			d.Removed = append(d.Removed, r.key)
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -1,7 +1,9 @@
 package fleetcontrol
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +14,7 @@
 	"eelgrasshollow/internal/membership"
 	"eelgrasshollow/internal/peer"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -72,6 +75,8 @@
 	Named    map[string][]TargetVersionAge
 	Servers  Delta[fleet.Server]
 	VMs      Delta[membership.VM]
+	// FullServers is the encoded Servers.Set of a whole list; see Unpack.
+	FullServers []byte
 	// Settled is true if the list of VMs is complete, so that VMs not listed are down. A new
 	// leader has not heard of every VM yet.
 	Settled bool
@@ -79,6 +84,15 @@
 	Leader  string // peer address of the leader, or "" if unknown
 }
 
+// Unpack decodes FullServers into Servers.Set.
+func (r *PollReply) Unpack() error {
+	if r.FullServers == nil {
+		return nil
+	}
+	err := gob.NewDecoder(bytes.NewReader(r.FullServers)).Decode(&r.Servers.Set)
+	return errors.Wrap(err, "decode the list of servers")
+}
+
 // TargetVersionAge is a target weights version and the time since it became the target.
 type TargetVersionAge struct {
 	Version int64
@@ -106,6 +120,9 @@
 	termStart   time.Time // when this replica started to write the directory
 	leader      string    // peer address of the leader that held polls know of
 	controlVMs  map[string]reportedControl
+	fullServers []byte // encoded list of servers of fullVersion in fullTerm
+	fullTerm    uint64
+	fullVersion uint64
 }
 
 // reportedControl is a control VM and the time of its last report to the leader.
@@ -278,8 +295,11 @@
 	}
 	reply.Serves, reply.Age = true, s.now().Sub(freshAsOf)
 	has := position{Term: args.Term, Servers: args.Servers, VMs: args.VMs, Settled: args.Settled}
-	u := s.directory.since(has)
+	u := s.directory.sinceWithoutServers(has)
 	reply.Term, reply.Servers, reply.VMs, reply.Settled = u.Term, u.Servers, u.VMs, u.Settled
+	if reply.Servers.Full {
+		reply.FullServers = s.encodedServers()
+	}
 	reply.Revision = state.Revision
 	if state.Revision > args.Revision {
 		s.fillState(state, reply)
@@ -287,6 +307,20 @@
 	return s.changed, u.news(has) || reply.Changed || leader != "" && leader != args.Leader
 }
 
+// encodedServers returns the whole list of servers, encoded once for each version: after a
+// restart all entry VMs read it at the same time. The caller holds the mutex.
+func (s *Service) encodedServers() []byte {
+	servers := s.directory.servers
+	if s.fullServers == nil || s.fullTerm != s.directory.term || s.fullVersion != servers.version {
+		var b bytes.Buffer
+		if err := gob.NewEncoder(&b).Encode(servers.list()); err != nil {
+			s.log.Error("list of servers not encoded", zap.Error(err))
+		}
+		s.fullServers, s.fullTerm, s.fullVersion = b.Bytes(), s.directory.term, servers.version
+	}
+	return s.fullServers
+}
+
 // fillState writes the replicated state into the reply.
 func (s *Service) fillState(state *State, reply *PollReply) {
 	reply.Changed, reply.Document, reply.Weights = true, state.Document, state.TargetVersions
--- a/internal/fleetcontrol/service_test.go
+++ b/internal/fleetcontrol/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -147,6 +148,7 @@
 			s.SetServers([]fleet.Server{{ID: "i"}})
 		}()
 		assert.Equal(t, poll(), 200*time.Millisecond)
+		assert.NilError(t, reply.Unpack())
 		assert.Equal(t, len(reply.Servers.Set), 1)
 		assert.Assert(t, !reply.Changed, "the document is not sent again")
 	})
@@ -282,3 +284,41 @@
 		<-done
 	})
 }
+
+// The pattern: after a restart all entry VMs read the whole list of some thousand servers at the
+// same time. It must be encoded once for each version, not for each reader.
+func TestWholeListIsEncodedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeReplica(true)
+		s := newTestService(r)
+		var servers []fleet.Server
+		for i := range 3000 {
+			servers = append(servers, fleet.Server{ID: fmt.Sprint("i-", i), Address: "x"})
+		}
+		s.SetServers(servers)
+		time.Sleep(publishInterval)
+		s.publish()
+		read := func() *PollReply {
+			reply := &PollReply{}
+			assert.NilError(t, s.Poll(&PollArgs{VM: vm("e")}, reply))
+			return reply
+		}
+		first, second := read(), read()
+		assert.Assert(t, &first.FullServers[0] == &second.FullServers[0], "encoded again")
+		assert.Equal(t, len(first.Servers.Set), 0)
+		assert.NilError(t, first.Unpack())
+		assert.Equal(t, len(first.Servers.Set), 3000)
+		servers[7].Draining = true
+		time.Sleep(publishInterval)
+		s.SetServers(servers)
+		third := read()
+		assert.NilError(t, third.Unpack())
+		draining := 0
+		for _, server := range third.Servers.Set {
+			if server.Draining {
+				draining++
+			}
+		}
+		assert.Equal(t, draining, 1)
+	})
+}
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -33,8 +33,10 @@
 const ModuleName = "entry.directory"
 
 const (
-	// pollTimeout limits one poll, in addition to its hold.
-	pollTimeout = 700 * time.Millisecond
+	// pollTimeout limits one poll, in addition to its hold. The first one, which carries whole
+	// lists while all other VMs may read them too, has longer.
+	pollTimeout      = 700 * time.Millisecond
+	firstPollTimeout = 4 * time.Second
 	// retryPause is the mean wait after a failed poll.
 	retryPause = 100 * time.Millisecond
 	// maxReplicaAge is the age of a replica's state from which on this VM polls another one:
@@ -243,11 +245,18 @@
 	}
 	args, address := c.args(), c.replicas.current()
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, args.Hold+pollTimeout)
+	timeout := args.Hold + pollTimeout
+	if args.Servers == 0 {
+		timeout = args.Hold + firstPollTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := c.cfg.Now()
 	var reply fleetcontrol.PollReply
 	err := c.peers.Call(ctx, address, fleetcontrol.ServiceName+".Poll", args, &reply)
+	if err == nil {
+		err = reply.Unpack()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
