--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -96,6 +96,9 @@
 	loadedBytes    = 4 + 4
 	placementBytes = 4 + 8
 	headerBytes    = 2 + 2 + 2 + 2 + 2
+
+	// MaxNewsBytes is the greatest encoded size of a placement, an eviction or loaded weights.
+	MaxNewsBytes = placementBytes
 )
 
 // Size returns the length of the encoded digest in bytes.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -48,10 +48,11 @@
 	slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(a.Key(), b.Key()) })
 }
 
-// SameServers reports whether two sorted lists are equal.
-func SameServers(a, b []Server) bool {
-	return slices.EqualFunc(a, b, func(x, y Server) bool {
-		return x.ID == y.ID && x.Service == y.Service && x.Address == y.Address && x.FailureDomain == y.FailureDomain &&
-			x.Slots == y.Slots && x.Draining == y.Draining && x.Changing == y.Changing && slices.Equal(x.Weights, y.Weights)
-	})
+// Equal reports whether two servers are the same in all fields.
+func (s Server) Equal(o Server) bool {
+	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.FailureDomain == o.FailureDomain &&
+		s.Slots == o.Slots && s.Draining == o.Draining && s.Changing == o.Changing && slices.Equal(s.Weights, o.Weights)
 }
+
+// SameServers reports whether two sorted lists are equal.
+func SameServers(a, b []Server) bool { return slices.EqualFunc(a, b, Server.Equal) }
--- a/internal/fleetcontrol/directory.go
+++ b/internal/fleetcontrol/directory.go
@@ -38,7 +38,7 @@
 
 func newDirectory() *directory {
 	return &directory{
-		servers: newFeed(fleet.Server.Key, func(a, b fleet.Server) bool { return fleet.SameServers([]fleet.Server{a}, []fleet.Server{b}) }),
+		servers: newFeed(fleet.Server.Key, fleet.Server.Equal),
 		vms:     newFeed(VMKey, func(a, b membership.VM) bool { return a == b }),
 	}
 }
@@ -95,19 +95,14 @@
 		if has.Term != d.former.Term || has.VMs > d.former.VMs {
 			vms = 0
 		}
-	} else if has.Servers > d.servers.version || has.VMs > d.vms.version {
-		// The reader has been at a replica that is ahead of this one in the same term.
-		servers, vms = max(servers, d.servers.version), max(vms, d.vms.version)
 	}
 	if d.settled && !has.Settled {
 		vms = 0
 	}
-	u := update{Term: d.term, Settled: d.settled, Servers: d.servers.since(min(servers, d.servers.version)), VMs: d.vms.since(min(vms, d.vms.version))}
-	u.Servers.Version, u.VMs.Version = max(u.Servers.Version, servers), max(u.VMs.Version, vms)
+	u := update{Term: d.term, Settled: d.settled, Servers: d.servers.since(servers), VMs: d.vms.since(vms), Control: d.control, Former: d.former}
 	if u.VMs.Full {
 		u.VMs.Set = d.vms.list()
 	}
-	u.Control, u.Former = d.control, d.former
 	return u
 }
 
--- a/internal/fleetcontrol/feed.go
+++ b/internal/fleetcontrol/feed.go
@@ -75,13 +75,14 @@
 }
 
 // since returns what a reader with the given version lacks; 0 if it has no list. If that is the
-// whole list, Set is left empty.
+// whole list, Set is left empty. A reader that has been at a replica ahead of this one lacks
+// nothing and keeps its version.
 func (f *feed[T]) since(version uint64) Delta[T] {
-	d := Delta[T]{Version: f.version}
-	if f.version == 0 || version == f.version {
+	d := Delta[T]{Version: max(version, f.version)}
+	if version >= f.version {
 		return d
 	}
-	d.Full = version == 0 || version < f.forgotten || version > f.version
+	d.Full = version == 0 || version < f.forgotten
 	if d.Full {
 		return d
 	}
--- a/internal/fleetcontrol/service.go
+++ b/internal/fleetcontrol/service.go
@@ -159,7 +159,6 @@
 func (s *Service) publish() {
 	term, leads := s.replica.Leading()
 	now := s.now()
-	vms, _ := s.vmTable.VMs(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !leads {
@@ -179,8 +178,9 @@
 	if s.pending != nil && s.directory.servers.set(s.pending) {
 		changed = true
 	}
+	vms, _ := s.vmTable.VMs(now)
 	if !settled {
-		vms = withMissing(vms, s.directory.vms.list())
+		vms = membership.Union(vms, s.directory.vms.list())
 	}
 	before := len(s.directory.vms.items)
 	if s.directory.vms.set(vms) {
@@ -210,21 +210,6 @@
 	}
 }
 
-// withMissing returns vms and those of known whose names are not among them.
-func withMissing(vms, known []membership.VM) []membership.VM {
-	names := make(map[string]bool, len(vms))
-	for _, vm := range vms {
-		names[vm.Name] = true
-	}
-	all := slices.Clone(vms)
-	for _, vm := range known {
-		if !names[vm.Name] {
-			all = append(all, vm)
-		}
-	}
-	return all
-}
-
 // updateControl updates the list of control VMs: those that reported lately and this one. It
 // reports whether the list has changed. The caller holds the mutex.
 func (s *Service) updateControl(now time.Time) bool {
--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -11,7 +11,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -324,7 +323,10 @@
 	if reply.VMs.Changes() {
 		// VMs that a new leader has not heard of yet are kept until its list is complete.
 		received := fleetcontrol.ApplyDelta(next.VMs, reply.VMs, fleetcontrol.VMKey)
-		next.VMs = mergeVMs(next.VMs, received, reply.Settled || !reply.VMs.Full)
+		if reply.VMs.Full && !reply.Settled {
+			received = membership.Union(received, next.VMs)
+		}
+		next.VMs = received
 	}
 	c.expire(&next)
 	c.term, c.serversVersion, c.vmsVersion = reply.Term, reply.Servers.Version, reply.VMs.Version
@@ -334,21 +336,6 @@
 	c.wake()
 }
 
-// mergeVMs returns the list of VMs after a new list was received. VMs of the old list that are
-// missing in the new one are kept if the new one is not complete.
-func mergeVMs(old, received []membership.VM, complete bool) []membership.VM {
-	if complete {
-		return received
-	}
-	all := slices.Clone(received)
-	for _, vm := range old {
-		if !slices.ContainsFunc(received, func(r membership.VM) bool { return r.Name == vm.Name }) {
-			all = append(all, vm)
-		}
-	}
-	return all
-}
-
 // wake closes the channel that Changed returned; the caller holds the mutex.
 func (c *Client) wake() {
 	close(c.changed)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -182,3 +182,18 @@
 	}
 	return slices.Compact(names), true
 }
+
+// Union returns the VMs of newer, and those of older whose names are not among them.
+func Union(newer, older []VM) []VM {
+	names := make(map[string]bool, len(newer))
+	for _, vm := range newer {
+		names[vm.Name] = true
+	}
+	all := slices.Clone(newer)
+	for _, vm := range older {
+		if !names[vm.Name] {
+			all = append(all, vm)
+		}
+	}
+	return all
+}
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -63,9 +63,6 @@
 	}
 }
 
-// Skip makes the next replica the first to call.
-func (l *LeaderClient) Skip() { l.advance(l.currentAddress()) }
-
 // Call tries the last known leader first, then the other replicas, until ctx ends. It tries
 // another replica only if the call was certainly not executed: the replica is unreachable or
 // is not the leader.
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -100,7 +100,7 @@
 		if !wanted(item.origin) {
 			continue
 		}
-		if d.Size()+placementSize > maxBytes {
+		if d.Size()+digest.MaxNewsBytes > maxBytes {
 			return first + uint64(start+i)
 		}
 		switch item.kind {
@@ -115,9 +115,6 @@
 	return h.next
 }
 
-// placementSize is at least the encoded size of one news item, in bytes.
-const placementSize = 12
-
 // expireMembers forgets VMs that exchange digests with another relay now, or with none.
 func (h *relayHub) expireMembers(now time.Time) {
 	for address, last := range h.members {
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -237,8 +237,7 @@
 
 // expirePeers removes the peers whose digests have stopped.
 func (c *Core) expirePeers(now time.Time) {
-	timeout := minPeerTimeout
-	timeout = max(timeout, peerTimeoutRounds*c.digestRound())
+	timeout := max(minPeerTimeout, peerTimeoutRounds*c.digestRound())
 	expired := false
 	for name, view := range c.peers {
 		if now.Sub(view.receivedAt) > timeout {
--- a/internal/routing/topology.go
+++ b/internal/routing/topology.go
@@ -44,11 +44,8 @@
 func newTopology(self string, vms []watch.VM, digestCalls float64) topology {
 	t := topology{vms: len(vms)}
 	domains := map[string]int{}
-	domain := ""
 	for _, vm := range vms {
-		if vm.PeerAddress == self {
-			domain = vm.FailureDomain
-		} else if vm.PeerAddress != "" {
+		if vm.PeerAddress != "" && vm.PeerAddress != self {
 			t.direct = append(t.direct, vm.PeerAddress)
 		}
 		domains[vm.FailureDomain]++
@@ -68,7 +65,7 @@
 		count := domains[vm.FailureDomain]
 		c := cell{vm.FailureDomain, cellOf(vm, (count+cellSize-1)/cellSize)}
 		if vm.PeerAddress == self {
-			own = cell{domain, c.number}
+			own = c
 		}
 		if vm.PeerAddress == "" || vm.Leaving {
 			continue
