Obey endpoints that leave or ask for a pause

A server that stops states so in all its responses, and one that refuses with status 503 may name a time in which it wants nothing from this VM.

Routing keeps both for one incarnation of the endpoint, over lists that call it ready or leave it out, and places what is queued there again. While all endpoints pause, a request waits for the first to return if that is within its wait; others are refused at once with that time, spread. After a pause the endpoint fills gradually. Whether a refused request has run is read apart from the pause, and a pause does not count as a failure. Times are of CLOCK_BOOTTIME.

The platform's adapter and the product's own engine interface only read the headers; stand-ins have both as faults. Tests fail to compile before: the type Notice is new.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -18,6 +18,7 @@
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/liveness"
+	"eelgrasshollow/internal/retryafter"
 
 	"github.com/cockroachdb/errors"
 )
@@ -43,6 +44,23 @@
 	ContentType string
 	Incarnation string
 	Body        []byte
+	Notice      Notice
+}
+
+// Notice is what an endpoint states about itself in the header of a response.
+type Notice struct {
+	Leaving  bool          // it will stop and takes no new requests
+	PauseFor time.Duration // how long it wants no requests
+}
+
+// noticeOf returns the notice of a response. A malformed time of a pause is ignored, and the
+// response then counts as a refusal without a pause.
+func noticeOf(response *http.Response) Notice {
+	n := Notice{Leaving: response.Header.Get(engineapi.HeaderLeaving) == engineapi.HeaderLeavingValue}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		n.PauseFor, _ = retryafter.Parse(response.Header, time.Now()) // the valid values, if there are any
+	}
+	return n
 }
 
 // Dial opens a connection to an address.
@@ -149,6 +167,7 @@
 		ContentType: response.Header.Get("Content-Type"),
 		Incarnation: response.Header.Get(engineapi.HeaderIncarnation),
 		Body:        body,
+		Notice:      noticeOf(response),
 	}, nil
 }
 
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -20,6 +20,7 @@
 type Stream struct {
 	Status      int
 	Incarnation string
+	Notice      Notice
 	// Response is the whole response if Status is not 200 or the response is not an event
 	// stream; nil otherwise.
 	Response *Response
@@ -46,7 +47,8 @@
 	}
 	s := &Stream{
 		Status: response.StatusCode, Incarnation: response.Header.Get(engineapi.HeaderIncarnation),
-		ctx: ctx, cancel: cancel, body: response.Body, timer: timer, silence: c.settings.SilenceTimeout,
+		Notice: noticeOf(response),
+		ctx:    ctx, cancel: cancel, body: response.Body, timer: timer, silence: c.settings.SilenceTimeout,
 	}
 	if response.StatusCode == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		s.events = NewEventReader(response.Body, int(c.settings.MaxEvent))
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -29,6 +29,11 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderIdempotencyKey lets a plain service detect a repeated request.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderLeaving is HeaderLeavingValue in every response of an endpoint that will stop and
+	// takes no new requests. An endpoint that refuses with status 503 may add Retry-After: it
+	// wants no request from this VM for that time.
+	HeaderLeaving      = "X-Endpoint-Leaving"
+	HeaderLeavingValue = "1"
 	// HeaderLastEventID carries the last stream position that the client received.
 	HeaderLastEventID = "Last-Event-ID"
 )
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -51,8 +51,9 @@
 func (o oneEndpoint) Decision() routing.Decision {
 	return routing.Decision{Endpoint: "engine", Address: o.address}
 }
-func (oneEndpoint) Started()            {}
-func (oneEndpoint) Done(routing.Result) {}
+func (oneEndpoint) Started()              {}
+func (oneEndpoint) Notify(routing.Notice) {}
+func (oneEndpoint) Done(routing.Result)   {}
 
 // serveOn serves a handler on a loopback address until the benchmark ends.
 func serveOn(b *testing.B, s *http.Server) string {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -162,6 +162,7 @@
 	endpoints []routing.Decision
 	requests  []routing.Request
 	results   []routing.Result
+	notices   []routing.Notice
 }
 
 func (r *fakeRouter) Pick(_ context.Context, q routing.Request) (routing.Ticket, error) {
@@ -190,6 +191,13 @@
 
 func (t *fakeTicket) Decision() routing.Decision { return t.d }
 func (t *fakeTicket) Started()                   {}
+func (t *fakeTicket) Notify(n routing.Notice) {
+	t.r.mu.Lock()
+	defer t.r.mu.Unlock()
+	if !n.Empty() {
+		t.r.notices = append(t.r.notices, n)
+	}
+}
 func (t *fakeTicket) Done(result routing.Result) {
 	t.r.mu.Lock()
 	defer t.r.mu.Unlock()
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -120,6 +120,9 @@
 	call := p.call
 	call.Address = d.Address
 	response, err := do(call)
+	if response != nil {
+		ticket.Notify(noticeFrom(response.Incarnation, response.Notice))
+	}
 	if err == nil && response.Status == http.StatusOK && len(response.Body) == 0 && !f.settings.PlainEmptyOK {
 		err = errkind.New(errkind.EndpointFailed, "service responded with status 200 and an empty body")
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -83,6 +83,11 @@
 	return a.relayStream(call, d)
 }
 
+// noticeFrom returns an endpoint's notice in the form that routing takes.
+func noticeFrom(incarnation string, n engine.Notice) routing.Notice {
+	return routing.Notice{Incarnation: incarnation, Leaving: n.Leaving, PauseFor: n.PauseFor}
+}
+
 // relayWhole relays a response that is not a stream.
 func (a *attempt) relayWhole(call engine.Call) error {
 	f, j := a.front, a.job
@@ -94,6 +99,7 @@
 		return err
 	}
 	a.incarnation = response.Incarnation
+	a.ticket.Notify(noticeFrom(response.Incarnation, response.Notice))
 	if response.Status != http.StatusOK {
 		return refusalError(response)
 	}
@@ -118,6 +124,7 @@
 	}
 	defer stream.Close()
 	a.incarnation = stream.Incarnation
+	a.ticket.Notify(noticeFrom(stream.Incarnation, stream.Notice))
 	if stream.Response != nil {
 		if stream.Status == http.StatusOK {
 			return errkind.New(errkind.EndpointFailed, "engine response with status 200 is not an event stream")
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -141,5 +141,8 @@
 // Started does nothing.
 func (nopTicket) Started() {}
 
+// Notify does nothing.
+func (nopTicket) Notify(routing.Notice) {}
+
 // Done does nothing.
 func (nopTicket) Done(routing.Result) {}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -13,7 +13,10 @@
 	Address       string
 	FailureDomain string
 	Slots         int
-	Draining      bool
+	// StartedAt is when the server's process started, in Unix milliseconds by its own clock; 0
+	// if unknown. A server may start again under the same ID and address.
+	StartedAt int64
+	Draining  bool
 	// Changing is true while the server loads other weights; it gets no requests meanwhile.
 	Changing bool
 	Weights  []Weights
@@ -32,6 +35,14 @@
 // key.
 func (s Server) Key() string { return s.ID + "@" + s.Address }
 
+// Incarnation identifies one run of the server's process, as far as it is known.
+func (s Server) Incarnation() string {
+	if s.StartedAt == 0 {
+		return s.ID
+	}
+	return s.ID + "/" + strconv.FormatInt(s.StartedAt, 10)
+}
+
 // WeightsVersion returns the version of a model's weights on the server; ok is false if the
 // server has not loaded the model.
 func (s Server) WeightsVersion(model string) (version int64, ok bool) {
@@ -51,7 +62,7 @@
 // Equal reports whether two servers are the same in all fields.
 func (s Server) Equal(o Server) bool {
 	return s.ID == o.ID && s.Service == o.Service && s.Address == o.Address && s.FailureDomain == o.FailureDomain &&
-		s.Slots == o.Slots && s.Draining == o.Draining && s.Changing == o.Changing && slices.Equal(s.Weights, o.Weights)
+		s.Slots == o.Slots && s.StartedAt == o.StartedAt && s.Draining == o.Draining && s.Changing == o.Changing && slices.Equal(s.Weights, o.Weights)
 }
 
 // SameServers reports whether two sorted lists are equal.
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -91,7 +91,7 @@
 // endpoint returns a server in the form that routing uses.
 func (v *View) endpoint(s fleet.Server) routing.Endpoint {
 	e := routing.Endpoint{
-		Name: s.Key(), KnownIncarnation: s.ID, Address: s.Address, FailureDomain: s.FailureDomain, Service: s.Service,
+		Name: s.Key(), KnownIncarnation: s.Incarnation(), Address: s.Address, FailureDomain: s.FailureDomain, Service: s.Service,
 		Leaving: v.unused(s), MaxConcurrent: s.Slots, CacheCapacityTokens: v.cacheTokens(s.Service),
 	}
 	for _, w := range s.Weights {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -145,17 +145,24 @@
 		attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
 	}
 	x.server, x.decision = attempt.Server, decision
-	reply, err := g.Upstream.Send(ctx, attempt)
-	if err == nil && reply.WrongWeights && attempt.Weights > 0 && g.mayRetry(x) {
+	send := func() (*Reply, error) {
+		reply, err := g.Upstream.Send(ctx, attempt)
+		if err == nil && !reply.WrongServer {
+			ticket.Notify(routing.Notice{Incarnation: decision.Incarnation, Leaving: reply.Leaving, PauseFor: reply.PauseFor})
+		}
+		return reply, err
+	}
+	reply, err := send()
+	if err == nil && reply.WrongWeights && !reply.Leaving && attempt.Weights > 0 && g.mayRetry(x) {
 		// The server's weights have changed since the last status check, and it has not
 		// run the request. Its cache contents are unknown, so the request is sent again
 		// with a cache namespace of its own.
 		_ = reply.Body.Close() // the text of the refusal is not used
 		attempt.Weights, attempt.ImportFrom, attempt.SaveTo, attempt.CacheSalt, attempt.TimeLeft = 0, "", "", x.ID, time.Until(x.deadline)
 		x.sends.Add(-1)
-		reply, err = g.Upstream.Send(ctx, attempt)
+		reply, err = send()
 	}
-	result := routing.Result{Incarnation: attempt.Server, CacheUnknown: true, PromptTokens: x.Prompt.Tokens}
+	result := routing.Result{Incarnation: decision.Incarnation, CacheUnknown: true, PromptTokens: x.Prompt.Tokens}
 	defer func() { ticket.Done(result) }()
 	if err == nil {
 		defer func() { _ = reply.Body.Close() }() // the unread rest is not used
@@ -169,6 +176,10 @@
 			x.mayHaveRun = true
 		}
 		result.Err = errkind.Of(err)
+		if reply != nil && reply.PauseFor > 0 {
+			// The server works and asks for less, whether or not it ran this request.
+			result.Err = errkind.New(errkind.Overloaded, "server asked for a pause")
+		}
 		if x.ctx.Err() != nil {
 			// The request timed out or the client disconnected, which is not the server's
 			// failure.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,6 +42,7 @@
 	servers     []string
 	waitForever bool
 	done        []routing.Result
+	notices     []routing.Notice
 }
 
 type fakeTicket struct {
@@ -64,6 +65,7 @@
 
 func (p fakeTicket) Decision() routing.Decision { return p.d }
 func (p fakeTicket) Started()                   {}
+func (p fakeTicket) Notify(n routing.Notice)    { p.r.notices = append(p.r.notices, n) }
 func (p fakeTicket) Done(r routing.Result)      { p.r.done = append(p.r.done, r) }
 
 // fakeUpstream replies according to the server's address and records the attempts.
@@ -393,3 +395,52 @@
 		assert.Equal(t, g.configWaiters.Load(), int32(0))
 	})
 }
+
+// A server's statement that it leaves, or that it wants a pause, is passed on to routing with
+// the head of the response, also if the response later breaks off.
+func TestServerNoticesReachRouting(t *testing.T) {
+	leavingThenBroken := func(ctx context.Context, a Attempt) (*Reply, error) {
+		r, err := replyThenReset("id: 1\ndata: x\n\n", true)(ctx, a)
+		r.Leaving = true
+		return r, err
+	}
+	paused := func(ctx context.Context, a Attempt) (*Reply, error) {
+		r, err := refuseNotRun(ctx, a)
+		r.PauseFor = 2 * time.Second
+		return r, err
+	}
+	g, _ := newGateway(t, setup{kind: fleet.Stream, resumable: true, attempts: 3, budget: 9, servers: servers{
+		"a": paused, "b": leavingThenBroken, "c": reply(200, "id: 2\ndata: y\n\n", true),
+	}}, zap.NewNop())
+	assert.Assert(t, g.Serve(t.Context(), httptest.NewRecorder(), newRequest()))
+	router := g.Router.(*fakeRouter)
+	assert.Equal(t, router.notices[0].PauseFor, 2*time.Second)
+	assert.Assert(t, router.notices[1].Leaving)
+	assert.Equal(t, router.done[0].Err.Kind, errkind.Overloaded)
+}
+
+// A pause does not say whether the request has run. Only the server's explicit statement
+// allows another attempt of a request that may run once, and a status that promises not-run.
+func TestPauseWithoutNotRunPromisesNothing(t *testing.T) {
+	pausedMayHaveRun := func(_ context.Context, a Attempt) (*Reply, error) {
+		a.OnSend()
+		return &Reply{Status: 503, PauseFor: time.Second, Body: http.NoBody}, nil
+	}
+	g, up := newGateway(t, setup{kind: fleet.NonIdempotent, attempts: 3, budget: 9, servers: servers{"a": pausedMayHaveRun, "b": reply(200, "x", false)}}, zap.NewNop())
+	w := httptest.NewRecorder()
+	g.Serve(t.Context(), w, newRequest())
+	assert.Equal(t, len(up.sent), 1)
+	assert.Equal(t, w.Code, http.StatusBadGateway)
+	assert.Equal(t, g.Router.(*fakeRouter).done[0].Err.Kind, errkind.Overloaded, "the pause is not the server's failure")
+}
+
+// A server that leaves is not sent the request again, even if it only refused its weights.
+func TestLeavingServerWithOtherWeightsIsNotAskedAgain(t *testing.T) {
+	leaving := func(_ context.Context, a Attempt) (*Reply, error) {
+		a.OnSend()
+		return &Reply{Status: 421, NotRun: true, WrongWeights: true, Leaving: true, Body: http.NoBody}, nil
+	}
+	_, up, _ := run(t, setup{kind: fleet.Stream, attempts: 2, budget: 9, servers: servers{"a": leaving, "b": reply(200, "id: 1\ndata: x\n\n", true)}})
+	assert.Equal(t, len(up.sent), 2)
+	assert.Equal(t, up.sent[1].Address, "b")
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -103,8 +103,12 @@
 	// WrongWeights that the server runs a version other than Attempt.Weights. In both cases
 	// the request has not run.
 	WrongServer, WrongWeights bool
-	Stream                    bool
-	Body                      io.ReadCloser
+	// Leaving reports that the server will stop and takes no new requests. PauseFor is how
+	// long it asks to receive nothing from this VM.
+	Leaving  bool
+	PauseFor time.Duration
+	Stream   bool
+	Body     io.ReadCloser
 }
 
 // Upstream sends requests to servers.
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -80,5 +80,7 @@
 	Decision() Decision
 	// Started records that the first token has arrived.
 	Started()
+	// Notify records what the endpoint states about itself in the header of its response.
+	Notify(Notice)
 	Done(Result)
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -51,18 +51,19 @@
 	stores           []*storeState
 	retries          retryBudget
 	peers            map[string]peerView
-	newPlacements    []digest.Placement   // for the next digest
-	evictions        []digest.Placement   // for the next digest
-	digestUrgent     bool                 // see DigestUrgent
-	parked           []*Pending           // wait for an endpoint to recover
-	matches          []cacheindex.Match   // scratch: matches of the request's chain
-	storeMatches     []cacheindex.Match   // scratch: matches of a chain keyed by weights
-	candidates       []Candidate          // scratch
-	scoreBuffer      []float64            // scratch
-	branchPoints     []int                // scratch
-	targetVersions   map[string]string    // weights version by model
-	previousVersions map[string]string    // weights version by model
-	tokenCosts       map[string]tokenCost // by service
+	newPlacements    []digest.Placement      // for the next digest
+	evictions        []digest.Placement      // for the next digest
+	digestUrgent     bool                    // see DigestUrgent
+	parked           []*Pending              // wait for an endpoint to recover
+	formerNotices    map[string]formerNotice // by name of an endpoint that is no longer listed
+	matches          []cacheindex.Match      // scratch: matches of the request's chain
+	storeMatches     []cacheindex.Match      // scratch: matches of a chain keyed by weights
+	candidates       []Candidate             // scratch
+	scoreBuffer      []float64               // scratch
+	branchPoints     []int                   // scratch
+	targetVersions   map[string]string       // weights version by model
+	previousVersions map[string]string       // weights version by model
+	tokenCosts       map[string]tokenCost    // by service
 }
 
 // NewCore returns a core without endpoints.
@@ -72,7 +73,8 @@
 		index:  cacheindex.New(limits.TrackedPrefixes, now),
 		byName: map[string]*State{},
 		peers:  map[string]peerView{}, previousVersions: map[string]string{}, tokenCosts: map[string]tokenCost{},
-		retries: retryBudget{share: limits.RetryShare, burst: limits.RetryBurst, tokens: limits.RetryBurst},
+		formerNotices: map[string]formerNotice{},
+		retries:       retryBudget{share: limits.RetryShare, burst: limits.RetryBurst, tokens: limits.RetryBurst},
 	}
 }
 
@@ -102,6 +104,7 @@
 		if e.KnownIncarnation != "" {
 			c.RecordIncarnation(s, e.KnownIncarnation)
 		}
+		c.restoreNotice(now, s)
 		for _, m := range e.Models {
 			c.byModel[m] = append(c.byModel[m], s)
 		}
@@ -114,6 +117,7 @@
 	}
 	for _, s := range previous {
 		s.removed = true
+		c.keepNotice(now, s)
 		c.index.ClearEndpoint(s.index)
 		c.freeIndexes = append(c.freeIndexes, s.index)
 		displaced = append(displaced, s.queue.RemoveSubmittedBefore(now.Add(time.Nanosecond))...)
@@ -172,7 +176,7 @@
 		c.park(now, p)
 		return
 	}
-	if c.admit(p, best.State) {
+	if c.admit(now, p, best.State) {
 		c.assign(now, p, best)
 	}
 }
@@ -200,7 +204,7 @@
 		return
 	}
 	best := c.decide(now, p)
-	if best == nil || best.State == s || best.State.InFlight >= best.State.limit(c.vmCount) || best.State.queue.Len() > 0 {
+	if best == nil || best.State == s || !c.hasSlot(now, best.State) || best.State.queue.Len() > 0 {
 		p.queuedAt = now
 		return
 	}
@@ -220,12 +224,12 @@
 // predicted wait in fair order. If the queue is full, it evicts a request of the account
 // with the most waiting tokens instead, or refuses the new one if that is the same
 // account.
-func (c *Core) admit(p *Pending, s *State) bool {
+func (c *Core) admit(now time.Time, p *Pending, s *State) bool {
 	if wait, late := c.missesDeadline(&p.Request, s); late {
 		c.refuse(p, overloaded(wait))
 		return false
 	}
-	if c.hasCapacity(&p.Request, s) {
+	if c.hasCapacity(now, &p.Request, s) {
 		return true
 	}
 	wait := c.predictedWait(&p.Request, s)
@@ -245,8 +249,8 @@
 
 // hasCapacity reports whether the endpoint has a free slot now, or a queue in which the
 // predicted wait is within the request's maximum.
-func (c *Core) hasCapacity(r *Request, s *State) bool {
-	if s.InFlight < s.limit(c.vmCount) && s.queue.Len() == 0 {
+func (c *Core) hasCapacity(now time.Time, r *Request, s *State) bool {
+	if c.hasSlot(now, s) && s.queue.Len() == 0 {
 		return true
 	}
 	return s.queue.Len() < c.limits.QueuePerEndpoint && c.predictedWait(r, s) <= c.maxWait(r)
@@ -277,7 +281,7 @@
 
 // dispatch sends queued requests while the endpoint has free slots.
 func (c *Core) dispatch(now time.Time, s *State) {
-	for s.InFlight < s.limit(c.vmCount) {
+	for c.hasSlot(now, s) {
 		p := s.queue.Pop()
 		if p == nil {
 			return
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -39,7 +39,7 @@
 	if len(c.candidates) == 0 {
 		return nil
 	}
-	c.preferWithCapacity(r)
+	c.preferWithCapacity(now, r)
 	for i := range c.candidates {
 		eval.CachedPieces = max(eval.CachedPieces, c.candidates[i].Match.CachedPieces)
 	}
@@ -85,10 +85,10 @@
 
 // preferWithCapacity drops the candidates that would refuse the request if at least one
 // other candidate would accept it.
-func (c *Core) preferWithCapacity(r *Request) {
+func (c *Core) preferWithCapacity(now time.Time, r *Request) {
 	withCapacity := 0
 	for i := range c.candidates {
-		if c.hasCapacity(r, c.candidates[i].State) {
+		if c.hasCapacity(now, r, c.candidates[i].State) {
 			c.candidates[withCapacity], c.candidates[i] = c.candidates[i], c.candidates[withCapacity]
 			withCapacity++
 		}
@@ -203,6 +203,7 @@
 // adoptRun makes run the current run of the endpoint and reports whether it is current
 // then. A run that has ended is not adopted.
 func (c *Core) adoptRun(s *State, run digest.Run) bool {
+	firstRun := s.run == 0
 	switch {
 	case s.removed:
 		return false
@@ -217,6 +218,9 @@
 	}
 	delete(c.byRun, digest.EndpointRunOf(s.id, s.run))
 	s.Incarnation, s.run, s.eventSeq, s.announced = "", run, 0, false
+	if !firstRun {
+		s.selfReport = selfReport{}
+	}
 	s.peerReported, s.PeerInFlight, s.PeerPendingTokens = reportedLoad{}, 0, 0
 	c.byRun[digest.EndpointRunOf(s.id, run)] = s
 	return true
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -66,6 +66,7 @@
 	PrefillPerToken time.Duration
 	ServiceTime     time.Duration
 
+	selfReport          selfReport
 	peerReported        reportedLoad // sum of the peers' last digests
 	costSamples         int          // responses that contributed to PrefillPerToken
 	peakInFlight        int          // most known requests since the last load report
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -52,7 +52,7 @@
 	}
 	r.module.mu.Lock()
 	defer r.module.mu.Unlock()
-	r.module.core.ApplyDigest(time.Now(), d)
+	r.module.core.ApplyDigest(r.module.now(), d)
 	if len(r.module.hub.members) > 0 {
 		r.module.hub.record(d.From, d) // for the cell that this VM relays to
 	}
@@ -66,7 +66,7 @@
 	}
 	r.module.mu.Lock()
 	defer r.module.mu.Unlock()
-	reply.Body = r.module.core.RecallDigest(time.Now(), r.module.self(), min(args.Bytes, maxRecallBytes)).Encode()
+	reply.Body = r.module.core.RecallDigest(r.module.now(), r.module.self(), min(args.Bytes, maxRecallBytes)).Encode()
 	return nil
 }
 
@@ -238,7 +238,7 @@
 	}
 	x.module.mu.Lock()
 	defer x.module.mu.Unlock()
-	x.module.core.ApplyDigest(time.Now(), d)
+	x.module.core.ApplyDigest(x.module.now(), d)
 }
 
 func (x *digestExchange) acquire(address string) bool {
--- a/internal/routing/exchange_test.go
+++ b/internal/routing/exchange_test.go
@@ -105,7 +105,7 @@
 	k.Register(peer.ServerName, &memoryServer{net: net, address: address})
 	k.Register(peer.PoolName, &memoryPool{net: net})
 	k.Register("entry.engine", source)
-	m := NewModule(Settings{QueuePerEndpoint: 8, LongestWait: time.Second, TrackedPrefixes: 1000, DigestEvery: 100 * time.Millisecond, DigestBytes: 1024, LoadEvery: 500 * time.Millisecond}, nil)
+	m := NewModule(Settings{QueuePerEndpoint: 8, LongestWait: time.Second, TrackedPrefixes: 1000, DigestEvery: 100 * time.Millisecond, DigestBytes: 1024, LoadEvery: 500 * time.Millisecond}, nil, time.Now)
 	k.Register(ModuleName, m, "entry.directory", peer.ServerName, peer.PoolName, "entry.engine")
 	assert.NilError(t, k.Start(t.Context()))
 	t.Cleanup(func() { assert.NilError(t, k.Stop(context.Background())) })
@@ -214,7 +214,7 @@
 	pool := &countingPool{digests: map[string]int{}, hasPlacements: hasPlacements}
 	m := &Module{
 		settings: Settings{DigestEvery: 250 * time.Millisecond, DigestBytes: 1024, DigestCalls: digestCalls},
-		core:     NewCore(DefaultPolicy(DefaultTuning()), DefaultLimits(), time.Now()), hub: newRelayHub(1),
+		core:     NewCore(DefaultPolicy(DefaultTuning()), DefaultLimits(), time.Now()), hub: newRelayHub(1), now: time.Now,
 		entryVMs: &vmDirectory{vms: vms}, server: &memoryServer{address: vms[peers/2].PeerAddress}, log: zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/routing/exporter.go
+++ b/internal/routing/exporter.go
@@ -67,7 +67,7 @@
 	}
 	if copied < len(e.Chain) {
 		m.mu.Lock()
-		m.core.RevertExport(time.Now(), e.Store.Name, e.Chain[copied:])
+		m.core.RevertExport(m.now(), e.Store.Name, e.Chain[copied:])
 		m.mu.Unlock()
 	}
 	m.log.Info("prefix kept", zap.String("endpoint", e.Endpoint), zap.String("store", e.Store.Name),
--- a/internal/routing/filter_available.go
+++ b/internal/routing/filter_available.go
@@ -12,7 +12,7 @@
 
 // Keep implements Filter.
 func (available) Keep(eval *Evaluation, s *State) bool {
-	if s.Leaving || s.removed || eval.Now.Before(s.downUntil) {
+	if s.Leaving || s.removed || eval.Now.Before(s.downUntil) || !s.selfReport.open(eval.Now) {
 		return false
 	}
 	if eval.Relaxation < AllowAnyEndpoint && slices.Contains(eval.Request.Exclude, s.Name) {
--- a/internal/routing/metrics.go
+++ b/internal/routing/metrics.go
@@ -1,12 +1,32 @@
 package routing
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Collectors returns the metrics of the digest exchange.
+// noticeMetrics counts the notices of endpoints.
+type noticeMetrics struct{ total *prometheus.CounterVec }
+
+func newNoticeMetrics() noticeMetrics {
+	return noticeMetrics{prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "eelgrass", Subsystem: "routing", Name: "endpoint_notices_total",
+		Help: "Responses in which an endpoint announced that it leaves or asked for a pause.",
+	}, []string{"kind", "applied"})}
+}
+
+func (m noticeMetrics) record(n Notice, applied bool) {
+	if n.Leaving {
+		m.total.WithLabelValues("leaving", strconv.FormatBool(applied)).Inc()
+	}
+	if n.PauseFor > 0 {
+		m.total.WithLabelValues("pause", strconv.FormatBool(applied)).Inc()
+	}
+}
+
+// Collectors returns the metrics of the digest exchange and of endpoints' notices.
 func (m *Module) Collectors() []prometheus.Collector {
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "eelgrass", Subsystem: "routing", Name: name, Help: help}, func() float64 {
@@ -17,7 +37,8 @@
 	}
 	return []prometheus.Collector{
 		gauge("digest_peers", "Entry VMs whose digests this one has.", func() float64 { return float64(len(m.core.peers)) }),
-		gauge("digest_age_seconds", "Time since the oldest of these digests arrived.", func() float64 { return m.core.oldestDigest(time.Now()).Seconds() }),
+		gauge("digest_age_seconds", "Time since the oldest of these digests arrived.", func() float64 { return m.core.oldestDigest(m.now()).Seconds() }),
+		m.notices.total,
 		gauge("relay_members", "Entry VMs to which this one relays digests.", func() float64 { return float64(len(m.hub.members)) }),
 	}
 }
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"eelgrasshollow/internal/clock"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/peer"
@@ -45,6 +46,8 @@
 type Module struct {
 	settings  Settings
 	policy    Policy
+	now       clock.Clock
+	notices   noticeMetrics
 	log       *zap.Logger
 	inventory Inventory
 	entryVMs  watch.Fleet // nil if the directory does not list the entry VMs
@@ -65,11 +68,12 @@
 }
 
 // NewModule returns the module entry.routing with DefaultPolicy. It takes the endpoints
-// from inventory or, if that is nil, from the module entry.directory.
-func NewModule(s Settings, inventory Inventory) *Module {
+// from inventory or, if that is nil, from the module entry.directory. All times are of the
+// clock now, which must not stop while the VM is suspended.
+func NewModule(s Settings, inventory Inventory, now clock.Clock) *Module {
 	policy := DefaultPolicy(DefaultTuning())
 	policy.PeerImports = s.PeerImports
-	return &Module{settings: s, policy: policy, inventory: inventory}
+	return &Module{settings: s, policy: policy, inventory: inventory, now: now, notices: newNoticeMetrics()}
 }
 
 // Provision looks up the modules that routing depends on.
@@ -82,7 +86,7 @@
 		m.inventory = configInventory{directory}
 	}
 	m.log = k.Log.Named("routing")
-	m.core = NewCore(m.policy, m.settings.limits(), time.Now())
+	m.core = NewCore(m.policy, m.settings.limits(), m.now())
 	m.hub = newRelayHub(rand.Uint64())
 	m.entryVMs, _ = kernel.Lookup[watch.Fleet](k, "entry.directory")
 	m.monitor, _ = kernel.Lookup[EndpointMonitor](k, "entry.engine")
@@ -165,7 +169,7 @@
 	for {
 		changed := m.inventory.Changed()
 		m.mu.Lock()
-		m.refresh(time.Now())
+		m.refresh(m.now())
 		m.mu.Unlock()
 		select {
 		case <-ctx.Done():
@@ -182,9 +186,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
+		case <-ticker.C:
 			m.mu.Lock()
-			m.core.Tick(now)
+			m.core.Tick(m.now())
 			m.mu.Unlock()
 		}
 	}
@@ -207,8 +211,8 @@
 func (m *Module) Pick(ctx context.Context, r Request) (Ticket, error) {
 	settled := make(chan struct{})
 	m.mu.Lock()
-	m.refresh(time.Now()) // place the request with a view at least as new as the one that authorized it
-	p := m.core.Submit(time.Now(), r, func() { close(settled) })
+	m.refresh(m.now()) // place the request with a view at least as new as the one that authorized it
+	p := m.core.Submit(m.now(), r, func() { close(settled) })
 	m.mu.Unlock()
 	select {
 	case <-settled:
@@ -268,11 +272,25 @@
 	t.module.core.RecordFirstToken(t.pending)
 }
 
+// Notify implements Ticket.
+func (t *ticket) Notify(n Notice) {
+	if n.Empty() {
+		return
+	}
+	m, p := t.module, t.pending
+	m.mu.Lock()
+	applied := m.core.ApplyNotice(m.now(), p, n)
+	m.mu.Unlock()
+	m.notices.record(n, applied)
+	m.log.Info("endpoint notice", zap.String("request", p.Request.ID), zap.String("endpoint", p.Decision.Endpoint),
+		zap.String("incarnation", n.Incarnation), zap.Bool("leaving", n.Leaving), zap.Duration("pause", n.PauseFor), zap.Bool("applied", applied))
+}
+
 // Done implements Ticket.
 func (t *ticket) Done(r Result) {
 	t.module.mu.Lock()
 	defer t.module.mu.Unlock()
-	now := time.Now()
+	now := t.module.now()
 	t.module.core.Finish(now, t.pending, r)
 	if r.Err == nil && !t.module.policy.PeerImports {
 		t.module.queueExport(now, t.pending)
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return peer.EncodeError(err)
 	}
-	m, now := r.module, time.Now()
+	m, now := r.module, r.module.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.hub.members[d.From] = now
@@ -235,7 +235,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	x.relayEpoch, x.relayAfter = reply.Epoch, reply.Next
-	m.core.ApplyDigest(time.Now(), d)
+	m.core.ApplyDigest(m.now(), d)
 }
 
 // sendToRelays sends the other relays the loads of this relay's cell and its news since the
@@ -243,7 +243,7 @@
 func (x *digestExchange) sendToRelays(ctx context.Context, relays []string, calls *sync.WaitGroup) {
 	m := x.module
 	m.mu.Lock()
-	m.hub.expireMembers(time.Now())
+	m.hub.expireMembers(m.now())
 	m.hub.record(m.self(), m.core.NextDigest(m.self(), m.settings.DigestBytes))
 	d := &digest.Digest{From: m.self(), Loads: m.core.cellLoads(m.hub.members)}
 	d.TrimTo(relayDigestBytes / 2)
--- a/internal/routing/sources.go
+++ b/internal/routing/sources.go
@@ -110,7 +110,7 @@
 	}
 	r.module.mu.Lock()
 	defer r.module.mu.Unlock()
-	r.module.core.ApplyLoadReport(time.Now(), e.name, load)
+	r.module.core.ApplyLoadReport(r.module.now(), e.name, load)
 }
 
 func (r *endpointReaders) readEvents(ctx context.Context, e endpointKey) {
@@ -148,7 +148,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.core.ApplyCacheEvent(time.Now(), endpoint, CacheEvent{Incarnation: e.Incarnation, Seq: e.Seq, Kind: e.Kind, Hashes: hashes})
+	m.core.ApplyCacheEvent(m.now(), endpoint, CacheEvent{Incarnation: e.Incarnation, Seq: e.Seq, Kind: e.Kind, Hashes: hashes})
 }
 
 // ownedEndpoints lists the engines that this VM owns.
--- a/internal/routing/topology_test.go
+++ b/internal/routing/topology_test.go
@@ -104,7 +104,7 @@
 	for _, vm := range vms {
 		m := &Module{
 			settings: Settings{DigestEvery: 250 * time.Millisecond, DigestBytes: 1024, DigestCalls: digestCallsOfSmallVM},
-			core:     NewCore(DefaultPolicy(DefaultTuning()), DefaultLimits(), time.Now()), hub: newRelayHub(1),
+			now:      time.Now, core: NewCore(DefaultPolicy(DefaultTuning()), DefaultLimits(), time.Now()), hub: newRelayHub(1),
 			entryVMs: &vmDirectory{vms: vms}, server: &memoryServer{net: net, address: vm.PeerAddress}, log: zap.NewNop(),
 		}
 		m.core.SetEndpoints(time.Now(), engines(9, 8))
--- a/internal/routing/versions.go
+++ b/internal/routing/versions.go
@@ -19,7 +19,7 @@
 func (m *Module) SelectVersion(model, target string, key uint64) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
+	now := m.now()
 	m.refresh(now) // the previous version comes from the previous view
 	return m.core.SelectVersion(now, model, target, key)
 }
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -29,6 +29,9 @@
 		writeError(w, http.StatusConflict, "wrong_weights", reason)
 		return
 	}
+	if e.faults.pause(w) {
+		return
+	}
 	from := max(c.ResumeFrom, 1)
 	e.serveCall(w, r, c, from)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -153,6 +153,7 @@
 			return
 		}
 		w.Header().Set(engineapi.HeaderIncarnation, e.Incarnation())
+		e.faults.announce(w)
 		mux.ServeHTTP(w, r)
 	})
 }
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -4,8 +4,12 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
+
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/retryafter"
 )
 
 // Kinds of faults that POST /admin/fault accepts.
@@ -17,6 +21,8 @@
 	FaultEmpty     = "empty"      // respond with status 200 and no body
 	FaultLoseEvent = "lose-event" // drop cache events
 	FaultCutStream = "cut-stream" // cut the connection after AfterTokens tokens; a plain service cuts it before its response
+	FaultLeaving   = "leaving"    // announce in every response that the stand-in will stop; it keeps serving
+	FaultPause     = "pause"      // refuse requests with status 503 and a Retry-After of DelayMS
 	FaultClear     = "clear"      // end all faults
 )
 
@@ -125,10 +131,29 @@
 	}
 }
 
+// announce applies FaultLeaving to the header of a response.
+func (f *faults) announce(w http.ResponseWriter) {
+	if _, ok := f.trigger(FaultLeaving); ok {
+		w.Header().Set(engineapi.HeaderLeaving, engineapi.HeaderLeavingValue)
+	}
+}
+
+// pause applies FaultPause and reports whether it has refused the request.
+func (f *faults) pause(w http.ResponseWriter) bool {
+	fault, ok := f.trigger(FaultPause)
+	if !ok {
+		return false
+	}
+	delay := time.Duration(fault.DelayMS) * time.Millisecond
+	w.Header().Set(retryafter.Header, strconv.FormatFloat(delay.Seconds(), 'f', -1, 64))
+	writeError(w, http.StatusServiceUnavailable, "paused", "no requests are taken for now")
+	return true
+}
+
 // handler serves POST /admin/fault; FaultCrash calls onCrash.
 func (f *faults) handler(onCrash func()) http.HandlerFunc {
 	known := map[string]bool{FaultCrash: true, FaultSilent: true, FaultLate: true, FaultCrossed: true,
-		FaultEmpty: true, FaultLoseEvent: true, FaultCutStream: true, FaultClear: true}
+		FaultEmpty: true, FaultLoseEvent: true, FaultCutStream: true, FaultLeaving: true, FaultPause: true, FaultClear: true}
 	return func(w http.ResponseWriter, r *http.Request) {
 		var next Fault
 		if err := json.NewDecoder(r.Body).Decode(&next); err != nil || !known[next.Kind] {
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -70,6 +70,10 @@
 	if err != nil {
 		return
 	}
+	p.faults.announce(w)
+	if p.faults.pause(w) {
+		return
+	}
 	key := r.Header.Get(engineapi.HeaderIdempotencyKey)
 	run := p.count(key, carriesSecret(r))
 	sleep(context.WithoutCancel(r.Context()), p.workTime)
