Let a request look further when servers state that they have not run it

Cause: a server that was replaced or loads other weights answers 421 or 503 and says that the request has not run. Now only servers that may have run the request count; up to three refusals are skipped, each paid from the retry budget.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -18,6 +18,9 @@
 	// maxUnreachable is the number of unreachable servers that one request may skip.
 	// They don't count as attempts, because no byte was sent to them.
 	maxUnreachable = 3
+	// maxRefusals is the number of servers that one request may skip because they stated that
+	// they have not run it. They don't count as attempts either, but draw on the retry budget.
+	maxRefusals = 3
 	// maxResponseBytes limits the body of a response that is buffered before it is relayed.
 	maxResponseBytes = 16 << 20
 	// attemptTimeoutTargets is the timeout of an attempt that may be repeated, in
@@ -55,7 +58,11 @@
 				return x.finalError(err)
 			}
 			continue
-		case !x.mayRepeat(err) || x.sendCount() >= x.route.MaxAttempts:
+		case !x.mayRepeat(err):
+			return x.finalError(err)
+		case notRun(err) && x.refusals < maxRefusals:
+			x.refusals++
+		case x.possibleRuns() >= x.route.MaxAttempts:
 			return x.finalError(err)
 		}
 		if !errors.Is(err, errServerFailed) && !g.mayRetry(x) {
@@ -70,6 +77,9 @@
 // sendCount returns the number of servers that received at least one byte of the request.
 func (x *exchange) sendCount() int { return int(x.sends.Load()) }
 
+// possibleRuns returns the number of servers that may have run the request.
+func (x *exchange) possibleRuns() int { return x.sendCount() - x.refusals }
+
 // mayRetry reports whether the service's retry budget allows a retry, and spends one.
 func (g *Gateway) mayRetry(x *exchange) bool {
 	allowed := g.Retries.Spend(x.service)
@@ -201,7 +211,7 @@
 // attemptTimeout returns the timeout of the next attempt if another one may follow it, or 0
 // for no timeout other than the request's deadline.
 func (x *exchange) attemptTimeout() time.Duration {
-	if !x.route.Retryable() || x.Prompt.Known || x.sendCount()+1 >= x.route.MaxAttempts || x.route.TargetLatency == 0 {
+	if !x.route.Retryable() || x.Prompt.Known || x.possibleRuns()+1 >= x.route.MaxAttempts || x.route.TargetLatency == 0 {
 		return 0
 	}
 	return min(attemptTimeoutTargets*x.route.TargetLatency, time.Until(x.deadline)/2)
@@ -230,7 +240,7 @@
 		return errkind.New(errkind.EndpointFailed, "response body exceeds %d bytes", maxResponseBytes)
 	}
 	started()
-	if reply.Status >= http.StatusInternalServerError && x.route.Retryable() && x.sendCount() < x.route.MaxAttempts && g.mayRetry(x) {
+	if reply.Status >= http.StatusInternalServerError && x.route.Retryable() && x.possibleRuns() < x.route.MaxAttempts && g.mayRetry(x) {
 		// The failure concerns this request only; the server can serve other requests.
 		// mayRetry has already spent the retry.
 		x.mayHaveRun = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	account     *fleet.Account
 	deadline    time.Time        // when the response must be complete
 	sends       atomic.Int32     // servers that received at least one byte
+	refusals    int              // of these, those that were skipped because they have not run it
 	mayHaveRun  bool             // a server may have run the request
 	headWritten bool             // the response header has been written
 	status      int              // HTTP status relayed from a server, or 0
