Let requests wait for the first list of servers after a restart

The configuration comes 0.7 s after their start and the list of servers 0.1 s later; in between up to 75 requests were refused as if the service had no servers, and 104 waited for a configuration for a sixteenth of their timeout only and were refused some 100 ms before it came. Clients come back once, so the second refusal was final.

Now a request waits for both, for a quarter of its timeout at most and only within 1.8 s of the VM's start; later nobody knows when control returns, and it is refused at once.

--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -32,6 +32,9 @@
 	byKey map[string]fleet.Server
 }
 
+// Complete reports whether the view has had a configuration and a list of servers.
+func (v *View) Complete() bool { return v.Config != nil && v.Servers != nil }
+
 // tokensPerSecond returns the rate at which a store's link transfers cached tokens of the
 // engines, or 0 if their size is unknown.
 func (v *View) tokensPerSecond(store *fleet.Store) float64 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,7 @@
 // Gateway routes client requests to servers and relays the responses.
 type Gateway struct {
 	Deps
-	configWaiters atomic.Int32 // requests that wait for the first configuration
+	viewWaiters atomic.Int32 // requests that wait for the first view
 }
 
 // New returns a Gateway with the given dependencies.
@@ -66,10 +66,13 @@
 	// configuration, if the control VMs restarted at the same time: one leader election and
 	// one poll.
 	typicalElectionTime = 600 * time.Millisecond
-	// configWaitShare is the share of the client's timeout that a request may wait for the
-	// first configuration, and maxConfigWaiters the number of requests that may.
-	configWaitShare  = 1.0 / 16
-	maxConfigWaiters = 256
+	// viewWaitElections is how many times typicalElectionTime after this VM's start requests
+	// wait for its first view. After that nobody knows when control will be back.
+	viewWaitElections = 3
+	// viewWaitShare is the share of the client's timeout that a request may wait for the first
+	// view, and maxViewWaiters the number of requests that may.
+	viewWaitShare  = 1.0 / 4
+	maxViewWaiters = 256
 	// queueTargetShare is the share of the route's target time that a request may wait for
 	// a slot, so that it can still be served within the target.
 	queueTargetShare = 0.9
@@ -115,7 +118,7 @@
 	if g.Closing() {
 		return errkind.New(errkind.Draining, "this VM is stopping").WithRetryAfter(retryAfterDraining)
 	}
-	view := g.awaitConfig(x)
+	view := g.awaitView(x)
 	if view.Config == nil {
 		return errkind.New(errkind.Stale, "no configuration has been received yet").WithRetryAfter(max(typicalElectionTime-g.Directory.Age(), retryAfterShort))
 	}
@@ -155,22 +158,26 @@
 	return err
 }
 
-// awaitConfig returns the current view. If there is no configuration yet, it waits for the
-// first one for a short part of the client's timeout.
-func (g *Gateway) awaitConfig(x *exchange) *fleetview.View {
+// awaitView returns the current view. While the VM has no configuration or no list of servers
+// since its start, it waits for them for a part of the client's timeout: a list that has not
+// been received is not an empty list.
+func (g *Gateway) awaitView(x *exchange) *fleetview.View {
 	changed := g.Directory.Changed()
 	view := g.Directory.View()
-	if view.Config != nil {
+	if view.Complete() {
 		return view
 	}
-	if g.configWaiters.Add(1) > maxConfigWaiters {
-		g.configWaiters.Add(-1)
+	wait := min(time.Duration(viewWaitShare*float64(x.ClientTimeout)), viewWaitElections*typicalElectionTime-g.Directory.Age())
+	if wait <= 0 {
 		return view
 	}
-	defer g.configWaiters.Add(-1)
-	timer := time.NewTimer(time.Duration(configWaitShare * float64(x.ClientTimeout)))
+	defer g.viewWaiters.Add(-1)
+	if g.viewWaiters.Add(1) > maxViewWaiters {
+		return view
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for view.Config == nil {
+	for !view.Complete() {
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -157,7 +157,7 @@
 	slices.Sort(names)
 	up := &fakeUpstream{replies: s.servers}
 	g := New(Deps{
-		Directory: fakeDirectory{&fleetview.View{Config: config}, s.age}, Limiter: fakeLimiter{s.limitErr}, Router: &fakeRouter{servers: names, waitForever: s.waitForever}, Upstream: up,
+		Directory: fakeDirectory{&fleetview.View{Config: config, Servers: []fleet.Server{{ID: "a"}}}, s.age}, Limiter: fakeLimiter{s.limitErr}, Router: &fakeRouter{servers: names, waitForever: s.waitForever}, Upstream: up,
 		Retries: NewRetryBudgets(RetryLimits{Share: 0, Burst: s.budget / retrySafetyFactor, VMs: func() (int, bool) { return 1, true }}),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Closing: func() bool { return false }, MaxViewAge: s.maxAge, Log: log,
 	})
@@ -346,6 +346,7 @@
 	mu      sync.Mutex
 	view    *fleetview.View
 	changed chan struct{}
+	age     time.Duration
 }
 
 func (d *lateDirectory) View() *fleetview.View {
@@ -353,7 +354,7 @@
 	defer d.mu.Unlock()
 	return d.view
 }
-func (d *lateDirectory) Age() time.Duration { return 0 }
+func (d *lateDirectory) Age() time.Duration { return d.age }
 func (d *lateDirectory) Changed() <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -367,8 +368,8 @@
 	d.changed = make(chan struct{})
 }
 
-// A VM that has just started gets its first configuration within a moment. Requests with time
-// left wait for it; the others, and all above the limit, are refused as not run.
+// A VM that has just started gets its first configuration and its first list of servers within
+// a moment. Requests with time left wait for them; the others, and all above the limit, are refused as not run.
 func TestRequestWaitsBrieflyForFirstConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, up := newGateway(t, setup{servers: servers{"a": reply(200, "ok", false)}}, zap.NewNop())
@@ -379,20 +380,28 @@
 		w := httptest.NewRecorder()
 		g.Serve(t.Context(), w, newRequest())
 		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
-		assert.Equal(t, time.Since(start), time.Duration(configWaitShare*float64(newRequest().ClientTimeout)))
-		g.configWaiters.Store(maxConfigWaiters)
+		assert.Equal(t, time.Since(start), time.Duration(viewWaitShare*float64(newRequest().ClientTimeout)))
+		g.viewWaiters.Store(maxViewWaiters)
 		start = time.Now()
 		w = httptest.NewRecorder()
 		g.Serve(t.Context(), w, newRequest())
 		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
 		assert.Equal(t, time.Since(start), time.Duration(0))
-		g.configWaiters.Store(0)
-		time.AfterFunc(100*time.Millisecond, func() { d.set(view) })
+		g.viewWaiters.Store(0)
+		time.AfterFunc(100*time.Millisecond, func() { d.set(&fleetview.View{Config: view.Config}) })
+		time.AfterFunc(300*time.Millisecond, func() { d.set(view) })
 		w = httptest.NewRecorder()
 		g.Serve(t.Context(), w, newRequest())
 		assert.Equal(t, w.Code, http.StatusOK)
+		assert.Equal(t, time.Since(start), 300*time.Millisecond, "a list of servers that has not come is not an empty one")
 		assert.Equal(t, len(up.sent), 1)
-		assert.Equal(t, g.configWaiters.Load(), int32(0))
+		d.set(&fleetview.View{})
+		d.age, start = time.Minute, time.Now()
+		w = httptest.NewRecorder()
+		g.Serve(t.Context(), w, newRequest())
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, time.Since(start), time.Duration(0), "control is away for long: nobody knows when it comes")
+		assert.Equal(t, g.viewWaiters.Load(), int32(0))
 	})
 }
 
