Choose homes by the deepest shared piece where it is known

Cause: the home of a prefix was that of the first piece that no endpoint is known to hold. That is one common text for a whole kind of request, and another piece on a VM that knows more, so VMs chose different homes and after a restart all forgot which they had chosen. The platform's requests name their parts, and only the last one is the request's own: the home now follows from the last shared part alone.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -278,6 +278,7 @@
 		r.PieceEnds = append(r.PieceEnds, end)
 	}
 	r.Chain = prefix.ChainOfParts(r.Seed, names)
+	r.SharedPieces = len(r.Chain) - 1 // the last part belongs to the request itself or to its session
 	return r
 }
 
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -23,7 +23,10 @@
 	Chain   []prefix.Hash
 	// PieceEnds are the numbers of tokens up to the end of each piece of Chain. Pieces
 	// without an entry have prefix.PieceTokens tokens.
-	PieceEnds    []int
+	PieceEnds []int
+	// SharedPieces is the number of leading pieces of Chain that other requests may share; 0
+	// means unknown.
+	SharedPieces int
 	PromptTokens int
 	MaxTokens    int
 	Priority     int // requests with a higher priority are sent first
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -239,3 +239,38 @@
 	assert.Assert(t, slow.PrefillPerToken > 70*time.Microsecond, "%v", slow.PrefillPerToken)
 	assert.Equal(t, c.endpoints[19].PrefillPerToken, 20*time.Microsecond)
 }
+
+// VMs that know different parts of a prefix, as after a restart, send its requests to the same
+// home. Without the number of shared pieces a VM would choose the home of the first piece that
+// it knows nowhere, so all first requests that share one common text would meet at one endpoint.
+func TestHomesOfSharedPrefixDoNotDependOnKnowledge(t *testing.T) {
+	const common = 7
+	sharedRequest := func(subject, own prefix.Hash) Request {
+		r := request("a", common, subject, own)
+		r.SharedPieces = 2
+		return r
+	}
+	homes := map[string]bool{}
+	for subject := prefix.Hash(100); subject < 140; subject++ {
+		fresh, informed := newCore(9, 8), newCore(9, 8)
+		p := submit(informed, epoch, request("a", common, 99, 98))
+		informed.Finish(epoch, p, successResult(p, "i1", 0))
+		choice := submit(fresh, epoch, sharedRequest(subject, 1)).Decision.Endpoint
+		if homes[choice] = true; p.Decision.Endpoint == choice {
+			continue // the cached common text makes this endpoint cheaper
+		}
+		assert.Equal(t, homeOf(informed, sharedRequest(subject, 2)), choice)
+	}
+	assert.Assert(t, len(homes) >= 7, "40 subjects have only %d homes", len(homes))
+}
+
+// homeOf returns the endpoint with the highest rendezvous weight for a request.
+func homeOf(c *Core, r Request) string {
+	best := c.endpoints[0]
+	for _, s := range c.endpoints {
+		if rendezvous(homeKey(&r, 1), s.nameHash) > rendezvous(homeKey(&r, 1), best.nameHash) {
+			best = s
+		}
+	}
+	return best.Name
+}
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -45,7 +45,7 @@
 	}
 	key := prefix.Hash(nameHash(r.ID)) // without a chain, no endpoint is preferred
 	if len(r.Chain) > 0 {
-		key = homeKey(r.Chain, eval.CachedPieces)
+		key = homeKey(r, eval.CachedPieces)
 		eval.PrefixRate = c.index.Rate(key, now)
 	}
 	for i := range c.candidates {
--- a/internal/routing/score_home.go
+++ b/internal/routing/score_home.go
@@ -62,10 +62,14 @@
 	return top[n-1]
 }
 
-// homeKey returns the first piece that no endpoint is known to hold. Requests that share
-// the prefix up to there and this piece have the same homes.
-func homeKey(chain []prefix.Hash, cachedPieces int) prefix.Hash {
-	return chain[min(cachedPieces, len(chain)-1)]
+// homeKey returns the piece that determines the homes of a request. If it is known which
+// pieces are shared, that is the deepest shared one, so that the homes do not depend on what
+// a VM knows. Otherwise it is the first piece that no endpoint is known to hold.
+func homeKey(r *Request, cachedPieces int) prefix.Hash {
+	if r.SharedPieces > 0 {
+		return r.Chain[r.SharedPieces-1]
+	}
+	return r.Chain[min(cachedPieces, len(r.Chain)-1)]
 }
 
 // rendezvous returns the weight of a key at a hashed name. The name with the highest
