Save shared prefixes when they are first computed, and name the store as a source

Cause: where only one endpoint held a prefix, its eviction meant that the prefix was read again, although the store has room for more shared parts than a version has. Prefixes were saved at the second computation, and the store was named only when its copy was believed to be cheaper.

The log line of a request also names the deepest shared part and when the request was sent and answered.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -146,6 +146,7 @@
 		defer stop()
 	}
 	start := time.Now()
+	x.sentAfter = start.Sub(x.Arrived)
 	attempt := Attempt{
 		Request: x.Request, Address: decision.Address, Server: serverID(decision.Endpoint, decision.Address), Account: x.accountName(),
 		Priority: x.priority(), TimeLeft: time.Until(x.deadline), LastEventID: x.LastEventID, OnSend: func() { x.sends.Add(1) },
@@ -178,6 +179,7 @@
 		defer func() { _ = reply.Body.Close() }() // the unread rest is not used
 		err = g.relay(ctx, x, reply, func() {
 			result.FirstToken = time.Since(start)
+			x.firstEventAfter = time.Since(x.Arrived)
 			ticket.Started()
 		})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,9 @@
 	server      string           // ID of the server of the last attempt
 	decision    routing.Decision // of the last attempt
 	resumes     int
+	// sentAfter and firstEventAfter are the times from the request's arrival to its last
+	// attempt and to the first event or whole body of a response; 0 if there was none.
+	sentAfter, firstEventAfter time.Duration
 }
 
 // Serve serves one request and writes the response to w. ctx ends when the client
@@ -301,13 +304,15 @@
 	if e := errkind.Of(err); e != nil {
 		kind, outcome = e.Kind.String(), e.Outcome
 	}
+	sharedPart, sharedTokens := x.Prompt.shared()
 	took := time.Since(x.Arrived)
 	g.Metrics.observeRequest(route, x.accountName(), kind, took)
 	fields := []zap.Field{
 		zap.String("request", x.ID), zap.String("route", route), zap.String("client_account", x.accountName()),
-		zap.String("server", x.server), zap.Int("status", x.status), zap.Int32("sends", x.sends.Load()), zap.Int("resumed", x.resumes), zap.String("prefix", x.Prompt.firstPart()), zap.Int("prompt_tokens", x.Prompt.Tokens), zap.Int("cached_tokens", x.decision.CachedTokens),
+		zap.String("server", x.server), zap.Int("status", x.status), zap.Int32("sends", x.sends.Load()), zap.Int("resumed", x.resumes), zap.String("prefix", x.Prompt.firstPart()),
+		zap.String("shared_part", sharedPart), zap.Int("shared_tokens", sharedTokens), zap.Int("prompt_tokens", x.Prompt.Tokens), zap.Int("cached_tokens", x.decision.CachedTokens),
 		zap.String("import_from", x.decision.ImportFrom), zap.String("save_to", x.decision.SaveTo), zap.String("weights", x.decision.Weights),
-		zap.Duration("took", took), zap.Duration("config_age", g.Directory.Age()), zap.String("outcome", string(outcome)),
+		zap.Duration("sent_after", x.sentAfter), zap.Duration("first_event_after", x.firstEventAfter), zap.Duration("took", took), zap.Duration("config_age", g.Directory.Age()), zap.String("outcome", string(outcome)),
 	}
 	if err != nil {
 		g.Log.Warn("request failed", append(fields, zap.String("kind", kind), zap.Error(err))...)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,6 +62,19 @@
 	return p.Parts[0].Name
 }
 
+// shared returns the name of the last part that other prompts may share, and the tokens up to
+// its end; "" if there is none. The last part of a prompt belongs to the request itself or to
+// its session.
+func (p Prompt) shared() (name string, tokens int) {
+	if len(p.Parts) < 2 {
+		return "", 0
+	}
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		name, tokens = part.Name, tokens+part.Tokens
+	}
+	return name, tokens
+}
+
 // Part is a piece of a prompt that other prompts may share.
 type Part struct {
 	Name   string
--- a/internal/routing/copies.go
+++ b/internal/routing/copies.go
@@ -96,6 +96,9 @@
 			return source.Address
 		}
 	}
+	if source := c.storeWith(now, r, best.State); source != nil {
+		return source.Address
+	}
 	if best.Match.CachedPieces > 0 || now.Sub(c.startedAt) > startupImportWindow {
 		return ""
 	}
@@ -134,6 +137,21 @@
 	return best
 }
 
+// storeWith returns a store that holds all shared pieces under the weights of the endpoint
+// to, or nil.
+func (c *Core) storeWith(now time.Time, r *Request, to *State) *storeState {
+	if len(c.stores) == 0 || r.SharedPieces == 0 || r.tokensOf(r.SharedPieces) < minSaveTokens {
+		return nil
+	}
+	c.storeMatches = c.index.Find(chainForWeights(r.Chain[:r.SharedPieces], to.Weights), now, c.storeMatches)
+	for _, store := range c.stores {
+		if c.storeMatches[store.index].RecordedPieces >= r.SharedPieces && !c.storeLinkBusy(now, store) {
+			return store
+		}
+	}
+	return nil
+}
+
 // otherHome returns the first home of the shared pieces other than the endpoint to, or nil.
 func (c *Core) otherHome(now time.Time, r *Request, to *State) *State {
 	var best *State
@@ -158,8 +176,11 @@
 	}
 	chain := chainForWeights(r.Chain[:shared], s.Weights)
 	c.storeMatches = c.index.Find(chain, now, c.storeMatches)
-	if c.storeMatches[store.index].CachedPieces >= shared || !c.index.Contains(r.Chain[shared-1]) {
-		return "" // the store holds it, or it was requested only once so far
+	if c.storeMatches[store.index].CachedPieces >= shared {
+		return "" // the store holds it
+	}
+	if r.SharedPieces == 0 && !c.index.Contains(r.Chain[shared-1]) {
+		return "" // it was requested only once so far, and may not be shared
 	}
 	store.linkTraffic.add(r.PromptTokens, now)
 	store.saveTraffic.add(r.PromptTokens, now)
--- a/internal/routing/copies_test.go
+++ b/internal/routing/copies_test.go
@@ -82,3 +82,18 @@
 	assert.Equal(t, p.Decision.Endpoint, "e1")
 	assert.Equal(t, p.Decision.ImportFrom, "")
 }
+
+// A prefix that only one endpoint held is evicted there. It was saved to the store when it was
+// computed, and the store is named as its source.
+func TestStoreIsNamedForPrefixWithoutAnotherHolder(t *testing.T) {
+	c := importingCore(1)
+	c.SetStores([]Store{{Name: "kept", Address: "10.9.0.1:1", CapacityTokens: 1_000_000, TokensPerSecond: 200_000}})
+	r := subjectRequest(100, 1)
+	r.PieceEnds, r.PromptTokens = []int{500, 5000, 9000}, 9000
+	p := submit(c, epoch, r)
+	assert.Equal(t, p.Decision.SaveTo, "10.9.0.1:1", "the first computation is saved")
+	c.Finish(epoch.Add(time.Second), p, Result{CacheUnknown: true, PromptTokens: 9000})
+	again := submit(c, epoch.Add(2*time.Second), r)
+	assert.Equal(t, again.Decision.ImportFrom, "10.9.0.1:1")
+	assert.Equal(t, again.Decision.SaveTo, "")
+}
