--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -138,8 +138,8 @@
 // result to routing.
 func (g *Gateway) attempt(x *exchange, ticket routing.Ticket) error {
 	decision := ticket.Decision()
-	ctx, cancel := context.WithCancel(x.ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
 	if timeout := x.attemptTimeout(); timeout > 0 {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, timeout)
@@ -163,7 +163,13 @@
 		}
 		return reply, err
 	}
+	var watched *watchedAttempt
+	if x.route.Retryable() && x.possibleRuns()+1 < x.route.MaxAttempts {
+		watched = g.silence.add(decision.Address, cancel)
+		defer watched.remove()
+	}
 	reply, err := send()
+	watched.received()
 	if err == nil && reply.WrongWeights && !reply.Leaving && attempt.Weights > 0 && g.mayRetry(x) {
 		// The server's weights have changed since the last status check, and it has not
 		// run the request. Its cache contents are unknown, so the request is sent again
@@ -177,13 +183,19 @@
 	defer func() { ticket.Done(result) }()
 	if err == nil {
 		defer func() { _ = reply.Body.Close() }() // the unread rest is not used
-		err = g.relay(ctx, x, reply, func() {
+		err = g.relay(ctx, x, reply, watched.received, func() {
 			result.FirstToken = time.Since(start)
 			x.firstEventAfter = time.Since(x.Arrived)
 			ticket.Started()
 		})
 	}
 	if err != nil {
+		if errors.Is(context.Cause(ctx), ErrUnreachable) {
+			err = errkind.Wrap(ErrUnreachable, errkind.EndpointFailed, "attempt given up").WithOutcome(errkind.Unknown)
+		}
+		if errors.Is(err, ErrUnreachable) {
+			g.silence.unreachable(decision.Address)
+		}
 		if !notRun(err) {
 			x.mayHaveRun = true
 		}
@@ -220,8 +232,9 @@
 }
 
 // relay writes a server's response to the client, or returns an error if the response can't
-// be used. It calls started when the first event, or the whole body, has been received.
-func (g *Gateway) relay(ctx context.Context, x *exchange, reply *Reply, started func()) error {
+// be used. It calls received for each event, and started when the first event, or the whole
+// body, has been received.
+func (g *Gateway) relay(ctx context.Context, x *exchange, reply *Reply, received, started func()) error {
 	switch {
 	case reply.WrongServer:
 		return errkind.New(errkind.NoEndpoint, "address belongs to another server").WithOutcome(errkind.NotRun)
@@ -230,7 +243,7 @@
 	case !reply.Signed:
 		return errkind.New(errkind.EndpointFailed, "response with status %d has no signature", reply.Status)
 	case reply.Status == http.StatusOK && reply.Stream:
-		return g.stream(ctx, x, reply, started)
+		return g.stream(ctx, x, reply, received, started)
 	case x.headWritten:
 		return errkind.New(errkind.StreamBroken, "server responded to the resumption of a stream with status %d", reply.Status)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,10 +47,13 @@
 type Gateway struct {
 	Deps
 	viewWaiters atomic.Int32 // requests that wait for the first view
+	silence     *silenceWatch
 }
 
 // New returns a Gateway with the given dependencies.
-func New(d Deps) *Gateway { return &Gateway{Deps: d} }
+func New(d Deps) *Gateway {
+	return &Gateway{Deps: d, silence: newSilenceWatch(d.Upstream.Probe, d.Log)}
+}
 
 const (
 	// responseMargin is the part of the client's timeout that is reserved for the response
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -72,6 +72,8 @@
 type fakeUpstream struct {
 	replies map[string]func(ctx context.Context, a Attempt) (*Reply, error)
 	sent    []Attempt
+	// unreachable are the servers that no connection can be opened to.
+	unreachable map[string]bool
 }
 
 func (u *fakeUpstream) Send(ctx context.Context, a Attempt) (*Reply, error) {
@@ -79,6 +81,14 @@
 	return u.replies[a.Address](ctx, a)
 }
 
+// Probe implements Upstream.
+func (u *fakeUpstream) Probe(_ context.Context, address string) error {
+	if u.unreachable[address] {
+		return ErrUnreachable
+	}
+	return nil
+}
+
 type fakeLimiter struct{ err error }
 
 func (l fakeLimiter) Reserve(context.Context, string, int64) (grants.Reservation, error) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -128,7 +128,11 @@
 type Upstream interface {
 	// Send sends an attempt once. Errors are of errkind EndpointFailed, Timeout or
 	// Canceled. The outcome is not-run if no byte was sent, else unknown.
+	// An error of a server that can't be connected to is also marked as ErrUnreachable.
 	Send(ctx context.Context, a Attempt) (*Reply, error)
+	// Probe opens a connection to an address and closes it again. The error is marked as
+	// ErrUnreachable if nothing answered.
+	Probe(ctx context.Context, address string) error
 }
 
 // headerRetryAfter is the delay before a client should retry, in seconds.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,7 +17,7 @@
 // stream relays the events of a stream as they arrive and records the ID of the last one that
 // was written in x.LastEventID. If the stream breaks, attempts may resume it after that
 // event at another server, if the route allows that.
-func (g *Gateway) stream(ctx context.Context, x *exchange, reply *Reply, started func()) error {
+func (g *Gateway) stream(ctx context.Context, x *exchange, reply *Reply, received, started func()) error {
 	x.mayHaveRun = true
 	events := engine.NewEventReader(reply.Body, maxEventBytes)
 	controller := http.NewResponseController(x.w)
@@ -36,6 +36,7 @@
 		if err != nil {
 			return brokenResponse(ctx, err)
 		}
+		received()
 		if first {
 			started()
 			g.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(time.Since(x.Arrived).Seconds())
