Refuse nothing for an unknown token cost; wait longer for the first view

A request is refused for the work ahead only once a response has shown what a token costs, and waits up to half of its time for the first view.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,7 @@
 	viewWaitElections = 3
 	// viewWaitShare is the share of the client's timeout that a request may wait for the first
 	// view, and maxViewWaiters the number of requests that may.
-	viewWaitShare  = 1.0 / 4
+	viewWaitShare  = 1.0 / 2
 	maxViewWaiters = 256
 	// queueTargetShare is the share of the route's target time that a request may wait for
 	// a slot, so that it can still be served within the target.
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -214,8 +214,12 @@
 
 // missesDeadline reports whether the prefill work ahead of the request at its best
 // endpoint takes longer than the request has left. The duration is the time until that
-// work has shrunk to half of the time left; a refusal returns it as the retry delay.
+// work has shrunk to half of the time left; a refusal returns it as the retry delay. While no
+// response has shown what a token costs, as after a restart, no request is refused for it.
 func (c *Core) missesDeadline(r *Request, s *State) (time.Duration, bool) {
+	if !c.costKnown(s) {
+		return 0, false
+	}
 	backlog := time.Duration(s.PendingTokens+s.PeerPendingTokens) * s.PrefillPerToken
 	return backlog - r.TimeLeft/2, r.TimeLeft > 0 && backlog > r.TimeLeft
 }
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -48,6 +48,12 @@
 	t.perToken += time.Duration(weight * float64(perToken-t.perToken))
 }
 
+// costKnown reports whether a response of the endpoint or of its service has shown the cost
+// of a token.
+func (c *Core) costKnown(s *State) bool {
+	return s.costSamples > 0 || c.tokenCosts[s.Service].samples > 0
+}
+
 // shareTokenCost updates the token cost of a service, and applies it to the endpoints with
 // too few samples of their own. In a large fleet one VM sends few requests to a single
 // endpoint; with the initial value, such an endpoint would seem several times as slow as
--- a/internal/routing/inventory_test.go
+++ b/internal/routing/inventory_test.go
@@ -133,7 +133,7 @@
 	c := peerCore(now)
 	for _, name := range []string{"e1", "e2", "e3"} {
 		s := c.byName[name]
-		s.PrefillPerToken, s.PendingTokens = 25*time.Microsecond, 300_000 // 7.5 s of work
+		s.PrefillPerToken, s.costSamples, s.PendingTokens = 25*time.Microsecond, 1, 300_000 // 7.5 s of work
 	}
 	r := sharedPrefixRequest("p", "1")
 	r.TimeLeft = 5 * time.Second
@@ -176,3 +176,15 @@
 		last, now = wait, s.downUntil
 	}
 }
+
+// After a restart of all VMs the clients return together, and a VM knows no cost of a token
+// yet. Its initial value must not make requests look hopeless.
+func TestNoRequestIsRefusedForUnknownTokenCost(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := peerCore(now)
+	for i := range 60 {
+		r := sharedPrefixRequest("p"+strconv.Itoa(i), "own")
+		r.TimeLeft = 3 * time.Second
+		assert.Assert(t, submitRequest(c, now, r).Refusal == nil, "request %d", i)
+	}
+}
