--- a/internal/routing/copies.go
+++ b/internal/routing/copies.go
@@ -83,8 +83,8 @@
 // importFrom returns the address to import a request's cached pieces from, or "". If the
 // endpoint is believed to hold the shared pieces already, it is another endpoint that may
 // hold them: the belief may be out of date, and an import of nothing costs a millisecond.
-// For startupImportWindow, in which this VM knows little, it is a home of the shared pieces
-// or the store.
+// If no endpoint is known to hold them, it is their first home, where other VMs send their
+// requests, or for startupImportWindow the store.
 func (c *Core) importFrom(now time.Time, p *Pending, best *Candidate) string {
 	r := &p.Request
 	if best.ImportFrom != "" || !c.policy.PeerImports {
@@ -99,14 +99,14 @@
 	if source := c.storeWith(now, r, best.State); source != nil {
 		return source.Address
 	}
-	if best.Match.CachedPieces > 0 || now.Sub(c.startedAt) > startupImportWindow {
-		return ""
-	}
-	if guessable {
+	if guessable && best.Match.CachedPieces < r.SharedPieces {
 		if home := c.otherHome(now, r, best.State); home != nil {
 			return home.Address
 		}
 	}
+	if best.Match.CachedPieces > 0 || now.Sub(c.startedAt) > startupImportWindow {
+		return ""
+	}
 	if store, _ := c.storeFor(now, r); store != nil {
 		return store.Address
 	}
