Exchange digests over relays up to ten times a second, and use the loads in them

VMs exchanged digests over relays each 0.5 s, so loads were up to 1.5 s old, and were averaged over the service for that reason.

The interval now follows from what a relay has to do: its cell and the other relays, within the digest calls of a VM, between 0.1 and 0.5 s. Loads up to 0.5 s old are used per endpoint; a VM still compares a sample only.

--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -54,7 +54,7 @@
 	// digestCPUShare limits the share of the VM's processor time spent on digests.
 	// digestCallCost is the processor time of one call, both sides together: 32 us in
 	// BenchmarkDigestCall. minDigestCallsPerSecond lets the smallest VM reach its peers too.
-	digestCPUShare          = 0.01
+	digestCPUShare          = 0.04
 	digestCallCost          = 40 * time.Microsecond
 	minDigestCallsPerSecond = 20
 )
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -36,10 +36,11 @@
 	policy           Policy
 	startedAt        time.Time
 	limits           Limits
-	vmCount          int    // entry VMs that send digests, including this one
-	relayedVMs       int    // see setRelayedVMs
-	sampleCounter    uint64 // varies the random samples between requests
-	loadsEqualized   bool   // see equalizePeerLoads
+	vmCount          int           // entry VMs that send digests, including this one
+	relayedVMs       int           // see setRelayed
+	relayInterval    time.Duration // see setRelayed
+	sampleCounter    uint64        // varies the random samples between requests
+	loadsEqualized   bool          // see equalizePeerLoads
 	index            *cacheindex.Index
 	byName           map[string]*State
 	endpoints        []*State // in configuration order
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -127,7 +127,7 @@
 	x.module.mu.Lock()
 	urgent, interval := x.module.core.DigestUrgent(), x.module.settings.DigestEvery
 	if x.module.core.relayedVMs > 0 {
-		urgent, interval = false, relayInterval
+		urgent, interval = false, x.module.core.relayInterval
 	}
 	x.module.mu.Unlock()
 	if !urgent && now.Sub(x.lastSent) < interval {
@@ -146,7 +146,7 @@
 	if t.relayed {
 		relayedVMs = t.vms
 	}
-	m.core.setRelayedVMs(relayedVMs)
+	m.core.setRelayed(relayedVMs, t.interval)
 	m.mu.Unlock()
 	x.logTopology(t)
 	switch {
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// relayInterval is the time between two exchanges of a VM with its relay, and of the
-	// relays with each other.
-	relayInterval = 500 * time.Millisecond
+	// minRelayInterval and maxRelayInterval bound the time between two exchanges of a VM with
+	// its relay, and of the relays with each other; see topology.interval.
+	minRelayInterval = 100 * time.Millisecond
+	maxRelayInterval = 500 * time.Millisecond
 	// relayDigestBytes limits a digest from a relay.
 	relayDigestBytes = 4 << 10
 	// maxRelayedNews is the number of news items that a relay keeps for the VMs that have not
--- a/internal/routing/sample.go
+++ b/internal/routing/sample.go
@@ -10,6 +10,9 @@
 	// staleDigestInterval is the interval between two digests of a peer above which the
 	// loads in them are too old to compare endpoints by: a usual prefill takes less time.
 	staleDigestInterval = 250 * time.Millisecond
+	// uselessLoadInterval is the interval above which the loads say nothing about a single
+	// endpoint: a usual request has ended by then.
+	uselessLoadInterval = 500 * time.Millisecond
 	// sampleSize is how many random candidates a VM compares while digests are stale,
 	// besides those that may hold the prefix. The best of all endpoints would be the same
 	// for every VM and would receive all requests until the next digest. The best of a few
@@ -35,11 +38,11 @@
 }
 
 // equalizePeerLoads sets the peer load of each endpoint to the mean of its service or
-// model while digests are stale: the sum over all endpoints still shows how busy the
+// model while the reported loads are useless: the sum over all endpoints still shows how busy the
 // service is, but the distribution is out of date. Otherwise it restores the reported
 // loads.
 func (c *Core) equalizePeerLoads() {
-	if !c.digestsStale() {
+	if c.digestRound() <= uselessLoadInterval {
 		if c.loadsEqualized {
 			c.loadsEqualized = false
 			for _, s := range c.endpoints {
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -203,11 +203,11 @@
 	c.updateVMCount()
 }
 
-// setRelayedVMs sets the number of entry VMs while digests go over relays, or 0 while every VM
-// sends its digests to all others.
-func (c *Core) setRelayedVMs(vms int) {
-	if c.relayedVMs != vms {
-		c.relayedVMs = vms
+// setRelayed sets the number of entry VMs and the interval of exchanges while digests go over
+// relays, or 0 while every VM sends its digests to all others.
+func (c *Core) setRelayed(vms int, interval time.Duration) {
+	if c.relayedVMs != vms || c.relayInterval != interval {
+		c.relayedVMs, c.relayInterval = vms, interval
 		c.updateVMCount()
 		c.equalizePeerLoads()
 	}
@@ -228,7 +228,7 @@
 func (c *Core) digestRound() time.Duration {
 	switch {
 	case c.relayedVMs > 0:
-		return relayHops * relayInterval
+		return relayHops * c.relayInterval
 	case c.limits.DigestsPerSecond > 0:
 		return time.Duration(float64(len(c.peers)) / c.limits.DigestsPerSecond * float64(time.Second))
 	}
--- a/internal/routing/topology.go
+++ b/internal/routing/topology.go
@@ -25,6 +25,9 @@
 	direct  []string // peer addresses that get every digest, if not relayed
 	relay   string   // peer address of this VM's relay, or "" on a relay
 	relays  []string // on a relay: peer addresses of the other relays
+	// interval is the time between two exchanges over relays. In it, a relay stays within its
+	// share of digest calls while it serves its cell and calls the other relays.
+	interval time.Duration
 }
 
 // cellOf returns the number of a VM's cell within its failure domain.
@@ -60,6 +63,12 @@
 		number int
 	}
 	cellSize := max(minCellSize, int(math.Sqrt(float64(len(vms)))))
+	cells := 0
+	for _, count := range domains {
+		cells += (count + cellSize - 1) / cellSize
+	}
+	calls := time.Duration(float64(cellSize+cells) / digestCalls * float64(time.Second))
+	t.interval = min(max(calls, minRelayInterval), maxRelayInterval)
 	relays, own := map[cell]string{}, cell{}
 	for _, vm := range vms {
 		count := domains[vm.FailureDomain]
