Ask for the permission to send an order right before its first byte

Cause, found while looking for failures of similar systems: the leader checked its lease, and then opened a connection to the server before it wrote the order. A VM that was paused in between wrote an order of a term that another leader had succeeded. The fence and the number of orders that the server had accepted kept it from having an effect; servers that do not check fences had only the latter.

--- a/internal/fleetcontrol/reconciler.go
+++ b/internal/fleetcontrol/reconciler.go
@@ -22,8 +22,9 @@
 	// CheckWeights reads the weights that a server has loaded and the state of its orders.
 	CheckWeights(ctx context.Context, s fleet.Server) (rollout.Report, error)
 	// LoadWeights orders a server to load other weights; accepted is false if the server
-	// refused for now. After an error the order may still be executed.
-	LoadWeights(ctx context.Context, c rollout.Call, fence uint64) (accepted bool, err error)
+	// refused for now. After an error the order may still be executed. permitted is called
+	// immediately before the first byte is sent; if it returns false, nothing is sent.
+	LoadWeights(ctx context.Context, c rollout.Call, fence uint64, permitted func() bool) (accepted bool, err error)
 }
 
 const (
@@ -190,16 +191,23 @@
 	}()
 }
 
+// mayOrder reports whether this replica still leads in the term. The lease behind it counts the
+// time in which the VM is suspended.
+func (r *Reconciler) mayOrder(term uint64) bool {
+	current, leads := r.service.replica.Leading()
+	return leads && current == term
+}
+
 // sendOrder sends an order if this replica still leads in its term.
 func (r *Reconciler) sendOrder(ctx context.Context, call rollout.Call) {
-	term, leads := r.service.replica.Leading()
-	if !leads || term != r.term {
+	term := r.term
+	if !r.mayOrder(term) {
 		return
 	}
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		accepted, err := r.client.LoadWeights(callCtx, call, term)
+		accepted, err := r.client.LoadWeights(callCtx, call, term, func() bool { return r.mayOrder(term) })
 		r.deliver(ctx, term, func() {
 			r.log.Info("weights ordered", zap.String("server", call.Server.ID), zap.String("model", call.Model),
 				zap.Int64("version", call.Version), zap.Uint64("fence", term), zap.Bool("accepted", accepted), zap.Error(err))
--- a/internal/fleetcontrol/service_test.go
+++ b/internal/fleetcontrol/service_test.go
@@ -245,7 +245,10 @@
 func (s *fakeServers) CheckWeights(_ context.Context, f fleet.Server) (rollout.Report, error) {
 	return rollout.Report{Weights: f.Weights}, nil
 }
-func (s *fakeServers) LoadWeights(_ context.Context, _ rollout.Call, fence uint64) (bool, error) {
+func (s *fakeServers) LoadWeights(_ context.Context, _ rollout.Call, fence uint64, permitted func() bool) (bool, error) {
+	if !permitted() {
+		return false, errors.New("not permitted")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.orders = append(s.orders, fence)
