--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -78,22 +78,35 @@
 var stateMessages = []stateMessage{
 	{"start", requestVM}, {"settings reloaded", requestVM}, {"configuration in force", requestVM}, {"servers known", requestVM},
 	{"control lost", requestVM}, {"control regained", requestVM}, {"no further requests are taken", requestVM}, {"stop", requestVM},
+	{"endpoint notice", requestVM}, {"silent attempts given up, their server is unreachable", requestVM},
 	{"configuration sent by an operator", anyVM}, {"list of servers changed", anyVM}, {"owning grants", anyVM},
 	{"consensus role changed", anyVM}, {"weights named", anyVM}, {"weights ordered", requestServer}, {"server weights checked", requestServer},
 	// Former texts of "consensus role changed" and "server weights checked", in logs of earlier versions.
 	{"agreement", anyVM}, {"server looked at", requestServer},
 }
 
-// Explain returns the report on the request with the given ID. Its lines are in order of
-// time. A request without any line is an error of kind errkind.NotFound.
-func Explain(lines []Line, id string) (*Report, error) {
+// OnCommonTime returns the lines of all VMs in order of time, on one time scale.
+func OnCommonTime(lines []Line) []Event {
 	c := estimateClocks(lines)
-	r := &Report{ID: id, Compared: c.compared, Offsets: map[string]time.Duration{}}
+	return c.order(lines)
+}
+
+// order returns the lines in order of time.
+func (c clocks) order(lines []Line) []Event {
 	events := make([]Event, len(lines))
 	for i := range lines {
 		events[i] = Event{Line: &lines[i], When: c.when(&lines[i])}
 	}
 	slices.SortStableFunc(events, func(a, b Event) int { return a.When.Compare(b.When) })
+	return events
+}
+
+// Explain returns the report on the request with the given ID. Its lines are in order of
+// time. A request without any line is an error of kind errkind.NotFound.
+func Explain(lines []Line, id string) (*Report, error) {
+	c := estimateClocks(lines)
+	r := &Report{ID: id, Compared: c.compared, Offsets: map[string]time.Duration{}}
+	events := c.order(lines)
 	for _, e := range events {
 		if e.Request == id {
 			r.RequestLines = append(r.RequestLines, e)
