--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -178,3 +178,24 @@
 		}
 	})
 }
+
+// An engine sends bytes now and then, but never a whole event. That is silence: the stream
+// ends after the longest time between two events.
+func TestDrippingStreamEnds(t *testing.T) {
+	c, call := startEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for text := "data: first\n\ndata: "; r.Context().Err() == nil; text = "x" {
+			_, _ = io.WriteString(w, text)
+			w.(http.Flusher).Flush()
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	stream, err := c.Stream(t.Context(), call, firstTimeout)
+	assert.NilError(t, err)
+	defer stream.Close()
+	_, err = stream.Next()
+	assert.NilError(t, err)
+	stream.ResetTimeout()
+	_, err = stream.Next()
+	assert.Assert(t, errors.Is(err, errUnresponsive), "%v", err)
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -41,6 +41,10 @@
 		if err != nil {
 			return x.finalError(preferEarlier(lastErr, err))
 		}
+		if err := g.checkFresh(); err != nil { // the request may have waited, or the VM was paused
+			ticket.Done(routing.Result{Err: errkind.New(errkind.Canceled, "not sent")})
+			return x.finalError(err)
+		}
 		err = g.attempt(x, ticket)
 		if err == nil {
 			return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,8 +128,8 @@
 	if view.Config == nil {
 		return errkind.New(errkind.Stale, "no configuration has been received yet").WithRetryAfter(max(typicalElectionTime-g.Directory.Age(), retryAfterShort))
 	}
-	if age := g.Directory.Age(); g.MaxViewAge > 0 && age >= g.MaxViewAge {
-		return errkind.New(errkind.Stale, "configuration was last confirmed to be current %v ago", age).WithRetryAfter(retryAfterShort)
+	if err := g.checkFresh(); err != nil {
+		return err
 	}
 	if limit := view.Config.Limits.MaxBodyBytes; limit > 0 && int64(len(x.Body)) > limit {
 		return errkind.New(errkind.TooLarge, "request body exceeds %d bytes", limit)
@@ -164,6 +164,14 @@
 	return err
 }
 
+// checkFresh returns an error if the view is too old to serve requests by.
+func (g *Gateway) checkFresh() error {
+	if age := g.Directory.Age(); g.MaxViewAge > 0 && age >= g.MaxViewAge {
+		return errkind.New(errkind.Stale, "configuration was last confirmed to be current %v ago", age).WithRetryAfter(retryAfterShort)
+	}
+	return nil
+}
+
 // awaitView returns the current view. While the VM has no configuration or no list of servers
 // since its start, it waits for them for a part of the client's timeout: a list that has not
 // been received is not an empty list.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -41,6 +41,7 @@
 type fakeRouter struct {
 	servers     []string
 	waitForever bool
+	onPick      func() // may be nil
 	done        []routing.Result
 	notices     []routing.Notice
 }
@@ -55,6 +56,9 @@
 		<-ctx.Done()
 		return nil, errkind.New(errkind.Canceled, "canceled in the queue").WithOutcome(errkind.NotRun)
 	}
+	if r.onPick != nil {
+		r.onPick()
+	}
 	for _, s := range r.servers {
 		if !slices.Contains(q.Exclude, s+"@"+s) {
 			return fakeTicket{r, routing.Decision{Endpoint: s + "@" + s, Address: s}}, nil
@@ -480,3 +484,16 @@
 	_, up, _ = run(t, setup{kind: fleet.NonIdempotent, attempts: 1, budget: 9, servers: servers{"a": refuseNotRun, "b": loseReply, "c": reply(200, "x", false)}})
 	assert.Equal(t, len(up.sent), 2, "it may have run")
 }
+
+// A VM is paused after it has checked the age of its configuration. When it goes on, the
+// configuration may have been withdrawn, so nothing is sent by it.
+func TestPausedVMSendsNothingByOldConfiguration(t *testing.T) {
+	g, up := newGateway(t, setup{kind: fleet.NonIdempotent, maxAge: time.Second, servers: servers{"a": reply(200, "x", false)}}, zap.NewNop())
+	d := &lateDirectory{view: g.Directory.View(), changed: make(chan struct{})}
+	g.Directory = d
+	g.Router.(*fakeRouter).onPick = func() { d.age = 2 * time.Second }
+	w := httptest.NewRecorder()
+	g.Serve(t.Context(), w, newRequest())
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, len(up.sent), 0)
+}
