Soak: servers that leave and servers that ask for a pause

Servers announce both while the list goes on to call them ready; what reaches them afterwards is checked by entry VM, with its restarts, freezes and cuts excused.

--- a/internal/onplatform/soak_calls_test.go
+++ b/internal/onplatform/soak_calls_test.go
@@ -36,6 +36,7 @@
 // stubServers simulates the servers of a service and counts the executions of each request.
 type stubServers struct {
 	refusing atomic.Int32 // number of active faults that make the servers refuse requests
+	notices  *serverNotices
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -43,17 +44,23 @@
 }
 
 func newStubServers() *stubServers {
-	return &stubServers{runs: map[string]int{}, random: rand.New(rand.NewPCG(7, 7))}
+	return &stubServers{notices: newServerNotices(), runs: map[string]int{}, random: rand.New(rand.NewPCG(7, 7))}
 }
 
-// handle executes a request, or refuses it with X-Not-Executed.
-func (s *stubServers) handle(w http.ResponseWriter, r *http.Request) {
+// handle executes a request at a server, or refuses it with X-Not-Executed.
+func (s *stubServers) handle(server int, w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
+	if self := s.notices.id(server); r.Header.Get("X-Target-Instance") != self {
+		w.Header().Set("X-Instance-Id", self)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	pauses := s.notices.announce(w, server, id)
 	w.Header().Set("X-Response-Stamp", "stamp")
 	_, _ = io.ReadAll(r.Body) // the body is incomplete if the request was canceled
 	s.mu.Lock()
-	refuse := s.refusing.Load() > 0 && s.random.IntN(2) == 0
+	refuse := s.refusing.Load() > 0 && s.random.IntN(2) == 0 || pauses
 	work := time.Duration(s.random.IntN(60)) * time.Millisecond
 	if !refuse {
 		s.runs[id]++
@@ -84,7 +91,7 @@
 func (r *soakRun) serveList(w http.ResponseWriter, _ *http.Request) {
 	var instances []string
 	for n := range soakServers {
-		instances = append(instances, fmt.Sprintf(`{"id":"i-%d","service":"app","address":"%s","zone":"a","slots":20,"state":"ready"}`, n, r.address(201+n, listPort)))
+		instances = append(instances, fmt.Sprintf(`{"id":"%s","service":"app","address":"%s","zone":"a","slots":20,"state":"ready"}`, r.servers.notices.id(n), r.address(201+n, listPort)))
 	}
 	_, _ = fmt.Fprintf(w, `{"instances":[%s],"nextToken":null}`, strings.Join(instances, ","))
 }
@@ -186,7 +193,8 @@
 			for k := 0; ctx.Err() == nil; k++ {
 				path := []string{"orders", "reads", "streams"}[random.IntN(3)]
 				account := []string{"wide", "small"}[i%2]
-				record := c.call(client, 1+random.IntN(soakEntryVMs), path, account, fmt.Sprintf("%d-%d", i, k))
+				vm := 1 + random.IntN(soakEntryVMs)
+				record := c.call(client, vm, path, account, fmt.Sprintf("%d.%d-%d", vm, i, k))
 				c.mu.Lock()
 				c.records = append(c.records, record)
 				c.mu.Unlock()
@@ -291,6 +299,9 @@
 	if overrun, exceeded := oracle.CheckIntervals(smallRate*(1+grantOver), smallBurst+grantSlack, small); exceeded {
 		all = append(all, fmt.Sprintf("account small had %d tokens over its grant from %v to %v", overrun.Tokens, overrun.From, overrun.To))
 	}
+	c.run.servers.notices.mu.Lock()
+	defer c.run.servers.notices.mu.Unlock()
+	all = append(all, c.run.servers.notices.violations...)
 	return all
 }
 
--- a/internal/onplatform/soak_faults_test.go
+++ b/internal/onplatform/soak_faults_test.go
@@ -22,7 +22,13 @@
 		r.mu.Lock()
 		r.faults[fault.name]++
 		r.mu.Unlock()
-		running.Go(func() { fault.inject(r, target, hold) })
+		running.Go(func() {
+			if !fault.notice {
+				r.servers.notices.disturb(target, true)
+				defer r.servers.notices.disturb(target, false)
+			}
+			fault.inject(r, target, hold)
+		})
 		time.Sleep(time.Duration(r.random.Int64N(int64(1200 * time.Millisecond))))
 	}
 	running.Wait()
@@ -34,6 +40,8 @@
 	name    string
 	targets []string
 	inject  func(r *soakRun, target string, hold time.Duration)
+	// notice is set if the servers announce the fault, which excuses nothing.
+	notice bool
 }
 
 var (
@@ -45,37 +53,39 @@
 )
 
 var faults = []fault{
-	{"core killed", controlNames, func(r *soakRun, target string, hold time.Duration) {
+	{name: "core killed", targets: controlNames, inject: func(r *soakRun, target string, hold time.Duration) {
 		r.stopAndRestart(target, syscall.SIGKILL, false, hold)
 	}},
-	{"core stopped", controlNames, func(r *soakRun, target string, hold time.Duration) {
+	{name: "core stopped", targets: controlNames, inject: func(r *soakRun, target string, hold time.Duration) {
 		r.stopAndRestart(target, syscall.SIGTERM, false, hold)
 	}},
-	{"core wiped", controlNames, func(r *soakRun, target string, hold time.Duration) {
+	{name: "core wiped", targets: controlNames, inject: func(r *soakRun, target string, hold time.Duration) {
 		r.stopAndRestart(target, syscall.SIGKILL, true, hold)
 	}},
-	{"core frozen", controlNames, (*soakRun).freeze},
-	{"entry killed", entryNames, func(r *soakRun, target string, hold time.Duration) {
+	{name: "core frozen", targets: controlNames, inject: (*soakRun).freeze},
+	{name: "entry killed", targets: entryNames, inject: func(r *soakRun, target string, hold time.Duration) {
 		r.stopAndRestart(target, syscall.SIGKILL, false, hold)
 	}},
-	{"entry stopped", entryNames, func(r *soakRun, target string, hold time.Duration) {
+	{name: "entry stopped", targets: entryNames, inject: func(r *soakRun, target string, hold time.Duration) {
 		r.stopAndRestart(target, syscall.SIGTERM, false, hold)
 	}},
-	{"entry frozen", entryNames, (*soakRun).freeze},
-	{"hangup", append(append([]string{}, controlNames...), entryNames...), func(r *soakRun, target string, _ time.Duration) { r.signal(target, syscall.SIGHUP) }},
-	{"cut", allLinks, func(r *soakRun, target string, hold time.Duration) { r.cut(target, true, true, hold) }},
-	{"cut one way", allLinks, func(r *soakRun, target string, hold time.Duration) {
+	{name: "entry frozen", targets: entryNames, inject: (*soakRun).freeze},
+	{name: "hangup", targets: append(append([]string{}, controlNames...), entryNames...), inject: func(r *soakRun, target string, _ time.Duration) { r.signal(target, syscall.SIGHUP) }},
+	{name: "cut", targets: allLinks, inject: func(r *soakRun, target string, hold time.Duration) { r.cut(target, true, true, hold) }},
+	{name: "cut one way", targets: allLinks, inject: func(r *soakRun, target string, hold time.Duration) {
 		forward := hold%2 == 0
 		r.cut(target, forward, !forward, hold)
 	}},
-	{"reset", allLinks, func(r *soakRun, target string, _ time.Duration) { r.links[target].Reset() }},
-	{"silenced", allLinks, func(r *soakRun, target string, _ time.Duration) { r.links[target].Silence() }},
-	{"delayed", allLinks, func(r *soakRun, target string, hold time.Duration) {
+	{name: "reset", targets: allLinks, inject: func(r *soakRun, target string, _ time.Duration) { r.links[target].Reset() }},
+	{name: "silenced", targets: allLinks, inject: func(r *soakRun, target string, _ time.Duration) { r.links[target].Silence() }},
+	{name: "delayed", targets: allLinks, inject: func(r *soakRun, target string, hold time.Duration) {
 		r.links[target].Delay(hold / 20)
 		time.Sleep(hold)
 		r.links[target].Delay(0)
 	}},
-	{"servers refuse", []string{""}, func(r *soakRun, _ string, hold time.Duration) {
+	{name: "server leaves", targets: serverLinks[:soakServers], inject: (*soakRun).leave, notice: true},
+	{name: "server pauses", targets: serverLinks[:soakServers], inject: (*soakRun).pause, notice: true},
+	{name: "servers refuse", targets: []string{""}, inject: func(r *soakRun, _ string, hold time.Duration) {
 		r.servers.refusing.Add(1)
 		time.Sleep(hold)
 		r.servers.refusing.Add(-1)
--- /dev/null
+++ b/internal/onplatform/soak_notices_test.go
@@ -0,0 +1,134 @@
+package onplatform
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// drainBound is the platform's bound on the time until an entry VM that has passed on a
+	// leaving server's response sends that server nothing more.
+	drainBound = 3 * time.Second
+	// pauseFor is the time for which a pausing server wants nothing, and pauseSlack the time in
+	// which requests that are on their way may still arrive; pauseExcess more may arrive later.
+	pauseFor    = 2 * time.Second
+	pauseSlack  = 500 * time.Millisecond
+	pauseExcess = 2
+)
+
+// serverNotices is what the servers of a soak state about themselves, and to which entry VMs.
+// It records the requests that arrive in spite of it.
+type serverNotices struct {
+	mu         sync.Mutex
+	servers    [soakServers]noticeState
+	disturbed  map[string]time.Time // end of the last fault of a daemon or link, in the future during a fault
+	violations []string
+}
+
+// noticeState is the state of one server.
+type noticeState struct {
+	incarnation int
+	leaving     bool
+	pausing     bool
+	toldLeaving map[string]time.Time // first such response, by entry VM
+	toldPause   map[string]time.Time // last such response, by entry VM
+	late        map[string]int       // requests during a pause, by entry VM
+}
+
+func newServerNotices() *serverNotices {
+	n := &serverNotices{disturbed: map[string]time.Time{}}
+	for i := range n.servers {
+		n.servers[i] = newNoticeState(0)
+	}
+	return n
+}
+
+func newNoticeState(incarnation int) noticeState {
+	return noticeState{incarnation: incarnation, toldLeaving: map[string]time.Time{}, toldPause: map[string]time.Time{}, late: map[string]int{}}
+}
+
+// id returns the present ID of a server.
+func (n *serverNotices) id(server int) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return fmt.Sprintf("i-%d-%d", server, n.servers[server].incarnation)
+}
+
+// disturb records the begin or end of a fault of a daemon or link.
+func (n *serverNotices) disturb(target string, begins bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.disturbed[target] = time.Now()
+	if begins {
+		n.disturbed[target] = time.Now().Add(time.Hour)
+	}
+}
+
+// excused reports whether the entry VM or its path to the server was disturbed after a time.
+func (n *serverNotices) excused(vm string, server int, since time.Time) bool {
+	return n.disturbed[vm].After(since) || n.disturbed[fmt.Sprint("app-", server)].After(since)
+}
+
+// vmOf returns the entry VM to which a call was made, from the call's ID.
+func vmOf(id string) string {
+	vm, _, _ := strings.Cut(id, ".")
+	return "entry-" + vm
+}
+
+// announce checks a request that arrives at a server, and writes the server's notices to the
+// header of the response. It reports whether the server refuses the request and pauses.
+func (n *serverNotices) announce(w http.ResponseWriter, server int, requestID string) (pauses bool) {
+	vm, now := vmOf(requestID), time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := &n.servers[server]
+	if told, ok := s.toldLeaving[vm]; ok && now.Sub(told) > drainBound && !n.excused(vm, server, told) {
+		n.violations = append(n.violations, fmt.Sprintf("request %s reached server %d %v after %s had heard that it leaves", requestID, server, now.Sub(told), vm))
+	}
+	if told, ok := s.toldPause[vm]; ok && now.Sub(told) > pauseSlack && now.Sub(told) < pauseFor && !n.excused(vm, server, told) {
+		if s.late[vm]++; s.late[vm] > pauseExcess {
+			n.violations = append(n.violations, fmt.Sprintf("request %s reached server %d %v after %s had been asked for a pause of %v", requestID, server, now.Sub(told), vm, pauseFor))
+		}
+	}
+	if s.leaving {
+		w.Header().Set("Server-Leaving", "1")
+		if _, told := s.toldLeaving[vm]; !told {
+			s.toldLeaving[vm] = now
+		}
+	}
+	if s.pausing {
+		w.Header().Set("Retry-After", strconv.FormatFloat(pauseFor.Seconds(), 'f', -1, 64))
+		s.toldPause[vm], s.late[vm] = now, 0
+	}
+	return s.pausing
+}
+
+// leave makes a server announce that it leaves, while the list goes on to call it ready. Then it
+// starts again at the same address.
+func (r *soakRun) leave(target string, hold time.Duration) {
+	n, server := r.servers.notices, int(target[len(target)-1]-'0')
+	n.mu.Lock()
+	n.servers[server].leaving = true
+	n.mu.Unlock()
+	time.Sleep(drainBound + hold)
+	n.mu.Lock()
+	n.servers[server] = newNoticeState(n.servers[server].incarnation + 1)
+	n.mu.Unlock()
+}
+
+// pause makes a server refuse all requests and ask for a pause.
+func (r *soakRun) pause(target string, hold time.Duration) {
+	n, server := r.servers.notices, int(target[len(target)-1]-'0')
+	set := func(pausing bool) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.servers[server].pausing = pausing
+	}
+	set(true)
+	time.Sleep(hold)
+	set(false)
+}
--- a/internal/onplatform/soak_test.go
+++ b/internal/onplatform/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -135,7 +136,7 @@
 	r := &soakRun{deployment: newEmptyDeployment(t, grantSlack), random: rand.New(rand.NewPCG(seed, 0)), servers: newStubServers(),
 		links: map[string]*loopback.Link{}, faulted: map[string]bool{}, faults: map[string]int{}}
 	for n := range soakServers {
-		r.serveStub(r.address(220+n, listPort), r.servers.handle)
+		r.serveStub(r.address(220+n, listPort), func(w http.ResponseWriter, request *http.Request) { r.servers.handle(n, w, request) })
 		r.link(fmt.Sprint("app-", n), r.address(201+n, listPort), r.address(220+n, listPort))
 	}
 	r.serveStub(r.address(210, listPort), r.serveList)
