--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -160,19 +160,12 @@
 		attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
 	}
 	x.server, x.decision = attempt.Server, decision
-	send := func() (*Reply, error) {
-		reply, err := g.Upstream.Send(ctx, attempt)
-		if err == nil && !reply.WrongServer {
-			ticket.Notify(routing.Notice{Incarnation: decision.Incarnation, Leaving: reply.Leaving, PauseFor: reply.PauseFor})
-		}
-		return reply, err
-	}
 	var watched *watchedAttempt
 	if x.route.Retryable() && x.possibleRuns()+1 < x.route.MaxAttempts {
 		watched = g.silence.add(decision.Address, cancel)
 		defer watched.remove()
 	}
-	reply, err := send()
+	reply, err := g.send(ctx, ticket, attempt)
 	watched.received()
 	if err == nil && reply.WrongWeights && !reply.Leaving && attempt.Weights > 0 && g.mayRetry(x) {
 		// The server's weights have changed since the last status check, and it has not
@@ -181,7 +174,7 @@
 		_ = reply.Body.Close() // the text of the refusal is not used
 		attempt.Weights, attempt.ImportFrom, attempt.SaveTo, attempt.CacheSalt, attempt.TimeLeft = 0, "", "", x.ID, time.Until(x.deadline)
 		x.sends.Add(-1)
-		reply, err = send()
+		reply, err = g.send(ctx, ticket, attempt)
 	}
 	result := routing.Result{Incarnation: decision.Incarnation, CacheUnknown: true, PromptTokens: x.Prompt.Tokens}
 	defer func() { ticket.Done(result) }()
@@ -193,30 +186,41 @@
 			ticket.Started()
 		})
 	}
-	if err != nil {
-		if errors.Is(context.Cause(ctx), ErrUnreachable) {
-			err = errkind.Wrap(ErrUnreachable, errkind.EndpointFailed, "attempt given up").WithOutcome(errkind.Unknown)
-		}
-		if errors.Is(err, ErrUnreachable) {
-			g.silence.unreachable(decision.Address)
-		}
-		if !notRun(err) {
-			x.mayHaveRun = true
-		}
+	if err == nil {
+		return nil
+	}
+	if errors.Is(context.Cause(ctx), ErrUnreachable) {
+		err = errkind.Wrap(ErrUnreachable, errkind.EndpointFailed, "attempt given up").WithOutcome(errkind.Unknown)
+	}
+	if errors.Is(err, ErrUnreachable) {
+		g.silence.unreachable(decision.Address)
+	}
+	if !notRun(err) {
+		x.mayHaveRun = true
+	}
+	switch {
+	case x.ctx.Err() != nil:
+		// The request timed out or the client disconnected, which is not the server's failure.
+		result.Err = errkind.New(errkind.Canceled, "request was canceled")
+	case reply != nil && reply.PauseFor > 0:
+		// The server works and asks for less, whether or not it ran this request.
+		result.Err = errkind.New(errkind.Overloaded, "server asked for a pause")
+	default:
 		result.Err = errkind.Of(err)
-		if reply != nil && reply.PauseFor > 0 {
-			// The server works and asks for less, whether or not it ran this request.
-			result.Err = errkind.New(errkind.Overloaded, "server asked for a pause")
-		}
-		if x.ctx.Err() != nil {
-			// The request timed out or the client disconnected, which is not the server's
-			// failure.
-			result.Err = errkind.New(errkind.Canceled, "request was canceled")
-		}
 	}
 	return err
 }
 
+// send sends an attempt once and passes on what the server states about itself. A response of
+// another server at the address says nothing about this one.
+func (g *Gateway) send(ctx context.Context, ticket routing.Ticket, a Attempt) (*Reply, error) {
+	reply, err := g.Upstream.Send(ctx, a)
+	if err == nil && !reply.WrongServer {
+		ticket.Notify(routing.Notice{Incarnation: ticket.Decision().Incarnation, Leaving: reply.Leaving, PauseFor: reply.PauseFor})
+	}
+	return reply, err
+}
+
 // serverID returns the server's ID from an endpoint's name, which has the form ID@address
 // (see fleet.Server.Key).
 func serverID(name, address string) string {
