Save first computations although a home is asked for a copy on a guess

Cause, found on reading: a request that names a source of an import is not saved, and since a home is asked on a guess, every first computation names one, so nothing was saved any more. The source now says whether it is known to hold the prefix. The test fails before.

--- a/internal/routing/copies.go
+++ b/internal/routing/copies.go
@@ -84,33 +84,33 @@
 // endpoint is believed to hold the shared pieces already, it is another endpoint that may
 // hold them: the belief may be out of date, and an import of nothing costs a millisecond.
 // If no endpoint is known to hold them, it is their first home, where other VMs send their
-// requests, or for startupImportWindow the store.
-func (c *Core) importFrom(now time.Time, p *Pending, best *Candidate) string {
+// requests, or for startupImportWindow the store; known is false for such a guess.
+func (c *Core) importFrom(now time.Time, p *Pending, best *Candidate) (address string, known bool) {
 	r := &p.Request
 	if best.ImportFrom != "" || !c.policy.PeerImports {
-		return best.ImportFrom
+		return best.ImportFrom, best.ImportFrom != ""
 	}
 	guessable := r.SharedPieces > 0 && r.tokensOf(r.SharedPieces) >= minImportTokens
 	if guessable {
 		if source := c.otherHolder(now, r, best.State); source != nil {
-			return source.Address
+			return source.Address, true
 		}
 	}
 	if source := c.storeWith(now, r, best.State); source != nil {
-		return source.Address
+		return source.Address, true
 	}
 	if guessable && best.Match.CachedPieces < r.SharedPieces {
 		if home := c.otherHome(now, r, best.State); home != nil {
-			return home.Address
+			return home.Address, false
 		}
 	}
 	if best.Match.CachedPieces > 0 || now.Sub(c.startedAt) > startupImportWindow {
-		return ""
+		return "", false
 	}
 	if store, _ := c.storeFor(now, r); store != nil {
-		return store.Address
+		return store.Address, false
 	}
-	return ""
+	return "", false
 }
 
 // minImportTokens is the shortest shared prefix that is imported on a guess.
@@ -171,7 +171,7 @@
 func (c *Core) saveTo(now time.Time, p *Pending) string {
 	r, s := &p.Request, p.state
 	store, shared := c.storeFor(now, r)
-	if store == nil || p.match.CachedPieces >= shared || p.Decision.ImportFrom != "" && p.Decision.ImportFrom != store.Address {
+	if store == nil || p.match.CachedPieces >= shared || p.importKnown && p.Decision.ImportFrom != store.Address {
 		return ""
 	}
 	chain := chainForWeights(r.Chain[:shared], s.Weights)
--- a/internal/routing/copies_test.go
+++ b/internal/routing/copies_test.go
@@ -98,3 +98,15 @@
 	assert.Equal(t, again.Decision.ImportFrom, "10.9.0.1:1")
 	assert.Equal(t, again.Decision.SaveTo, "")
 }
+
+// A home that is asked on a guess may hold nothing, so a first computation is saved although a
+// source is named.
+func TestFirstComputationIsSavedAlthoughHomeIsAsked(t *testing.T) {
+	c := importingCore(3)
+	c.SetStores([]Store{{Name: "kept", Address: "10.9.0.1:1", CapacityTokens: 1_000_000, TokensPerSecond: 200_000}})
+	r := subjectRequest(100, 1)
+	r.PieceEnds, r.PromptTokens = []int{500, 5000, 9000}, 9000
+	p := submit(c, epoch, r)
+	assert.Assert(t, p.Decision.ImportFrom != "")
+	assert.Equal(t, p.Decision.SaveTo, "10.9.0.1:1")
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -189,8 +189,9 @@
 	p.Decision = Decision{
 		Endpoint: s.Name, Address: s.Address, FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
 		CachedTokens: max(p.Request.PromptTokens-best.UncachedTokens, 0),
-		ImportFrom:   c.importFrom(now, p, best), Weights: s.Weights, Parts: c.scoreParts(best),
+		Weights:      s.Weights, Parts: c.scoreParts(best),
 	}
+	p.Decision.ImportFrom, p.importKnown = c.importFrom(now, p, best)
 	p.queuedAt = now
 	s.queue.Push(p)
 	c.dispatch(now, s)
--- a/internal/routing/pending.go
+++ b/internal/routing/pending.go
@@ -19,6 +19,7 @@
 	state          *State
 	match          cacheindex.Match
 	uncachedTokens int
+	importKnown    bool       // Decision.ImportFrom is known to hold the prefix, see importFrom
 	run            digest.Run // run of the endpoint when the request was sent; 0 if unknown
 	tokensAhead    int        // uncached tokens at the endpoint when it was sent, its own included
 	submittedAt    time.Time
