--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -39,6 +39,7 @@
 // fakeRouter picks the first server that is not excluded, or blocks until the context ends
 // if waitForever is set.
 type fakeRouter struct {
+	mu          sync.Mutex // guards notices and done
 	servers     []string
 	waitForever bool
 	onPick      func() // may be nil
@@ -69,19 +70,30 @@
 
 func (p fakeTicket) Decision() routing.Decision { return p.d }
 func (p fakeTicket) Started()                   {}
-func (p fakeTicket) Notify(n routing.Notice)    { p.r.notices = append(p.r.notices, n) }
-func (p fakeTicket) Done(r routing.Result)      { p.r.done = append(p.r.done, r) }
+func (p fakeTicket) Notify(n routing.Notice) {
+	p.r.mu.Lock()
+	defer p.r.mu.Unlock()
+	p.r.notices = append(p.r.notices, n)
+}
+func (p fakeTicket) Done(r routing.Result) {
+	p.r.mu.Lock()
+	defer p.r.mu.Unlock()
+	p.r.done = append(p.r.done, r)
+}
 
 // fakeUpstream replies according to the server's address and records the attempts.
 type fakeUpstream struct {
 	replies map[string]func(ctx context.Context, a Attempt) (*Reply, error)
+	mu      sync.Mutex // guards sent
 	sent    []Attempt
 	// unreachable are the servers that no connection can be opened to.
 	unreachable map[string]bool
 }
 
 func (u *fakeUpstream) Send(ctx context.Context, a Attempt) (*Reply, error) {
+	u.mu.Lock()
 	u.sent = append(u.sent, a)
+	u.mu.Unlock()
 	return u.replies[a.Address](ctx, a)
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,11 +83,11 @@
 // A connection that can't be opened for one request tells of the silent streams of others.
 func TestFailedConnectionMovesSilentStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		failConnecting := false
+		var failConnecting atomic.Bool
 		silent := replyWithPauses(900*time.Millisecond, streamEvents(1, 2), streamEvents(3, 4))
 		g, up := newGateway(t, setup{kind: fleet.Stream, resumable: true, attempts: 2, budget: 9, servers: servers{
 			"a": func(ctx context.Context, a Attempt) (*Reply, error) {
-				if failConnecting {
+				if failConnecting.Load() {
 					return nil, errkind.Wrap(ErrUnreachable, errkind.EndpointFailed, "connect").WithOutcome(errkind.NotRun)
 				}
 				return silent(ctx, a)
@@ -99,7 +100,7 @@
 			done <- time.Since(start)
 		}()
 		time.Sleep(minSilence)
-		failConnecting = true
+		failConnecting.Store(true)
 		g.Serve(t.Context(), httptest.NewRecorder(), promptRequest())
 		assert.Equal(t, <-done, minSilence)
 		assert.Equal(t, len(up.sent), 4)
