--- a/internal/onplatform/soak_notices_test.go
+++ b/internal/onplatform/soak_notices_test.go
@@ -21,6 +21,9 @@
 	pauseFor    = 2 * time.Second
 	pauseSlack  = 500 * time.Millisecond
 	pauseExcess = 2
+	// heldDelivery is the time after a fault of a link in which requests that it held may still
+	// arrive. Their entry VM has given them up, so it does not receive the responses.
+	heldDelivery = 500 * time.Millisecond
 )
 
 // serverNotices is what the servers of a soak state about themselves, and to which entry VMs.
@@ -83,7 +86,7 @@
 // excused reports whether the entry VM or its path to the server was disturbed after a time.
 func (n *serverNotices) excused(vm string, server int, since time.Time) bool {
 	for _, target := range []string{vm, fmt.Sprint("app-", server)} {
-		if d := n.disturbed[target]; d.active > 0 || d.ended.After(since) {
+		if d := n.disturbed[target]; d.active > 0 || d.ended.Add(heldDelivery).After(since) {
 			return true
 		}
 	}
@@ -161,5 +164,6 @@
 	n.disturb("app-1", false)
 	assert.Assert(t, n.excused("entry-3", 1, told), "it ended after the notice")
 	assert.Assert(t, !n.excused("entry-3", 0, told), "another server's link")
-	assert.Assert(t, !n.excused("entry-3", 1, time.Now()))
+	assert.Assert(t, n.excused("entry-3", 1, time.Now()), "the link may have held the request")
+	assert.Assert(t, !n.excused("entry-3", 1, time.Now().Add(heldDelivery)))
 }
--- a/internal/onplatform/soak_test.go
+++ b/internal/onplatform/soak_test.go
@@ -37,7 +37,7 @@
 	cause string
 }{
 	{211, "the harness wiped a second control VM 0.1 s after the first one had joined again, before it voted"},
-	{633, "the harness took a short fault of a link for the end of a longer one, and did not excuse what the link released"},
+	{633, "the harness counted notices in responses to requests that a link had held and that their VM had given up"},
 }
 
 const (
