Share the hook before a connection's first write; drop what the change wrote twice

The condition that another attempt may follow stood twice in internal/gateway. A new incarnation resets an endpoint's notices in the case that ends the former one, without a flag. Pick read the clock twice, a system call each; the search for another home computed the best weight again for each endpoint. losses.Options held one value. Two tests of copies share their setup; their assertions are as they were.

--- a/internal/eelctl/losses.go
+++ b/internal/eelctl/losses.go
@@ -28,7 +28,7 @@
 			if err != nil {
 				return err
 			}
-			rows := losses.Account(lines, losses.Options{Interval: interval})
+			rows := losses.Account(lines, interval)
 			if a.output == "json" {
 				return errors.Wrap(json.NewEncoder(a.out).Encode(rows), "write account")
 			}
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/firstwrite"
 )
 
 // DoOnce sends a call that must run at most once, on a new connection. It calls begin
@@ -29,14 +30,14 @@
 	defer func() { _ = conn.Close() }()
 	// When ctx ends, the deadline in the past ends every read and write.
 	defer context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })()
-	once := &beginConn{Conn: conn, begin: begin}
+	once := firstwrite.New(conn, begin)
 	response, err := c.exchange(ctx, once, call, request)
 	switch {
 	case err == nil:
 		return response, nil
-	case once.beginErr != nil:
-		return nil, once.beginErr
-	case !once.begun:
+	case once.Err() != nil:
+		return nil, once.Err()
+	case !once.Begun():
 		return nil, errkind.Of(err).WithOutcome(errkind.NotRun)
 	}
 	return nil, errkind.Of(err).WithOutcome(errkind.Unknown)
@@ -60,29 +61,6 @@
 	return c.readResponse(ctx, response)
 }
 
-// beginConn calls begin before the first write.
-type beginConn struct {
-	net.Conn
-	begin    func() error
-	begun    bool  // begin has succeeded
-	beginErr error // error of begin; every later Write returns it
-}
-
-// Write calls begin on the first call, and writes only if begin succeeded.
-func (c *beginConn) Write(p []byte) (int, error) {
-	if c.beginErr != nil {
-		return 0, c.beginErr
-	}
-	if !c.begun {
-		if err := c.begin(); err != nil {
-			c.beginErr = err
-			return 0, err
-		}
-		c.begun = true
-	}
-	return c.Conn.Write(p)
-}
-
 // headerLimitConn limits the bytes read to remaining. A negative value means no limit.
 type headerLimitConn struct {
 	net.Conn
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -84,6 +84,12 @@
 // possibleRuns returns the number of servers that may have run the request.
 func (x *exchange) possibleRuns() int { return x.sendCount() - x.refusals }
 
+// mayFollow reports whether the route allows another attempt after the next one, if the server
+// of that one runs the request.
+func (x *exchange) mayFollow() bool {
+	return x.route.Retryable() && x.possibleRuns()+1 < x.route.MaxAttempts
+}
+
 // mayRetry reports whether the service's retry budget allows a retry, and spends one.
 func (g *Gateway) mayRetry(x *exchange) bool {
 	allowed := g.Retries.Spend(x.service)
@@ -161,7 +167,7 @@
 	}
 	x.server, x.decision = attempt.Server, decision
 	var watched *watchedAttempt
-	if x.route.Retryable() && x.possibleRuns()+1 < x.route.MaxAttempts {
+	if x.mayFollow() {
 		watched = g.silence.add(decision.Address, cancel)
 		defer watched.remove()
 	}
@@ -233,7 +239,7 @@
 // attemptTimeout returns the timeout of the next attempt if another one may follow it, or 0
 // for no timeout other than the request's deadline.
 func (x *exchange) attemptTimeout() time.Duration {
-	if !x.route.Retryable() || x.Prompt.Known || x.possibleRuns()+1 >= x.route.MaxAttempts || x.route.TargetLatency == 0 {
+	if !x.mayFollow() || x.Prompt.Known || x.route.TargetLatency == 0 {
 		return 0
 	}
 	return min(attemptTimeoutTargets*x.route.TargetLatency, time.Until(x.deadline)/2)
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -25,7 +25,7 @@
 // Reason is why shared tokens were sent to a server that had not computed them.
 type Reason string
 
-// The reasons, from the most to the least specific.
+// The reasons.
 const (
 	RestartedVM   Reason = "VM restarted, its index is lost"
 	SiblingFlight Reason = "another request was computing them"
@@ -44,11 +44,6 @@
 	longWait = 50 * time.Millisecond
 )
 
-// Options select the part of the logs to account for.
-type Options struct {
-	Interval time.Duration // length of a row
-}
-
 // Row accounts for the requests that arrived in one interval.
 type Row struct {
 	From      time.Duration // since the first request of the logs
@@ -70,8 +65,8 @@
 	line                      *explain.Event
 }
 
-// Account returns one row for each interval, in order of time.
-func Account(lines []explain.Line, o Options) []Row {
+// Account returns one row for each interval with requests, in order of time.
+func Account(lines []explain.Line, interval time.Duration) []Row {
 	events := explain.OnCommonTime(lines)
 	restarts := map[string][]time.Time{}
 	var requests []request
@@ -92,10 +87,10 @@
 	rows := map[int]*Row{}
 	reads := map[string][]request{}
 	for _, r := range requests {
-		n := int(r.arrived.Sub(first) / o.Interval)
+		n := int(r.arrived.Sub(first) / interval)
 		row := rows[n]
 		if row == nil {
-			row = &Row{From: time.Duration(n) * o.Interval, Refused: map[string]int{}, Failed: map[string]int{}, Again: map[Reason]int{}}
+			row = &Row{From: time.Duration(n) * interval, Refused: map[string]int{}, Failed: map[string]int{}, Again: map[Reason]int{}}
 			rows[n] = row
 		}
 		row.add(r)
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -27,7 +27,7 @@
 func TestAccount(t *testing.T) {
 	lines, _, err := explain.Read(strings.NewReader(log))
 	assert.NilError(t, err)
-	rows := Account(lines, Options{Interval: time.Second})
+	rows := Account(lines, time.Second)
 	assert.Equal(t, len(rows), 2)
 	first, last := rows[0], rows[1]
 	assert.Equal(t, first.Requests, 7)
@@ -45,7 +45,7 @@
 	lines, _, err := explain.Read(strings.NewReader(log))
 	assert.NilError(t, err)
 	var b strings.Builder
-	assert.NilError(t, Print(&b, Account(lines, Options{Interval: time.Second})))
+	assert.NilError(t, Print(&b, Account(lines, time.Second)))
 	for _, want := range []string{"shared tokens read first", "1000  another request was computing them", "1  overloaded: ## ahead", "1  endpoint-failed"} {
 		assert.Assert(t, strings.Contains(b.String(), want), "%q is not in\n%s", want, b.String())
 	}
--- a/internal/routing/copies.go
+++ b/internal/routing/copies.go
@@ -155,10 +155,14 @@
 // otherHome returns the first home of the shared pieces other than the endpoint to, or nil.
 func (c *Core) otherHome(now time.Time, r *Request, to *State) *State {
 	var best *State
+	var highest uint64
 	key := homeKey(r, 0)
 	for _, s := range c.endpointsFor(r) {
-		if s.mayProvide(now, to) && (best == nil || rendezvous(key, s.nameHash) > rendezvous(key, best.nameHash)) {
-			best = s
+		if !s.mayProvide(now, to) {
+			continue
+		}
+		if weight := rendezvous(key, s.nameHash); best == nil || weight > highest {
+			best, highest = s, weight
 		}
 	}
 	return best
--- a/internal/routing/copies_test.go
+++ b/internal/routing/copies_test.go
@@ -25,6 +25,20 @@
 	return r
 }
 
+// importingCoreWithStore returns an importingCore that also has a store, at 10.9.0.1:1.
+func importingCoreWithStore(n int) *Core {
+	c := importingCore(n)
+	c.SetStores([]Store{{Name: "kept", Address: "10.9.0.1:1", CapacityTokens: 1_000_000, TokensPerSecond: 200_000}})
+	return c
+}
+
+// longSubjectRequest returns a subjectRequest with enough shared tokens to be saved.
+func longSubjectRequest() Request {
+	r := subjectRequest(100, 1)
+	r.PieceEnds, r.PromptTokens = []int{500, 5000, 9000}, 9000
+	return r
+}
+
 // finishAt completes a request that the named endpoint serves.
 func finishAt(c *Core, now time.Time, r Request, endpoint string) {
 	for _, s := range c.endpoints {
@@ -87,10 +101,7 @@
 // A prefix that only one endpoint held is evicted there. It was saved to the store when it was
 // computed, and the store is named as its source.
 func TestStoreIsNamedForPrefixWithoutAnotherHolder(t *testing.T) {
-	c := importingCore(1)
-	c.SetStores([]Store{{Name: "kept", Address: "10.9.0.1:1", CapacityTokens: 1_000_000, TokensPerSecond: 200_000}})
-	r := subjectRequest(100, 1)
-	r.PieceEnds, r.PromptTokens = []int{500, 5000, 9000}, 9000
+	c, r := importingCoreWithStore(1), longSubjectRequest()
 	p := submit(c, epoch, r)
 	assert.Equal(t, p.Decision.SaveTo, "10.9.0.1:1", "the first computation is saved")
 	c.Finish(epoch.Add(time.Second), p, Result{CacheUnknown: true, PromptTokens: 9000})
@@ -102,10 +113,7 @@
 // A home that is asked on a guess may hold nothing, so a first computation is saved although a
 // source is named.
 func TestFirstComputationIsSavedAlthoughHomeIsAsked(t *testing.T) {
-	c := importingCore(3)
-	c.SetStores([]Store{{Name: "kept", Address: "10.9.0.1:1", CapacityTokens: 1_000_000, TokensPerSecond: 200_000}})
-	r := subjectRequest(100, 1)
-	r.PieceEnds, r.PromptTokens = []int{500, 5000, 9000}, 9000
+	c, r := importingCoreWithStore(3), longSubjectRequest()
 	p := submit(c, epoch, r)
 	assert.Assert(t, p.Decision.ImportFrom != "")
 	assert.Equal(t, p.Decision.SaveTo, "10.9.0.1:1")
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -203,7 +203,6 @@
 // adoptRun makes run the current run of the endpoint and reports whether it is current
 // then. A run that has ended is not adopted.
 func (c *Core) adoptRun(s *State, run digest.Run) bool {
-	firstRun := s.run == 0
 	switch {
 	case s.removed:
 		return false
@@ -215,12 +214,10 @@
 		c.index.ClearEndpoint(s.index)
 		copy(s.endedRuns[1:], s.endedRuns[:])
 		s.endedRuns[0] = s.run
+		s.selfReport = selfReport{}
 	}
 	delete(c.byRun, digest.EndpointRunOf(s.id, s.run))
 	s.Incarnation, s.run, s.eventSeq, s.announced = "", run, 0, false
-	if !firstRun {
-		s.selfReport = selfReport{}
-	}
 	s.peerReported, s.PeerInFlight, s.PeerPendingTokens = reportedLoad{}, 0, 0
 	c.byRun[digest.EndpointRunOf(s.id, run)] = s
 	return true
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -211,8 +211,9 @@
 func (m *Module) Pick(ctx context.Context, r Request) (Ticket, error) {
 	settled := make(chan struct{})
 	m.mu.Lock()
-	m.refresh(m.now()) // place the request with a view at least as new as the one that authorized it
-	p := m.core.Submit(m.now(), r, func() { close(settled) })
+	now := m.now()
+	m.refresh(now) // place the request with a view at least as new as the one that authorized it
+	p := m.core.Submit(now, r, func() { close(settled) })
 	m.mu.Unlock()
 	select {
 	case <-settled:
