Log the shared parts of failed attempts and the crash of their endpoint

Cause for this: the incident's logs named the first and the last shared part of a prompt only, didn't say whether an answer had begun, and nowhere that an endpoint had ended. A part between, or a lost connection taken for a crash, could not be told from the others.

A broken connection is marked as such in both ways in; routing then opens a connection to the endpoint, once for all attempts that broke there, and a refusal is what tells a crash from a reset. No decision depends on it yet.

Test: TestCrashIsToldFromLostConnection.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -108,6 +108,15 @@
 	c.reports.CloseIdleConnections()
 }
 
+// Probe opens a connection to an endpoint and closes it again. Its error is that of the dial.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	conn, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return errkind.Wrap(err, errkind.EndpointFailed, "endpoint does not accept connections").WithOutcome(errkind.NotRun)
+	}
+	return errors.Wrap(conn.Close(), "close the probe's connection")
+}
+
 // Do sends an idempotent call and reads the whole response within timeout.
 func (c *Client) Do(ctx context.Context, call Call, timeout time.Duration) (*Response, error) {
 	ctx, cancel := context.WithTimeoutCause(ctx, timeout, errUnresponsive)
@@ -246,5 +255,5 @@
 	if errors.As(err, &netErr) && netErr.Op == "dial" {
 		return errkind.Wrap(err, errkind.EndpointFailed, "endpoint is unreachable").WithOutcome(errkind.NotRun)
 	}
-	return errkind.Wrap(err, errkind.EndpointFailed, "exchange with endpoint failed")
+	return errkind.Wrap(errors.Mark(err, errkind.ErrBroken), errkind.EndpointFailed, "exchange with endpoint failed")
 }
--- a/internal/engine/module.go
+++ b/internal/engine/module.go
@@ -35,6 +35,11 @@
 	return m.client.Load(ctx, address)
 }
 
+// Probe opens a connection to an endpoint and closes it again; see Client.Probe.
+func (m *Module) Probe(ctx context.Context, address string) error {
+	return m.client.Probe(ctx, address)
+}
+
 // Events reads an endpoint's cache events; see Client.Events.
 func (m *Module) Events(ctx context.Context, address string, after uint64, handle func(engineapi.Event) error) error {
 	return m.client.Events(ctx, address, after, handle)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -29,6 +29,7 @@
 	result := routing.Result{
 		Incarnation: a.incarnation, PromptTokens: j.usage.PromptTokens, CachedTokens: j.usage.Details.CachedTokens,
 		OutputTokens: j.usage.CompletionTokens, FirstToken: a.firstToken, Err: errkind.Of(err),
+		Broken: errors.Is(err, errkind.ErrBroken),
 	}
 	if err == nil {
 		f.metrics.recomputed.WithLabelValues(j.account, j.route).Add(float64(max(0, d.CachedTokens-result.CachedTokens)))
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -176,6 +176,10 @@
 	return e
 }
 
+// ErrBroken marks an error of an exchange whose connection the peer closed or reset before the
+// response was complete.
+var ErrBroken = errors.New("connection broke")
+
 // Sentinel returns a target for errors.Is that matches every error of the kind.
 func Sentinel(k Kind) error { return &Error{Kind: k} }
 
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -52,7 +52,8 @@
 		lastErr = err
 		exclude = append(exclude, ticket.Decision().Endpoint)
 		g.Log.Info("try failed", zap.String("request", x.ID), zap.String("server", x.server), zap.Int("sends", x.sendCount()),
-			zap.Bool("may_have_run", x.mayHaveRun), zap.Duration("left", time.Until(x.deadline)), zap.Error(err))
+			zap.Bool("may_have_run", x.mayHaveRun), zap.Duration("left", time.Until(x.deadline)),
+			zap.Bool("answer_begun", x.firstEventAfter > 0), zap.Strings("shared_parts", x.Prompt.sharedParts()), zap.Error(err))
 		switch {
 		case x.ctx.Err() != nil:
 			return x.finalError(err)
@@ -212,7 +213,7 @@
 		// The server works and asks for less, whether or not it ran this request.
 		result.Err = errkind.New(errkind.Overloaded, "server asked for a pause")
 	default:
-		result.Err = errkind.Of(err)
+		result.Err, result.Broken = errkind.Of(err), errors.Is(err, errkind.ErrBroken)
 	}
 	return err
 }
@@ -304,5 +305,8 @@
 	if ctx.Err() != nil {
 		return errkind.Wrap(ctx.Err(), errkind.Timeout, "timed out reading the response")
 	}
+	if !errors.Is(err, errkind.Sentinel(errkind.StreamBroken)) {
+		err = errors.Mark(err, errkind.ErrBroken)
+	}
 	return errkind.Wrap(err, errkind.EndpointFailed, "response ended early")
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -75,6 +75,18 @@
 	return name, tokens
 }
 
+// sharedParts returns the names of the parts that other prompts may share: all but the last.
+func (p Prompt) sharedParts() []string {
+	if len(p.Parts) < 2 {
+		return nil
+	}
+	names := make([]string, len(p.Parts)-1)
+	for i := range names {
+		names[i] = p.Parts[i].Name
+	}
+	return names
+}
+
 // Part is a piece of a prompt that other prompts may share.
 type Part struct {
 	Name   string
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -68,6 +68,9 @@
 	OutputTokens int
 	FirstToken   time.Duration // time from sending to the first token
 	Err          *errkind.Error
+	// Broken is set if the endpoint closed or reset the connection before the response was
+	// complete.
+	Broken bool
 }
 
 // Router selects endpoints.
--- /dev/null
+++ b/internal/routing/crash_test.go
@@ -0,0 +1,51 @@
+package routing
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"testing/synctest"
+
+	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/internal/errkind"
+
+	"github.com/cockroachdb/errors"
+	dto "github.com/prometheus/client_model/go"
+	"gotest.tools/v3/assert"
+)
+
+// probeFunc is a Prober.
+type probeFunc func(address string) error
+
+func (f probeFunc) Probe(_ context.Context, address string) error { return f(address) }
+
+// A broken connection counts as a crash only if the endpoint refuses new ones: one that resets
+// single connections, or that is cut off, has not ended.
+func TestCrashIsToldFromLostConnection(t *testing.T) {
+	broken := Result{Err: errkind.New(errkind.EndpointFailed, "reset"), Broken: true}
+	for name, test := range map[string]struct {
+		probe  error
+		result Result
+		want   float64
+	}{
+		"ended":               {syscall.ECONNREFUSED, broken, 1},
+		"accepts":             {nil, broken, 0},
+		"cut off":             {errors.New("i/o timeout"), broken, 0},
+		"complete response":   {syscall.ECONNREFUSED, Result{}, 0},
+		"refused by endpoint": {syscall.ECONNREFUSED, Result{Err: errkind.New(errkind.Overloaded, "full")}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := startModule(t, &pb.Endpoint{Name: "e", Address: "x:1", Models: []string{"m"}, Role: pb.EndpointRole_ENDPOINT_ROLE_ENGINE, MaxConcurrent: 1})
+				m.prober = probeFunc(func(string) error { return test.probe })
+				ticket, err := m.Pick(t.Context(), request("a"))
+				assert.NilError(t, err)
+				ticket.Done(test.result)
+				synctest.Wait()
+				var crashes dto.Metric
+				assert.NilError(t, m.crashes.Write(&crashes))
+				assert.Equal(t, crashes.GetCounter().GetValue(), test.want)
+			})
+		})
+	}
+}
--- a/internal/routing/exchange_test.go
+++ b/internal/routing/exchange_test.go
@@ -105,7 +105,7 @@
 	k.Register(peer.ServerName, &memoryServer{net: net, address: address})
 	k.Register(peer.PoolName, &memoryPool{net: net})
 	k.Register("entry.engine", source)
-	m := NewModule(Settings{QueuePerEndpoint: 8, LongestWait: time.Second, TrackedPrefixes: 1000, DigestEvery: 100 * time.Millisecond, DigestBytes: 1024, LoadEvery: 500 * time.Millisecond}, nil, time.Now)
+	m := NewModule(Settings{QueuePerEndpoint: 8, LongestWait: time.Second, TrackedPrefixes: 1000, DigestEvery: 100 * time.Millisecond, DigestBytes: 1024, LoadEvery: 500 * time.Millisecond}, nil, nil, time.Now)
 	k.Register(ModuleName, m, "entry.directory", peer.ServerName, peer.PoolName, "entry.engine")
 	assert.NilError(t, k.Start(t.Context()))
 	t.Cleanup(func() { assert.NilError(t, k.Stop(context.Background())) })
--- a/internal/routing/metrics.go
+++ b/internal/routing/metrics.go
@@ -26,6 +26,13 @@
 	}
 }
 
+func newCrashCounter() prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "eelgrass", Subsystem: "routing", Name: "crashed_attempts_total",
+		Help: "Attempts whose connection broke and whose endpoint then refused connections.",
+	})
+}
+
 // Collectors returns the metrics of the digest exchange and of endpoints' notices.
 func (m *Module) Collectors() []prometheus.Collector {
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
@@ -39,6 +46,7 @@
 		gauge("digest_peers", "Entry VMs whose digests this one has.", func() float64 { return float64(len(m.core.peers)) }),
 		gauge("digest_age_seconds", "Time since the oldest of these digests arrived.", func() float64 { return m.core.oldestDigest(m.now()).Seconds() }),
 		m.notices.total,
+		m.crashes,
 		gauge("relay_members", "Entry VMs to which this one relays digests.", func() float64 { return float64(len(m.hub.members)) }),
 	}
 }
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -12,8 +12,10 @@
 	"eelgrasshollow/internal/peer"
 	"eelgrasshollow/internal/watch"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 )
 
 // ModuleName is the name of the module in the kernel.
@@ -55,6 +57,9 @@
 	pool      peerCaller
 	monitor   EndpointMonitor // nil without load reports and cache events
 	exporter  PrefixExporter  // nil without exports
+	prober    Prober          // nil if crashes are not looked for
+	probes    singleflight.Group
+	crashes   prometheus.Counter
 	exports   chan Export
 
 	mu          sync.Mutex
@@ -68,12 +73,13 @@
 }
 
 // NewModule returns the module entry.routing with DefaultPolicy. It takes the endpoints
-// from inventory or, if that is nil, from the module entry.directory. All times are of the
+// from inventory or, if that is nil, from the module entry.directory, and looks for crashed
+// endpoints with prober or, if that is nil, with the module entry.engine. All times are of the
 // clock now, which must not stop while the VM is suspended.
-func NewModule(s Settings, inventory Inventory, now clock.Clock) *Module {
+func NewModule(s Settings, inventory Inventory, prober Prober, now clock.Clock) *Module {
 	policy := DefaultPolicy(DefaultTuning())
 	policy.PeerImports = s.PeerImports
-	return &Module{settings: s, policy: policy, inventory: inventory, now: now, notices: newNoticeMetrics()}
+	return &Module{settings: s, policy: policy, inventory: inventory, prober: prober, now: now, notices: newNoticeMetrics(), crashes: newCrashCounter()}
 }
 
 // Provision looks up the modules that routing depends on.
@@ -91,6 +97,9 @@
 	m.entryVMs, _ = kernel.Lookup[watch.Fleet](k, "entry.directory")
 	m.monitor, _ = kernel.Lookup[EndpointMonitor](k, "entry.engine")
 	m.exporter, _ = kernel.Lookup[PrefixExporter](k, "entry.engine")
+	if m.prober == nil {
+		m.prober, _ = kernel.Lookup[Prober](k, "entry.engine")
+	}
 	m.exports = make(chan Export, exportQueueSize)
 	return m.provisionPeers(k)
 }
@@ -293,6 +302,9 @@
 	defer t.module.mu.Unlock()
 	now := t.module.now()
 	t.module.core.Finish(now, t.pending, r)
+	if r.Broken && t.module.prober != nil {
+		go t.module.checkCrash(t.pending)
+	}
 	if r.Err == nil && !t.module.policy.PeerImports {
 		t.module.queueExport(now, t.pending)
 	}
--- a/internal/routing/module_test.go
+++ b/internal/routing/module_test.go
@@ -27,7 +27,7 @@
 func startModule(t *testing.T, endpoints ...*pb.Endpoint) *Module {
 	k := kernel.New(zap.NewNop())
 	k.Register("entry.directory", &fixedDirectory{state.NewView(&pb.Configuration{Revision: 1, Endpoints: endpoints})})
-	m := NewModule(Settings{QueuePerEndpoint: 8, LongestWait: time.Second, TrackedPrefixes: 1000, RetryShare: 0.1}, nil, time.Now)
+	m := NewModule(Settings{QueuePerEndpoint: 8, LongestWait: time.Second, TrackedPrefixes: 1000, RetryShare: 0.1}, nil, nil, time.Now)
 	k.Register(ModuleName, m, "entry.directory")
 	assert.NilError(t, k.Start(t.Context()))
 	t.Cleanup(func() { assert.NilError(t, k.Stop(context.Background())) })
