Quarantine prompt parts under which endpoints crash

What callers saw: requests with one prompt part ended engine after engine, 29 and 36 of them in half a minute; each took the other requests in flight with it, and over a tenth of a kind of request was not served for seconds.

Cause: routing puts every failed attempt down to the endpoint. It backs off from the endpoint and forgets the request, so the next request with the part goes to the next endpoint, from any VM. The class: a failure that travels with the input is handled as one of the place where it shows. Ruled out: repeats of our own (one send each), overload (the first four crashes came at calm load).

Change: package quarantine counts for each shared part of a prompt a chain of crashes, each suffered by a request that was sent in knowledge of the crash before, so that endpoints that end together are one link; an answer clears the part, and a quarantined part explains the crashes of its chain. Three links quarantine a part: its requests are refused at once as not run, with the time to come back. One VM tries it again after 30 s and ever more rarely. Why evidence of others' answers is needed: popular sound parts are in flight at each crash too; they are answered elsewhere within milliseconds.

The same cause elsewhere: the OpenAI interface shares the router and repeats a request at other engines by itself; its prompts count by pieces, the rest included.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -1,7 +1,7 @@
 // Package digest defines the digests that entry VMs send to each other for routing: requests in
-// flight and loaded weights by endpoint, and the endpoints to which prefixes were sent. The
-// size of a digest is limited. Lost digests lower the cache hit rate but never affect
-// correctness.
+// flight and loaded weights by endpoint, the endpoints to which prefixes were sent, and the prompt
+// parts under which endpoints crashed. The size of a digest is limited. Lost digests lower the
+// cache hit rate and delay a quarantine, but never affect correctness.
 //
 // The encoding has these fields in this order, integers in little-endian byte order:
 //
@@ -10,6 +10,8 @@
 //	Loaded      uint16 count, then for each: uint32 EndpointRun, uint32 Weights
 //	Placements  uint16 count, then for each: uint32 EndpointRun, uint64 Prefix
 //	Evicted     uint16 count, then for each: uint32 EndpointRun, uint64 Prefix
+//	Suspects    uint16 count, then for each: uint64 Part, uint32 Epoch, uint16 Crashes, 3 times uint32 EndpointRun;
+//	            left out if there are none, as in the digests of earlier versions
 //
 // There are no bytes after the last field.
 package digest
@@ -81,6 +83,17 @@
 	Weights     WeightsID
 }
 
+// SuspectRuns is the number of incarnations of endpoints that a Suspect names.
+const SuspectRuns = 3
+
+// Suspect is a prompt part under which endpoints crashed; see package quarantine.
+type Suspect struct {
+	Part    prefix.Hash
+	Epoch   uint32                   // how often the part was cleared by an answer
+	Crashes uint16                   // length of the chain of crashes since
+	Runs    [SuspectRuns]EndpointRun // of the last crashes, the newest first; 0 for none
+}
+
 // Digest is the message that one entry VM sends to its peers.
 type Digest struct {
 	From       string // peer address of the sending VM
@@ -88,6 +101,7 @@
 	Loaded     []LoadedWeights
 	Placements []Placement // prefixes sent to endpoints
 	Evicted    []Placement // evicted prefixes
+	Suspects   []Suspect
 }
 
 const (
@@ -95,21 +109,28 @@
 	loadBytes      = 4 + 4 + 2 + 4
 	loadedBytes    = 4 + 4
 	placementBytes = 4 + 8
+	suspectBytes   = 8 + 4 + 2 + SuspectRuns*4
+	countBytes     = 2
 	headerBytes    = 2 + 2 + 2 + 2 + 2
 
-	// MaxNewsBytes is the greatest encoded size of a placement, an eviction or loaded weights.
-	MaxNewsBytes = placementBytes
+	// MaxNewsBytes is the greatest encoded size of a placement, an eviction, loaded weights or a
+	// suspect, with the count that the first suspect needs.
+	MaxNewsBytes = countBytes + suspectBytes
 )
 
 // Size returns the length of the encoded digest in bytes.
 func (d *Digest) Size() int {
 	placements := len(d.Placements) + len(d.Evicted)
-	return headerBytes + len(d.From) + len(d.Loads)*loadBytes + len(d.Loaded)*loadedBytes + placements*placementBytes
+	size := headerBytes + len(d.From) + len(d.Loads)*loadBytes + len(d.Loaded)*loadedBytes + placements*placementBytes
+	if len(d.Suspects) > 0 {
+		size += countBytes + len(d.Suspects)*suspectBytes
+	}
+	return size
 }
 
 // TrimTo removes items until the encoded digest is at most maxBytes long: first evictions and
 // then placements, both from the start, because routing appends the newest at the end; then
-// loads and then weights, both from the end.
+// loads and then weights, both from the end. Suspects stay.
 func (d *Digest) TrimTo(maxBytes int) {
 	d.Evicted = d.Evicted[d.excess(maxBytes, len(d.Evicted), placementBytes):]
 	d.Placements = d.Placements[d.excess(maxBytes, len(d.Placements), placementBytes):]
@@ -141,7 +162,20 @@
 		b = binary.LittleEndian.AppendUint32(b, uint32(l.EndpointRun))
 		b = binary.LittleEndian.AppendUint32(b, uint32(l.Weights))
 	}
-	return appendPlacements(appendPlacements(b, d.Placements), d.Evicted)
+	b = appendPlacements(appendPlacements(b, d.Placements), d.Evicted)
+	if len(d.Suspects) == 0 {
+		return b
+	}
+	b = binary.LittleEndian.AppendUint16(b, uint16(len(d.Suspects)))
+	for _, s := range d.Suspects {
+		b = binary.LittleEndian.AppendUint64(b, uint64(s.Part))
+		b = binary.LittleEndian.AppendUint32(b, s.Epoch)
+		b = binary.LittleEndian.AppendUint16(b, s.Crashes)
+		for _, run := range s.Runs {
+			b = binary.LittleEndian.AppendUint32(b, uint32(run))
+		}
+	}
+	return b
 }
 
 func appendPlacements(b []byte, placements []Placement) []byte {
@@ -164,6 +198,9 @@
 		d.Loaded = append(d.Loaded, LoadedWeights{EndpointRun(r.readUint32()), WeightsID(r.readUint32())})
 	}
 	d.Placements, d.Evicted = r.readPlacements(), r.readPlacements()
+	if len(r.rest) > 0 {
+		d.Suspects = r.readSuspects()
+	}
 	if r.malformed || len(r.rest) > 0 {
 		return nil, errkind.New(errkind.InvalidRequest, "malformed digest")
 	}
@@ -198,6 +235,18 @@
 	return placements
 }
 
+func (r *reader) readSuspects() []Suspect {
+	var suspects []Suspect
+	for n := r.readUint16(); n > 0 && !r.malformed; n-- {
+		s := Suspect{Part: prefix.Hash(r.readUint64()), Epoch: r.readUint32(), Crashes: r.readUint16()}
+		for i := range s.Runs {
+			s.Runs[i] = EndpointRun(r.readUint32())
+		}
+		suspects = append(suspects, s)
+	}
+	return suspects
+}
+
 func (r *reader) readUint16() uint16 { return binary.LittleEndian.Uint16(r.next(2)) }
 func (r *reader) readUint32() uint32 { return binary.LittleEndian.Uint32(r.next(4)) }
 func (r *reader) readUint64() uint64 { return binary.LittleEndian.Uint64(r.next(8)) }
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -48,3 +48,29 @@
 		assert.Assert(t, err != nil)
 	})
 }
+
+// A digest without suspects is one that earlier versions can decode.
+func TestSuspectsRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := drawDigest(t)
+		without := d.Encode()
+		for range rapid.IntRange(1, 30).Draw(t, "suspects") {
+			s := Suspect{Part: prefix.Hash(rapid.Uint64().Draw(t, "part")), Epoch: rapid.Uint32().Draw(t, "epoch"), Crashes: rapid.Uint16().Draw(t, "crashes")}
+			for i := range s.Runs {
+				s.Runs[i] = EndpointRun(rapid.Uint32().Draw(t, "run"))
+			}
+			d.Suspects = append(d.Suspects, s)
+		}
+		b := d.Encode()
+		assert.Equal(t, len(b), d.Size())
+		assert.DeepEqual(t, b[:len(without)], without)
+		decoded, err := Decode(b)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded, d)
+		_, err = Decode(b[:rapid.IntRange(len(without)+1, len(b)-1).Draw(t, "cut")])
+		assert.Assert(t, err != nil)
+		suspects := len(d.Suspects)
+		d.TrimTo(0)
+		assert.Equal(t, len(d.Suspects), suspects)
+	})
+}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -13,6 +13,7 @@
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/quarantine"
 	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/state"
 
@@ -141,6 +142,9 @@
 		ID: x.id, Account: x.account, Model: c.model, Adapter: c.adapter, PromptTokens: f.tokens.estimate(c.model, len(c.prompt)),
 		MaxTokens: c.output, Priority: priority, Idempotent: true,
 	}
+	for _, piece := range prefix.PieceHashes(prefix.Namespace{Model: c.model}.Seed(), c.prompt) {
+		j.request.SharedParts = append(j.request.SharedParts, quarantine.Part{ID: piece, Name: strconv.FormatUint(uint64(piece), 16)})
+	}
 	j.setVersion(version)
 	return j, nil
 }
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -48,6 +48,7 @@
 	Canceled
 	Corrupt
 	Unsupported
+	Quarantined
 	kindCount
 )
 
@@ -104,6 +105,7 @@
 	Canceled:          {"canceled", 499, connect.CodeCanceled, 27, false, Unknown},
 	Corrupt:           {"corrupt", http.StatusInternalServerError, connect.CodeDataLoss, 28, false, Unknown},
 	Unsupported:       {"unsupported", http.StatusNotImplemented, connect.CodeUnimplemented, 29, false, NotRun},
+	Quarantined:       {"quarantined", http.StatusServiceUnavailable, connect.CodeUnavailable, 30, true, NotRun},
 }
 
 // Kinds returns every kind in table order.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"eelgrasshollow/internal/fleetview"
 	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/quarantine"
 	"eelgrasshollow/internal/routing"
 
 	"github.com/cespare/xxhash/v2"
@@ -292,6 +293,10 @@
 		r.PieceEnds = append(r.PieceEnds, end)
 	}
 	r.Chain = prefix.ChainOfParts(r.Seed, names)
+	model := prefix.Namespace{Model: x.Prompt.Model}.Seed()
+	for _, name := range x.Prompt.sharedParts() {
+		r.SharedParts = append(r.SharedParts, quarantine.Part{ID: prefix.PartHash(model, name), Name: name})
+	}
 	r.SharedPieces = len(r.Chain) - 1 // the last part belongs to the request itself or to its session
 	return r
 }
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -293,7 +293,7 @@
 	j.onFirstToken = func(int) {
 		b.loop.after(networkLatency, func() {
 			firstToken = b.loop.now - sent
-			core.RecordFirstToken(pending)
+			core.RecordFirstToken(b.loop.time(), pending)
 			if !state.hasFirstToken {
 				state.hasFirstToken = true
 				b.measures.recordFirstToken(state.arrival, b.loop.now)
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -83,5 +84,20 @@
 	return chain
 }
 
+// PartHash returns the hash of one part of a prompt, wherever it stands in the prompt.
+func PartHash(seed Seed, part string) Hash {
+	return ChainOfParts(seed, []string{part})[0]
+}
+
+// PieceHashes returns one hash for each piece of the prompt, wherever it stands, including a
+// shorter last one.
+func PieceHashes(seed Seed, prompt []byte) []Hash {
+	hashes := make([]Hash, 0, len(prompt)/pieceBytes+1)
+	for piece := range slices.Chunk(prompt, pieceBytes) {
+		hashes = append(hashes, PartHash(seed, string(piece)))
+	}
+	return hashes
+}
+
 // Tokens estimates the number of tokens of a text of textBytes bytes.
 func Tokens(textBytes int) int { return (textBytes + BytesPerToken - 1) / BytesPerToken }
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -1,6 +1,7 @@
 package prefix
 
 import (
+	"slices"
 	"testing"
 
 	_ "eelgrasshollow/internal/fixedseed"
@@ -33,3 +34,17 @@
 		}
 	})
 }
+
+// A piece has the same hash wherever it stands in a prompt.
+func TestPieceHashesIgnorePosition(t *testing.T) {
+	a, b := make([]byte, pieceBytes), make([]byte, pieceBytes)
+	b[0] = 1
+	rest := []byte("rest")
+	whole := slices.Concat(a, b, rest)
+	hashes := PieceHashes(7, whole)
+	assert.Equal(t, len(hashes), 3)
+	assert.DeepEqual(t, PieceHashes(7, slices.Concat(b, a)), []Hash{hashes[1], hashes[0]})
+	assert.DeepEqual(t, PieceHashes(7, rest), hashes[2:])
+	assert.Assert(t, PieceHashes(8, rest)[0] != hashes[2])
+	assert.Equal(t, hashes[2], PartHash(7, "rest"))
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,343 @@
+// Package quarantine finds the prompt parts under which endpoints crash, and keeps requests with
+// them away from endpoints.
+//
+// A crash ends all requests in flight at an endpoint, and any part of those that had no answer yet
+// may have caused it. What tells the cause from the others is that no request with it is ever
+// answered, and that endpoints go on crashing under it. So a Table counts for each part a chain
+// of crashes: each was suffered by a request that a VM had sent when it knew of the crashes
+// before. Endpoints that end together, as after a loss of power, are one link of a chain. An
+// answer to any request with the part clears it. A part whose chain has quarantineCrashes links is
+// quarantined: requests with it are refused, apart from a rare trial.
+//
+// VMs exchange the records of parts. Records are ordered, and the greater one holds, so that they
+// may be lost, repeated and reordered.
+//
+// A Table does no I/O and has no clock of its own. It is not safe for concurrent use.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"eelgrasshollow/internal/digest"
+	"eelgrasshollow/internal/prefix"
+)
+
+const (
+	// quarantineCrashes is the number of links of a chain from which a part is quarantined.
+	quarantineCrashes = 3
+	// firstTrialAfter is the time from the quarantine of a part to the first trial. It grows by
+	// trialBackoff with each trial that crashes an endpoint, up to maxTrialAfter.
+	firstTrialAfter = 30 * time.Second
+	trialBackoff    = 4
+	maxTrialAfter   = time.Hour
+	// trialTimeout is the time after which a trial without a result no longer holds up the next.
+	trialTimeout = 10 * time.Second
+	// recordTTL is the time without a change after which a record is dropped.
+	recordTTL = 2 * maxTrialAfter
+	// maxRecords bounds the parts of a table.
+	maxRecords = 4096
+	// repeatInterval is the time between two announcements of a quarantined part, as news may be lost.
+	repeatInterval = time.Second
+)
+
+// Part is a prompt part that other prompts may share.
+type Part struct {
+	ID   prefix.Hash // of the model and the part, wherever it stands in a prompt
+	Name string
+}
+
+// entry is the record of one part and what this VM alone knows of it.
+type entry struct {
+	digest.Suspect
+	changedAt   time.Time // the last link was added, or the part was cleared
+	suspectedAt time.Time // of the first link
+	trialUntil  time.Time // a trial of this VM runs until then at the latest
+	announcedAt time.Time
+	unsent      bool // the record is news for the other VMs
+}
+
+// quarantined reports whether the chain is long enough.
+func (e *entry) quarantined() bool { return e.Crashes >= quarantineCrashes }
+
+// trialAt returns the time of the next trial of a quarantined part.
+func (e *entry) trialAt() time.Time {
+	after := firstTrialAfter
+	for n := e.Crashes; n > quarantineCrashes && after < maxTrialAfter; n-- {
+		after *= trialBackoff
+	}
+	return e.changedAt.Add(min(after, maxTrialAfter))
+}
+
+// Mark is what a VM knew of a request's parts when it sent the request: their records, by the
+// order of the parts. A nil Mark means that it knew nothing of any.
+type Mark []digest.Suspect
+
+// Table holds the records of one VM.
+type Table struct {
+	entries     map[prefix.Hash]*entry
+	quarantined int // entries that are quarantined
+	// runsTrials reports whether this VM is the one that makes the trials of a part. At most one
+	// of all VMs should be.
+	runsTrials func(part prefix.Hash) bool
+}
+
+// NewTable returns an empty table. runsTrials reports whether this VM makes the trials of a part;
+// nil means that it is the only VM.
+func NewTable(runsTrials func(part prefix.Hash) bool) *Table {
+	if runsTrials == nil {
+		runsTrials = func(prefix.Hash) bool { return true }
+	}
+	return &Table{entries: map[prefix.Hash]*entry{}, runsTrials: runsTrials}
+}
+
+// Mark returns the current records of the parts.
+func (t *Table) Mark(parts []Part) Mark {
+	var mark Mark
+	for i, p := range parts {
+		if e := t.entries[p.ID]; e != nil {
+			if mark == nil {
+				mark = make(Mark, len(parts))
+			}
+			mark[i] = e.Suspect
+		}
+	}
+	return mark
+}
+
+// RecordCrash records that an incarnation of an endpoint crashed under a request that it had not
+// begun to answer, or had only just. mark is of the time when the request was sent. It returns
+// the parts that are quarantined because of it.
+func (t *Table) RecordCrash(now time.Time, parts []Part, mark Mark, run digest.EndpointRun) (quarantined []Part) {
+	if t.explained(parts, run) {
+		return nil
+	}
+	for i, p := range parts {
+		var known digest.Suspect
+		if mark != nil {
+			known = mark[i]
+		}
+		e := t.entries[p.ID]
+		if e == nil {
+			e = t.add(now, p.ID)
+		}
+		if e.Epoch != known.Epoch || known.Crashes+1 <= e.Crashes || slices.Contains(e.Runs[:], run) {
+			continue // answered since the request was sent, or a link that is known already
+		}
+		next := e.Suspect
+		next.Crashes++
+		copy(next.Runs[1:], e.Runs[:])
+		next.Runs[0] = run
+		if t.replace(now, e, next) {
+			quarantined = append(quarantined, p)
+		}
+		e.unsent = true
+	}
+	return quarantined
+}
+
+// explained reports whether a crash is already put down to a quarantined part that the request
+// does not have.
+func (t *Table) explained(parts []Part, run digest.EndpointRun) bool {
+	if t.quarantined == 0 {
+		return false
+	}
+	found := false
+	for id, e := range t.entries {
+		if e.quarantined() && slices.Contains(e.Runs[:], run) {
+			if slices.ContainsFunc(parts, func(p Part) bool { return p.ID == id }) {
+				return false
+			}
+			found = true
+		}
+	}
+	return found
+}
+
+// RecordAnswer records that an endpoint has answered a request with the parts. It returns those
+// that are no longer quarantined because of it.
+func (t *Table) RecordAnswer(now time.Time, parts []Part) (released []Part) {
+	if len(t.entries) == 0 {
+		return nil
+	}
+	for _, p := range parts {
+		if e := t.entries[p.ID]; e != nil && e.Crashes > 0 {
+			if e.quarantined() {
+				released = append(released, p)
+			}
+			t.clear(now, e)
+		}
+	}
+	return released
+}
+
+// clear ends the chain of a part.
+func (t *Table) clear(now time.Time, e *entry) {
+	t.replace(now, e, digest.Suspect{Part: e.Part, Epoch: e.Epoch + 1})
+	e.unsent = true
+}
+
+// Merge applies the records of another VM.
+func (t *Table) Merge(now time.Time, records []digest.Suspect) {
+	for _, r := range records {
+		e := t.entries[r.Part]
+		if e == nil {
+			e = t.add(now, r.Part)
+		}
+		switch order := compare(r, e.Suspect); {
+		case order > 0:
+			t.replace(now, e, r)
+		case order < 0 && (r.Epoch != e.Epoch || r.Crashes != e.Crashes):
+			e.unsent = true // the other VM has missed it
+		}
+	}
+}
+
+// compare orders the records of one part: the one that holds is the greater.
+func compare(a, b digest.Suspect) int {
+	return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Crashes, b.Crashes), slices.Compare(a.Runs[:], b.Runs[:]))
+}
+
+// replace sets the record of an entry and reports whether the part is quarantined only now. The
+// crashes of a quarantined part no longer count against other parts.
+func (t *Table) replace(now time.Time, e *entry, next digest.Suspect) bool {
+	before := e.quarantined()
+	if e.Crashes == 0 && next.Crashes > 0 {
+		e.suspectedAt = now
+	}
+	if next.Epoch != e.Epoch || next.Crashes != e.Crashes {
+		e.changedAt, e.trialUntil = now, time.Time{}
+	}
+	e.Suspect = next
+	after := e.quarantined()
+	switch {
+	case before && !after:
+		t.quarantined--
+	case !before && after:
+		t.quarantined++
+		for _, other := range t.entries {
+			if other.Crashes > 0 && !other.quarantined() && sharesRun(other.Runs, next.Runs) {
+				t.clear(now, other)
+			}
+		}
+	}
+	return !before && after
+}
+
+func sharesRun(a, b [digest.SuspectRuns]digest.EndpointRun) bool {
+	return slices.ContainsFunc(a[:], func(run digest.EndpointRun) bool { return run != 0 && slices.Contains(b[:], run) })
+}
+
+// add adds an entry without crashes. If the table is full, it drops those that have not changed for
+// recordTTL, or else the one that is not quarantined and has not changed for the longest time.
+func (t *Table) add(now time.Time, part prefix.Hash) *entry {
+	if len(t.entries) >= maxRecords {
+		maps.DeleteFunc(t.entries, func(_ prefix.Hash, e *entry) bool { return !e.quarantined() && now.Sub(e.changedAt) > recordTTL })
+	}
+	if len(t.entries) >= maxRecords {
+		var oldest *entry
+		for _, e := range t.entries {
+			if oldest == nil || oldest.quarantined() && !e.quarantined() ||
+				oldest.quarantined() == e.quarantined() && e.changedAt.Before(oldest.changedAt) {
+				oldest = e
+			}
+		}
+		if oldest.quarantined() {
+			t.quarantined--
+		}
+		delete(t.entries, oldest.Part)
+	}
+	e := &entry{Suspect: digest.Suspect{Part: part}, changedAt: now}
+	t.entries[part] = e
+	return e
+}
+
+// Refusal says why a request is not sent.
+type Refusal struct {
+	Part Part
+	// Crashes is the length of the part's chain.
+	Crashes int
+	// RetryAfter is the time until the next trial of the part.
+	RetryAfter time.Duration
+}
+
+// Check returns a refusal if a part is quarantined. answeredAt is when an endpoint of the request's
+// service has last answered a request: if none has since the first crash, the service fails as a
+// whole, and its parts are not to blame.
+func (t *Table) Check(now time.Time, parts []Part, answeredAt time.Time) *Refusal {
+	if t.quarantined == 0 {
+		return nil
+	}
+	for _, p := range parts {
+		e := t.entries[p.ID]
+		if e == nil || !e.quarantined() || answeredAt.Before(e.suspectedAt) || t.trialDue(now, e) {
+			continue
+		}
+		return &Refusal{Part: p, Crashes: int(e.Crashes), RetryAfter: max(e.trialAt().Sub(now), e.trialUntil.Sub(now), 0)}
+	}
+	return nil
+}
+
+// trialDue reports whether this VM may send a request with the quarantined part.
+func (t *Table) trialDue(now time.Time, e *entry) bool {
+	return !now.Before(e.trialAt()) && !now.Before(e.trialUntil) && t.runsTrials(e.Part)
+}
+
+// RecordSend records that a request with the parts is sent. If Check has let it pass although a part
+// is quarantined, it is a trial.
+func (t *Table) RecordSend(now time.Time, parts []Part) {
+	if t.quarantined == 0 {
+		return
+	}
+	for _, p := range parts {
+		if e := t.entries[p.ID]; e != nil && e.quarantined() {
+			e.trialUntil = now.Add(trialTimeout)
+		}
+	}
+}
+
+// Repeat makes the records of quarantined parts news again, at the VM that makes their trials.
+func (t *Table) Repeat(now time.Time) {
+	if t.quarantined == 0 {
+		return
+	}
+	for _, e := range t.entries {
+		if e.quarantined() && now.Sub(e.announcedAt) >= repeatInterval && t.runsTrials(e.Part) {
+			e.unsent, e.announcedAt = true, now
+		}
+	}
+}
+
+// News returns up to count records that the other VMs may not have, the longest chains first, and
+// counts them as sent.
+func (t *Table) News(count int) []digest.Suspect {
+	return t.list(count, func(e *entry) bool { return e.unsent }, func(e *entry) { e.unsent = false })
+}
+
+// Recall returns up to count records for a VM that has just started, the longest chains first.
+func (t *Table) Recall(count int) []digest.Suspect {
+	return t.list(count, func(*entry) bool { return true }, func(*entry) {})
+}
+
+func (t *Table) list(count int, wanted func(*entry) bool, listed func(*entry)) []digest.Suspect {
+	var all []*entry
+	for _, e := range t.entries {
+		if wanted(e) {
+			all = append(all, e)
+		}
+	}
+	slices.SortFunc(all, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), a.changedAt.Compare(b.changedAt), cmp.Compare(a.Part, b.Part))
+	})
+	var records []digest.Suspect
+	for _, e := range all[:min(count, len(all))] {
+		records = append(records, e.Suspect)
+		listed(e)
+	}
+	return records
+}
+
+// Quarantined returns the number of quarantined parts.
+func (t *Table) Quarantined() int { return t.quarantined }
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,202 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"eelgrasshollow/internal/digest"
+	_ "eelgrasshollow/internal/fixedseed"
+	"eelgrasshollow/internal/prefix"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func partsOf(ids ...prefix.Hash) []Part {
+	parts := make([]Part, len(ids))
+	for i, id := range ids {
+		parts[i] = Part{ID: id, Name: fmt.Sprint("part-", id)}
+	}
+	return parts
+}
+
+// crashRequests plays n requests with the parts, one after the other, each of which crashes an
+// endpoint. Endpoints are numbered from first.
+func crashRequests(table *Table, first, n int, parts []Part) {
+	for i := range n {
+		table.RecordCrash(start, parts, table.Mark(parts), digest.EndpointRun(first+i))
+	}
+}
+
+func TestPartIsQuarantinedAfterChainOfCrashes(t *testing.T) {
+	table, parts := NewTable(nil), partsOf(1)
+	crashRequests(table, 1, quarantineCrashes-1, parts)
+	assert.Assert(t, table.Check(start, parts, start) == nil)
+	assert.DeepEqual(t, table.RecordCrash(start, parts, table.Mark(parts), 99), parts)
+	refusal := table.Check(start, partsOf(7, 1, 8), start)
+	assert.Equal(t, refusal.Part.Name, "part-1")
+	assert.Equal(t, refusal.RetryAfter, firstTrialAfter)
+	assert.Assert(t, table.Check(start, partsOf(7, 8), start) == nil)
+}
+
+// Endpoints that end together, and requests that one crash ends together, are one link of a chain.
+func TestSimultaneousCrashesAreOneLink(t *testing.T) {
+	table, parts := NewTable(nil), partsOf(1)
+	mark := table.Mark(parts)
+	for run := range digest.EndpointRun(20) {
+		table.RecordCrash(start, parts, mark, run+1)
+	}
+	assert.Equal(t, table.Mark(parts)[0].Crashes, uint16(1))
+	mark = table.Mark(parts)
+	table.RecordCrash(start, parts, mark, 1)
+	assert.Equal(t, table.Mark(parts)[0].Crashes, uint16(1), "that crash is in the chain already")
+}
+
+func TestAnswerClearsPart(t *testing.T) {
+	table, parts := NewTable(nil), partsOf(1)
+	crashRequests(table, 1, quarantineCrashes-1, parts)
+	late := table.Mark(parts)
+	assert.Equal(t, len(table.RecordAnswer(start, parts)), 0)
+	table.RecordCrash(start, parts, late, 50)
+	crashRequests(table, 60, quarantineCrashes-1, parts)
+	assert.Equal(t, table.Quarantined(), 0, "a request sent before the answer does not continue the chain")
+	crashRequests(table, 70, 1, parts)
+	assert.Equal(t, table.Quarantined(), 1)
+	assert.DeepEqual(t, table.RecordAnswer(start, parts), parts)
+	assert.Equal(t, table.Quarantined(), 0)
+}
+
+// A sound part that shares its requests' endpoints with the cause is no longer suspected when the
+// cause is known.
+func TestQuarantineExplainsCrashesOfOtherParts(t *testing.T) {
+	table, cause, bystander := NewTable(nil), partsOf(1), partsOf(2)
+	for run := range digest.EndpointRun(quarantineCrashes) {
+		causeMark, bystanderMark := table.Mark(cause), table.Mark(bystander)
+		if run > 0 {
+			table.RecordCrash(start, bystander, bystanderMark, run+1)
+		}
+		table.RecordCrash(start, cause, causeMark, run+1)
+	}
+	assert.Equal(t, table.Mark(bystander)[0].Crashes, uint16(0))
+	table.RecordCrash(start, bystander, table.Mark(bystander), 1)
+	assert.Equal(t, table.Mark(bystander)[0].Crashes, uint16(0), "a late report of an explained crash")
+	assert.Equal(t, table.Quarantined(), 1)
+}
+
+// If nothing is answered any more, the service fails as a whole.
+func TestNothingIsQuarantinedWhileServiceAnswersNothing(t *testing.T) {
+	table, parts := NewTable(nil), partsOf(1)
+	crashRequests(table, 1, quarantineCrashes, parts)
+	assert.Assert(t, table.Check(start, parts, start.Add(-time.Second)) == nil)
+	assert.Assert(t, table.Check(start, parts, start.Add(time.Millisecond)) != nil)
+}
+
+// One VM tries a quarantined part again, with one request at a time and ever more rarely.
+func TestTrialsOfQuarantinedPart(t *testing.T) {
+	chosen, other, parts := NewTable(nil), NewTable(func(prefix.Hash) bool { return false }), partsOf(1)
+	crashRequests(chosen, 1, quarantineCrashes, parts)
+	other.Merge(start, chosen.News(10))
+	now, wait := start, firstTrialAfter
+	for trial := range 6 {
+		assert.Assert(t, chosen.Check(now.Add(wait-time.Millisecond), parts, now) != nil)
+		now = now.Add(wait)
+		assert.Assert(t, other.Check(now, parts, now) != nil)
+		assert.Assert(t, chosen.Check(now, parts, now) == nil, "trial %d", trial)
+		mark := chosen.Mark(parts)
+		chosen.RecordSend(now, parts)
+		assert.Assert(t, chosen.Check(now, parts, now) != nil, "one trial at a time")
+		chosen.RecordCrash(now, parts, mark, digest.EndpointRun(100+trial))
+		wait = min(wait*trialBackoff, maxTrialAfter)
+	}
+	assert.Equal(t, wait, maxTrialAfter)
+	now = now.Add(wait)
+	chosen.RecordSend(now, parts)
+	assert.Assert(t, chosen.Check(now.Add(trialTimeout), parts, now) == nil, "the trial had no result")
+	chosen.RecordAnswer(now, parts)
+	other.Merge(now, chosen.News(10))
+	assert.Equal(t, other.Quarantined(), 0)
+}
+
+// Whatever order and selection of news VMs get, they agree when each has got the others' records.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*Table{NewTable(nil), NewTable(nil), NewTable(nil)}
+		marks := map[int]Mark{}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(tables)-1).Draw(t, "vm")
+			table, parts := tables[i], partsOf(prefix.Hash(rapid.IntRange(1, 3).Draw(t, "part")))
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				marks[step] = table.Mark(parts)
+			case 1:
+				table.RecordCrash(start, parts, table.Mark(parts), digest.EndpointRun(rapid.IntRange(1, 9).Draw(t, "run")))
+			case 2:
+				table.RecordAnswer(start, parts)
+			default:
+				news := table.News(2)
+				if rapid.Bool().Draw(t, "delivered") {
+					tables[rapid.IntRange(0, len(tables)-1).Draw(t, "to")].Merge(start, news)
+				}
+			}
+			checkCount(t, table)
+		}
+		for range 2 {
+			for _, from := range tables {
+				for _, to := range tables {
+					to.Merge(start, from.Recall(10))
+					checkCount(t, to)
+				}
+			}
+		}
+		for _, table := range tables {
+			assert.DeepEqual(t, table.Recall(10), tables[0].Recall(10))
+		}
+	})
+}
+
+// checkCount checks the number of quarantined parts against the entries.
+func checkCount(t *rapid.T, table *Table) {
+	count := 0
+	for _, e := range table.entries {
+		if e.quarantined() {
+			count++
+		}
+	}
+	assert.Equal(t, table.Quarantined(), count)
+}
+
+// A VM that has lost its records, as after a restart, gets them back from one that it tells less.
+func TestLowerRecordIsAnswered(t *testing.T) {
+	restarted, other, parts := NewTable(nil), NewTable(nil), partsOf(1)
+	crashRequests(other, 1, quarantineCrashes, parts)
+	other.News(10)
+	crashRequests(restarted, 50, 1, parts)
+	other.Merge(start, restarted.News(10))
+	restarted.Merge(start, other.News(10))
+	assert.Equal(t, restarted.Quarantined(), 1)
+}
+
+func TestQuarantinedPartsAreRepeated(t *testing.T) {
+	table := NewTable(nil)
+	crashRequests(table, 1, quarantineCrashes, partsOf(1))
+	table.Repeat(start)
+	assert.Equal(t, len(table.News(10)), 1)
+	table.Repeat(start.Add(repeatInterval - time.Millisecond))
+	assert.Equal(t, len(table.News(10)), 0)
+	table.Repeat(start.Add(repeatInterval))
+	assert.Equal(t, len(table.News(10)), 1)
+}
+
+// However many parts are suspected, memory is bounded and quarantined parts stay.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable(nil)
+	crashRequests(table, 1, quarantineCrashes, partsOf(1))
+	for i := range 2 * maxRecords {
+		crashRequests(table, 10+i, 1, partsOf(prefix.Hash(2+i)))
+	}
+	assert.Equal(t, len(table.entries), maxRecords)
+	assert.Equal(t, table.Quarantined(), 1)
+}
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -9,6 +9,7 @@
 
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/quarantine"
 )
 
 // Request describes a request to route. Either Model or Service is set.
@@ -27,6 +28,9 @@
 	// SharedPieces is the number of leading pieces of Chain that other requests may share; 0
 	// means unknown.
 	SharedPieces int
+	// SharedParts are the parts of the prompt that other requests may share, wherever they stand
+	// in it. A part under which endpoints crash is quarantined.
+	SharedParts  []quarantine.Part
 	PromptTokens int
 	MaxTokens    int
 	Priority     int // requests with a higher priority are sent first
@@ -76,8 +80,8 @@
 // Router selects endpoints.
 type Router interface {
 	// Pick waits in the admission queue for a slot at the best endpoint. It fails with
-	// NoEndpoint or Overloaded, both with outcome not-run and a time to retry after, or
-	// with Canceled.
+	// NoEndpoint, Overloaded or Quarantined, all with outcome not-run and a time to retry
+	// after, or with Canceled.
 	Pick(ctx context.Context, r Request) (Ticket, error)
 }
 
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -7,6 +7,7 @@
 	"eelgrasshollow/internal/cacheindex"
 	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/quarantine"
 )
 
 // Limits bounds the memory of a Core, the wait of requests and the rates of retries and
@@ -55,6 +56,7 @@
 	newPlacements    []digest.Placement      // for the next digest
 	evictions        []digest.Placement      // for the next digest
 	digestUrgent     bool                    // see DigestUrgent
+	crashUrgent      bool                    // an endpoint has crashed since the last digest
 	parked           []*Pending              // wait for an endpoint to recover
 	formerNotices    map[string]formerNotice // by name of an endpoint that is no longer listed
 	matches          []cacheindex.Match      // scratch: matches of the request's chain
@@ -65,6 +67,8 @@
 	targetVersions   map[string]string       // weights version by model
 	previousVersions map[string]string       // weights version by model
 	tokenCosts       map[string]tokenCost    // by service
+	quarantine       *quarantine.Table
+	answeredAt       map[string]time.Time // last complete response, by service or model
 }
 
 // NewCore returns a core without endpoints.
@@ -74,8 +78,8 @@
 		index:  cacheindex.New(limits.TrackedPrefixes, now),
 		byName: map[string]*State{},
 		peers:  map[string]peerView{}, previousVersions: map[string]string{}, tokenCosts: map[string]tokenCost{},
-		formerNotices: map[string]formerNotice{},
-		retries:       retryBudget{share: limits.RetryShare, burst: limits.RetryBurst, tokens: limits.RetryBurst},
+		formerNotices: map[string]formerNotice{}, quarantine: quarantine.NewTable(nil), answeredAt: map[string]time.Time{},
+		retries: retryBudget{share: limits.RetryShare, burst: limits.RetryBurst, tokens: limits.RetryBurst},
 	}
 }
 
@@ -172,6 +176,10 @@
 // place selects an endpoint and queues the request there. If no endpoint qualifies, it
 // parks the request.
 func (c *Core) place(now time.Time, p *Pending) {
+	if refusal := c.quarantined(now, &p.Request); refusal != nil {
+		c.refuse(p, refusal)
+		return
+	}
 	best := c.decide(now, p)
 	if best == nil {
 		c.park(now, p)
@@ -292,6 +300,10 @@
 		if p == nil {
 			return
 		}
+		if refusal := c.quarantined(now, &p.Request); refusal != nil {
+			c.refuse(p, refusal)
+			continue
+		}
 		c.send(now, p)
 	}
 }
@@ -301,6 +313,8 @@
 	p.phase, p.sentAt, p.run = phaseSent, now, s.run
 	p.tokensAhead = s.PendingTokens + s.PeerPendingTokens + p.uncachedTokens
 	p.Decision.SaveTo = c.saveTo(now, p)
+	p.mark = c.quarantine.Mark(p.Request.SharedParts)
+	c.quarantine.RecordSend(now, p.Request.SharedParts)
 	s.cacheInflow.add(p.Request.PromptTokens-p.Decision.CachedTokens+p.Request.MaxTokens, now)
 	c.updateLifetime(s.index, &s.cacheInflow, s.CacheCapacityTokens, now)
 	for _, store := range c.stores {
@@ -317,26 +331,37 @@
 }
 
 // RecordFirstToken records that the first token of a sent request has arrived.
-func (c *Core) RecordFirstToken(p *Pending) {
+func (c *Core) RecordFirstToken(now time.Time, p *Pending) {
+	if p.phase == phaseSent {
+		p.startedAt = now
+		c.endPrefill(p)
+	}
+}
+
+// endPrefill no longer counts the prompt of a sent request as pending.
+func (c *Core) endPrefill(p *Pending) {
 	if p.phase == phaseSent {
 		p.phase = phaseStarted
 		p.state.PendingTokens -= p.uncachedTokens
 	}
 }
 
-// Finish ends a sent request with its result and dispatches queued requests.
-func (c *Core) Finish(now time.Time, p *Pending, r Result) {
+// Finish ends a sent request with its result and dispatches queued requests. It returns the parts
+// of the prompt that the response has released from the quarantine.
+func (c *Core) Finish(now time.Time, p *Pending, r Result) (released []quarantine.Part) {
 	if p.phase != phaseSent && p.phase != phaseStarted {
-		return
+		return nil
 	}
-	c.RecordFirstToken(p)
+	c.endPrefill(p)
 	p.phase = phaseOver
+	released = c.recordAnswer(now, p, r)
 	s := p.state
 	s.InFlight--
 	c.recordResult(now, p, r)
 	if !s.removed {
 		c.dispatch(now, s)
 	}
+	return released
 }
 
 // Cancel withdraws a request that still waits and reports whether it did so.
@@ -357,6 +382,7 @@
 // parked and queued requests. The module calls it periodically.
 func (c *Core) Tick(now time.Time) {
 	c.expirePeers(now)
+	c.quarantine.Repeat(now)
 	c.unpark(now)
 	for _, s := range c.endpoints {
 		if s.queue.Len() == 0 {
--- a/internal/routing/crash.go
+++ b/internal/routing/crash.go
@@ -3,11 +3,60 @@
 import (
 	"context"
 	"syscall"
+	"time"
+
+	"eelgrasshollow/internal/digest"
+	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/quarantine"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
+// settledAfter is the time from the first token of a response from which on a crash of the endpoint
+// is no longer put down to its prompt.
+const settledAfter = 50 * time.Millisecond
+
+// quarantined returns a refusal if a part of the prompt is quarantined.
+func (c *Core) quarantined(now time.Time, r *Request) *errkind.Error {
+	refusal := c.quarantine.Check(now, r.SharedParts, c.answeredAt[r.group()])
+	if refusal == nil {
+		return nil
+	}
+	return errkind.New(errkind.Quarantined, "prompt part %s has crashed %d endpoints in a row", refusal.Part.Name, refusal.Crashes).
+		WithRetryAfter(max(refusal.RetryAfter, defaultRetryAfter))
+}
+
+// group names the endpoints that may serve the request: its service or its model.
+func (r *Request) group() string {
+	if r.Service != "" {
+		return r.Service
+	}
+	return r.Model
+}
+
+// RecordCrash records that the endpoint has crashed while it served a request that is over. It
+// returns the parts of the prompt that are quarantined because of it.
+func (c *Core) RecordCrash(now time.Time, p *Pending) []quarantine.Part {
+	if p.settled || p.state == nil {
+		return nil
+	}
+	c.digestUrgent, c.crashUrgent = true, true
+	return c.quarantine.RecordCrash(now, p.Request.SharedParts, p.mark, digest.EndpointRunOf(p.state.id, p.run))
+}
+
+// recordAnswer records the result of a request for the quarantine. It returns the parts of the
+// prompt that are released because of it.
+func (c *Core) recordAnswer(now time.Time, p *Pending, r Result) []quarantine.Part {
+	p.settled = r.Err == nil || !p.startedAt.IsZero() && now.Sub(p.startedAt) >= settledAfter
+	if !p.settled {
+		return nil
+	}
+	c.answeredAt[p.Request.group()] = now
+	return c.quarantine.RecordAnswer(now, p.Request.SharedParts)
+}
+
 // Prober opens a connection to an endpoint's address and closes it again. Its errors are those
 // of the dial.
 type Prober interface {
@@ -23,6 +72,35 @@
 		return
 	}
 	m.crashes.Inc()
+	m.mu.Lock()
+	quarantined := m.core.RecordCrash(m.now(), p)
+	m.mu.Unlock()
 	m.log.Info("endpoint crashed under the request", zap.String("request", p.Request.ID), zap.String("endpoint", p.Decision.Endpoint),
-		zap.String("incarnation", p.Decision.Incarnation), zap.Error(err))
+		zap.String("incarnation", p.Decision.Incarnation), zap.Bool("answered", p.settled), zap.Error(err))
+	for _, part := range quarantined {
+		m.log.Warn("prompt part quarantined", zap.String("part", part.Name), zap.String("request", p.Request.ID), zap.String("endpoint", p.Decision.Endpoint))
+	}
+}
+
+// logReleased logs the parts that a response has released from the quarantine.
+func (m *Module) logReleased(p *Pending, parts []quarantine.Part) {
+	for _, part := range parts {
+		m.log.Info("prompt part released from quarantine", zap.String("part", part.Name), zap.String("request", p.Request.ID), zap.String("endpoint", p.Decision.Endpoint))
+	}
+}
+
+// runsTrials reports whether this VM makes the trials of a quarantined part: one of the entry VMs
+// does, on whose choice all with the same list of VMs agree. A VM that is not in its own list makes
+// none.
+func (m *Module) runsTrials(part prefix.Hash) bool {
+	if m.server == nil {
+		return true
+	}
+	chosen, highest := "", uint64(0)
+	for _, vm := range m.allVMs() {
+		if weight := rendezvous(part, nameHash(vm.PeerAddress)); vm.PeerAddress != "" && !vm.Leaving && weight >= highest {
+			chosen, highest = vm.PeerAddress, weight
+		}
+	}
+	return chosen != "" && chosen == m.self()
 }
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -122,12 +122,13 @@
 }
 
 // due reports whether to send a digest now, either a regular or an early one. Digests over
-// relays are never early, as every VM would get them one by one.
+// relays are early only after a crash, as every VM gets them one by one.
 func (x *digestExchange) due(now time.Time) bool {
 	x.module.mu.Lock()
 	urgent, interval := x.module.core.DigestUrgent(), x.module.settings.DigestEvery
 	if x.module.core.relayedVMs > 0 {
-		urgent, interval = false, x.module.core.relayInterval
+		interval = x.module.core.relayInterval
+		urgent = x.module.core.crashUrgent && now.Sub(x.lastSent) >= minRelayInterval
 	}
 	x.module.mu.Unlock()
 	if !urgent && now.Sub(x.lastSent) < interval {
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -10,6 +10,7 @@
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/peer"
+	"eelgrasshollow/internal/quarantine"
 	"eelgrasshollow/internal/watch"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -93,6 +94,7 @@
 	}
 	m.log = k.Log.Named("routing")
 	m.core = NewCore(m.policy, m.settings.limits(), m.now())
+	m.core.quarantine = quarantine.NewTable(m.runsTrials)
 	m.hub = newRelayHub(rand.Uint64())
 	m.entryVMs, _ = kernel.Lookup[watch.Fleet](k, "entry.directory")
 	m.monitor, _ = kernel.Lookup[EndpointMonitor](k, "entry.engine")
@@ -279,7 +281,7 @@
 func (t *ticket) Started() {
 	t.module.mu.Lock()
 	defer t.module.mu.Unlock()
-	t.module.core.RecordFirstToken(t.pending)
+	t.module.core.RecordFirstToken(t.module.now(), t.pending)
 }
 
 // Notify implements Ticket.
@@ -301,7 +303,7 @@
 	t.module.mu.Lock()
 	defer t.module.mu.Unlock()
 	now := t.module.now()
-	t.module.core.Finish(now, t.pending, r)
+	t.module.logReleased(t.pending, t.module.core.Finish(now, t.pending, r))
 	if r.Broken && t.module.prober != nil {
 		go t.module.checkCrash(t.pending)
 	}
--- a/internal/routing/pending.go
+++ b/internal/routing/pending.go
@@ -7,6 +7,7 @@
 	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/quarantine"
 )
 
 // Pending is the state of a request from Submit to Finish.
@@ -25,6 +26,9 @@
 	submittedAt    time.Time
 	queuedAt       time.Time // time of queueing at this endpoint or of the last reconsideration
 	sentAt         time.Time
+	startedAt      time.Time // first token; zero if there was none
+	settled        bool      // a crash of the endpoint is not put down to the prompt
+	mark           quarantine.Mark
 	phase          phase
 	onSettled      func() // called once, when the request is sent or refused
 }
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -44,11 +44,12 @@
 	Next  uint64 // number of the last news item in Body
 }
 
-// newsItem is one placement, eviction or set of loaded weights in a digest.
+// newsItem is one placement, eviction, set of loaded weights or suspect in a digest.
 type newsItem struct {
 	origin    string // peer address of the VM that it came from
 	placement digest.Placement
 	loaded    digest.LoadedWeights
+	suspect   digest.Suspect
 	kind      newsKind
 }
 
@@ -58,6 +59,7 @@
 	newsPlacement newsKind = iota
 	newsEvicted
 	newsLoaded
+	newsSuspect
 )
 
 // relayHub is what a relay keeps for its cell: which VMs belong to it, and the news that they
@@ -85,7 +87,10 @@
 	for _, l := range d.Loaded {
 		h.items = append(h.items, newsItem{origin: origin, kind: newsLoaded, loaded: l})
 	}
-	h.next += uint64(len(d.Placements) + len(d.Evicted) + len(d.Loaded))
+	for _, s := range d.Suspects {
+		h.items = append(h.items, newsItem{origin: origin, kind: newsSuspect, suspect: s})
+	}
+	h.next += uint64(len(d.Placements) + len(d.Evicted) + len(d.Loaded) + len(d.Suspects))
 	h.items = h.items[max(0, len(h.items)-maxRelayedNews):]
 }
 
@@ -111,6 +116,8 @@
 			d.Evicted = append(d.Evicted, item.placement)
 		case newsLoaded:
 			d.Loaded = append(d.Loaded, item.loaded)
+		case newsSuspect:
+			d.Suspects = append(d.Suspects, item.suspect)
 		}
 	}
 	return h.next
@@ -136,6 +143,7 @@
 	defer m.mu.Unlock()
 	m.hub.members[d.From] = now
 	m.core.ApplyDigest(now, d)
+	m.core.crashUrgent = m.core.crashUrgent || len(d.Suspects) > 0
 	m.hub.record(d.From, d)
 	reply.Epoch = m.hub.epoch
 	if args.Epoch != m.hub.epoch {
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -20,6 +20,13 @@
 // maxNewPlacements bounds the placements collected for the next digest.
 const maxNewPlacements = 512
 
+const (
+	// maxDigestSuspects bounds the suspects in a regular digest, and maxRecallSuspects those in a
+	// digest for a VM that has just started.
+	maxDigestSuspects = 16
+	maxRecallSuspects = 128
+)
+
 // peerView is what the last digest of a peer contributed.
 type peerView struct {
 	receivedAt time.Time
@@ -65,14 +72,16 @@
 }
 
 // DigestUrgent reports whether the next digest should be sent early: an endpoint is
-// computing a new prefix, and other VMs may receive requests that share it.
+// computing a new prefix, and other VMs may receive requests that share it, or an endpoint has
+// crashed under a prompt.
 func (c *Core) DigestUrgent() bool { return c.digestUrgent }
 
 // NextDigest returns the digest for the peers, at most maxBytes long when encoded, and
 // starts collecting the next one.
 func (c *Core) NextDigest(from string, maxBytes int) *digest.Digest {
 	d := &digest.Digest{From: from, Placements: c.newPlacements, Evicted: c.evictions}
-	c.newPlacements, c.evictions, c.digestUrgent = nil, nil, false
+	d.Suspects = c.quarantine.News(maxDigestSuspects)
+	c.newPlacements, c.evictions, c.digestUrgent, c.crashUrgent = nil, nil, false, false
 	for _, s := range c.endpoints {
 		if s.InFlight == 0 && s.announced {
 			continue
@@ -92,7 +101,7 @@
 // encoded: the loads, the loaded weights, and the most recently used branch points and
 // whole chains.
 func (c *Core) RecallDigest(now time.Time, from string, maxBytes int) *digest.Digest {
-	d := &digest.Digest{From: from}
+	d := &digest.Digest{From: from, Suspects: c.quarantine.Recall(maxRecallSuspects)}
 	runs := make(map[cacheindex.Endpoint]digest.EndpointRun, len(c.byName))
 	for _, s := range c.endpoints {
 		if s.run != 0 {
@@ -130,6 +139,7 @@
 	c.peers[d.From] = peerView{receivedAt: now, loads: c.addLoads(d.Loads)}
 	c.updateVMCount()
 	c.equalizePeerLoads()
+	c.quarantine.Merge(now, d.Suspects)
 	weightsByState := map[*State][]digest.WeightsID{}
 	for _, l := range d.Loaded {
 		if s := c.byRun[l.EndpointRun]; s != nil {
