Tell prompt parts apart that suffered the same crashes

Cause: a part that always comes with the one that crashes endpoints suffers the same chain. The other way round, a quarantined bystander cleared the real cause, whose chain began anew (7 crashes).

Change: the crashes of a quarantined part no longer clear others. Instead, while two quarantined parts share crashes, a request with only one of them is let through, one at a time on each VM: an answer clears the part, a crash makes its chain the longer one and so leaves the blame there.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -7,7 +7,8 @@
 // of crashes: each was suffered by a request that a VM had sent when it knew of the crashes
 // before. Endpoints that end together, as after a loss of power, are one link of a chain. An
 // answer to any request with the part clears it. A part whose chain has quarantineCrashes links is
-// quarantined: requests with it are refused, apart from a rare trial.
+// quarantined: requests with it are refused, apart from rare trials, and from early ones that tell
+// parts apart which suffered the same crashes.
 //
 // VMs exchange the records of parts. Records are ordered, and the greater one holds, so that they
 // may be lost, repeated and reordered.
@@ -111,9 +112,6 @@
 // begun to answer, or had only just. mark is of the time when the request was sent. It returns
 // the parts that are quarantined because of it.
 func (t *Table) RecordCrash(now time.Time, parts []Part, mark Mark, run digest.EndpointRun) (quarantined []Part) {
-	if t.explained(parts, run) {
-		return nil
-	}
 	for i, p := range parts {
 		var known digest.Suspect
 		if mark != nil {
@@ -138,24 +136,6 @@
 	return quarantined
 }
 
-// explained reports whether a crash is already put down to a quarantined part that the request
-// does not have.
-func (t *Table) explained(parts []Part, run digest.EndpointRun) bool {
-	if t.quarantined == 0 {
-		return false
-	}
-	found := false
-	for id, e := range t.entries {
-		if e.quarantined() && slices.Contains(e.Runs[:], run) {
-			if slices.ContainsFunc(parts, func(p Part) bool { return p.ID == id }) {
-				return false
-			}
-			found = true
-		}
-	}
-	return found
-}
-
 // RecordAnswer records that an endpoint has answered a request with the parts. It returns those
 // that are no longer quarantined because of it.
 func (t *Table) RecordAnswer(now time.Time, parts []Part) (released []Part) {
@@ -167,18 +147,13 @@
 			if e.quarantined() {
 				released = append(released, p)
 			}
-			t.clear(now, e)
+			t.replace(now, e, digest.Suspect{Part: e.Part, Epoch: e.Epoch + 1})
+			e.unsent = true
 		}
 	}
 	return released
 }
 
-// clear ends the chain of a part.
-func (t *Table) clear(now time.Time, e *entry) {
-	t.replace(now, e, digest.Suspect{Part: e.Part, Epoch: e.Epoch + 1})
-	e.unsent = true
-}
-
 // Merge applies the records of another VM.
 func (t *Table) Merge(now time.Time, records []digest.Suspect) {
 	for _, r := range records {
@@ -200,8 +175,7 @@
 	return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Crashes, b.Crashes), slices.Compare(a.Runs[:], b.Runs[:]))
 }
 
-// replace sets the record of an entry and reports whether the part is quarantined only now. The
-// crashes of a quarantined part no longer count against other parts.
+// replace sets the record of an entry and reports whether the part is quarantined only now.
 func (t *Table) replace(now time.Time, e *entry, next digest.Suspect) bool {
 	before := e.quarantined()
 	if e.Crashes == 0 && next.Crashes > 0 {
@@ -217,11 +191,6 @@
 		t.quarantined--
 	case !before && after:
 		t.quarantined++
-		for _, other := range t.entries {
-			if other.Crashes > 0 && !other.quarantined() && sharesRun(other.Runs, next.Runs) {
-				t.clear(now, other)
-			}
-		}
 	}
 	return !before && after
 }
@@ -272,7 +241,7 @@
 	}
 	for _, p := range parts {
 		e := t.entries[p.ID]
-		if e == nil || !e.quarantined() || answeredAt.Before(e.suspectedAt) || t.trialDue(now, e) {
+		if e == nil || !e.quarantined() || answeredAt.Before(e.suspectedAt) || t.trialDue(now, e, parts) {
 			continue
 		}
 		return &Refusal{Part: p, Crashes: int(e.Crashes), RetryAfter: max(e.trialAt().Sub(now), e.trialUntil.Sub(now), 0)}
@@ -280,9 +249,26 @@
 	return nil
 }
 
-// trialDue reports whether this VM may send a request with the quarantined part.
-func (t *Table) trialDue(now time.Time, e *entry) bool {
-	return !now.Before(e.trialAt()) && !now.Before(e.trialUntil) && t.runsTrials(e.Part)
+// trialDue reports whether this VM may send a request whose prompt has the quarantined part. Where
+// another part explains the crashes as well, and the prompt does not have that one, each VM may try
+// at once: the result tells which of them is to blame.
+func (t *Table) trialDue(now time.Time, e *entry, parts []Part) bool {
+	if now.Before(e.trialUntil) {
+		return false
+	}
+	return !now.Before(e.trialAt()) && t.runsTrials(e.Part) || t.explained(e, parts)
+}
+
+// explained reports whether a quarantined part other than the given ones has a chain that shares
+// crashes with that of e and is not shorter.
+func (t *Table) explained(e *entry, parts []Part) bool {
+	for id, other := range t.entries {
+		if other != e && other.quarantined() && other.Crashes >= e.Crashes && sharesRun(other.Runs, e.Runs) &&
+			!slices.ContainsFunc(parts, func(p Part) bool { return p.ID == id }) {
+			return true
+		}
+	}
+	return false
 }
 
 // RecordSend records that a request with the parts is sent. If Check has let it pass although a part
