Refuse quarantined prompts before they take tokens; the same cause in the OpenAI interface

A quarantined prompt waited for tokens of its account, seconds if that is at its rate, and then was refused: what is known not to be servable is now refused first (TestQuarantinedPromptIsRefusedBeforeItTakesTokens).

The OpenAI interface repeats a request at another engine by itself, right after the failed attempt; the end of a broken attempt now waits up to 50 ms for its crash check, so that the repeat is sent in knowledge of the crash.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -96,6 +96,9 @@
 		return err
 	}
 	size, reserved := len(c.prompt), int64(j.request.PromptTokens+c.output)
+	if err := f.router.CheckPrompt(j.request); err != nil {
+		return err
+	}
 	reservation, err := f.reserve(x, reserved)
 	if err != nil {
 		return err
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -163,8 +163,11 @@
 	requests  []routing.Request
 	results   []routing.Result
 	notices   []routing.Notice
+	refusal   error // of CheckPrompt
 }
 
+func (r *fakeRouter) CheckPrompt(routing.Request) error { return r.refusal }
+
 func (r *fakeRouter) Pick(_ context.Context, q routing.Request) (routing.Ticket, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,7 @@
 	route       *fleet.Route
 	service     string
 	account     *fleet.Account
+	sharedParts []quarantine.Part
 	deadline    time.Time        // when the response must be complete
 	sends       atomic.Int32     // servers that received at least one byte
 	refusals    int              // of these, those that were skipped because they have not run it
@@ -149,6 +150,10 @@
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithDeadlineCause(x.ctx, x.deadline, errDeadline)
 	defer cancel()
+	x.sharedParts = x.Prompt.quarantineParts()
+	if err := g.Router.CheckPrompt(routing.Request{Service: x.service, SharedParts: x.sharedParts}); err != nil {
+		return x.finalError(err) // it must neither wait for tokens nor take any
+	}
 	reservation, err := g.reserve(x)
 	if err != nil {
 		return x.finalError(err)
@@ -279,7 +284,7 @@
 	r := routing.Request{
 		ID: x.ID, Account: x.accountName(), Service: x.service, Priority: -x.priority(),
 		Idempotent: x.route.Retryable(), Exclude: exclude, PromptTokens: x.Prompt.Tokens, MaxTokens: x.Prompt.MaxOutput,
-		LongestWait: x.maxSlotWait(), TimeLeft: time.Until(x.deadline),
+		LongestWait: x.maxSlotWait(), TimeLeft: time.Until(x.deadline), SharedParts: x.sharedParts,
 	}
 	if !x.Prompt.Known || len(x.Prompt.Parts) == 0 {
 		return r
@@ -293,10 +298,6 @@
 		r.PieceEnds = append(r.PieceEnds, end)
 	}
 	r.Chain = prefix.ChainOfParts(r.Seed, names)
-	model := prefix.Namespace{Model: x.Prompt.Model}.Seed()
-	for _, name := range x.Prompt.sharedParts() {
-		r.SharedParts = append(r.SharedParts, quarantine.Part{ID: prefix.PartHash(model, name), Name: name})
-	}
 	r.SharedPieces = len(r.Chain) - 1 // the last part belongs to the request itself or to its session
 	return r
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -43,6 +43,7 @@
 	servers     []string
 	waitForever bool
 	onPick      func() // may be nil
+	refusal     error  // of CheckPrompt
 	done        []routing.Result
 	notices     []routing.Notice
 }
@@ -52,6 +53,8 @@
 	d routing.Decision
 }
 
+func (r *fakeRouter) CheckPrompt(routing.Request) error { return r.refusal }
+
 func (r *fakeRouter) Pick(ctx context.Context, q routing.Request) (routing.Ticket, error) {
 	if r.waitForever {
 		<-ctx.Done()
@@ -165,6 +168,7 @@
 	budget      float64
 	limitErr    error
 	waitForever bool
+	refusal     error // of the router, for the prompt
 	age         time.Duration
 	maxAge      time.Duration
 	servers     map[string]func(context.Context, Attempt) (*Reply, error)
@@ -183,7 +187,7 @@
 	slices.Sort(names)
 	up := &fakeUpstream{replies: s.servers}
 	g := New(Deps{
-		Directory: fakeDirectory{&fleetview.View{Config: config, Servers: []fleet.Server{{ID: "a"}}}, s.age}, Limiter: fakeLimiter{s.limitErr}, Router: &fakeRouter{servers: names, waitForever: s.waitForever}, Upstream: up,
+		Directory: fakeDirectory{&fleetview.View{Config: config, Servers: []fleet.Server{{ID: "a"}}}, s.age}, Limiter: fakeLimiter{s.limitErr}, Router: &fakeRouter{servers: names, waitForever: s.waitForever, refusal: s.refusal}, Upstream: up,
 		Retries: NewRetryBudgets(RetryLimits{Share: 0, Burst: s.budget / retrySafetyFactor, VMs: func() (int, bool) { return 1, true }}),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Closing: func() bool { return false }, MaxViewAge: s.maxAge, Log: log,
 	})
@@ -238,6 +242,18 @@
 	})
 }
 
+// A quarantined prompt is refused before it takes or awaits tokens of its account.
+func TestQuarantinedPromptIsRefusedBeforeItTakesTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refusal := errkind.New(errkind.Quarantined, "crashes endpoints").WithRetryAfter(20 * time.Second)
+		overRate := errkind.New(errkind.RateLimited, "over").WithRetryAfter(time.Second)
+		w, up, _ := run(t, setup{kind: fleet.Stream, refusal: refusal, limitErr: overRate, servers: servers{"a": reply(200, "x", true)}})
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, w.Header().Get("Retry-After"), "20.000")
+		assert.Equal(t, len(up.sent), 0)
+	})
+}
+
 // A request that is canceled before any attempt must not end with an empty 200.
 func TestCanceledRequestIsNeverASuccess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/quarantine"
 )
 
 // Request is a request that a client sent. A client's own retry is another Request.
@@ -87,6 +89,21 @@
 	return names
 }
 
+// quarantineParts returns the parts that other prompts may share in the form that routing takes.
+// Which account sends them does not matter.
+func (p Prompt) quarantineParts() []quarantine.Part {
+	names := p.sharedParts()
+	if len(names) == 0 {
+		return nil
+	}
+	parts := make([]quarantine.Part, len(names))
+	model := prefix.Namespace{Model: p.Model}.Seed()
+	for i, name := range names {
+		parts[i] = quarantine.Part{ID: prefix.PartHash(model, name), Name: name}
+	}
+	return parts
+}
+
 // Part is a piece of a prompt that other prompts may share.
 type Part struct {
 	Name   string
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -79,6 +79,9 @@
 
 // Router selects endpoints.
 type Router interface {
+	// CheckPrompt returns the error with which Pick would refuse the request because a part of
+	// its prompt is quarantined, or nil. It only reads Service or Model and SharedParts.
+	CheckPrompt(r Request) error
 	// Pick waits in the admission queue for a slot at the best endpoint. It fails with
 	// NoEndpoint, Overloaded or Quarantined, all with outcome not-run and a time to retry
 	// after, or with Canceled.
--- a/internal/routing/crash.go
+++ b/internal/routing/crash.go
@@ -28,6 +28,16 @@
 		WithRetryAfter(max(refusal.RetryAfter, defaultRetryAfter))
 }
 
+// CheckPrompt implements Router.
+func (m *Module) CheckPrompt(r Request) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if refusal := m.core.quarantined(m.now(), &r); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
 // group names the endpoints that may serve the request: its service or its model.
 func (r *Request) group() string {
 	if r.Service != "" {
@@ -63,6 +73,26 @@
 	Probe(ctx context.Context, address string) error
 }
 
+// crashCheckWait is how long the end of an attempt waits for its crash check. An endpoint that has
+// crashed refuses connections within a round trip.
+const crashCheckWait = 50 * time.Millisecond
+
+// awaitCrashCheck checks for a crash and waits for the result, so that a repeat of the request is
+// sent in knowledge of it.
+func (m *Module) awaitCrashCheck(p *Pending) {
+	checked := make(chan struct{})
+	go func() {
+		defer close(checked)
+		m.checkCrash(p)
+	}()
+	timer := time.NewTimer(crashCheckWait)
+	defer timer.Stop()
+	select {
+	case <-checked:
+	case <-timer.C:
+	}
+}
+
 // checkCrash finds out whether the endpoint of an attempt whose connection broke has ended: its
 // address then refuses connections. A lost connection alone says nothing about the endpoint.
 func (m *Module) checkCrash(p *Pending) {
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -300,13 +300,17 @@
 
 // Done implements Ticket.
 func (t *ticket) Done(r Result) {
+	t.finish(r)
+	if r.Broken && t.module.prober != nil {
+		t.module.awaitCrashCheck(t.pending)
+	}
+}
+
+func (t *ticket) finish(r Result) {
 	t.module.mu.Lock()
 	defer t.module.mu.Unlock()
 	now := t.module.now()
 	t.module.logReleased(t.pending, t.module.core.Finish(now, t.pending, r))
-	if r.Broken && t.module.prober != nil {
-		go t.module.checkCrash(t.pending)
-	}
 	if r.Err == nil && !t.module.policy.PeerImports {
 		t.module.queueExport(now, t.pending)
 	}
