End streams whose servers send bytes without an event

Found: empty lines and comments in a stream, and events that repeat delivered positions, were relayed or skipped until the client's time was up (5 s of 5 s in three cases), and the first of them counted as the beginning of the answer. Now 256 KiB without an event that continues the stream break it, and only data begins it. The other cases were bounded already: heads at 64 KiB, bodies at 16 MiB, events at 1 MiB.

--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -85,8 +85,9 @@
 // RawEvent is one server-sent event with its bytes unchanged, including the empty line that
 // ends it.
 type RawEvent struct {
-	ID    int // stream position from the id field, or 0 if there is none
-	Bytes []byte
+	ID      int  // stream position from the id field, or 0 if there is none
+	HasData bool // there is a data field; without one it is a comment or an empty line
+	Bytes   []byte
 }
 
 // NextRaw returns the next lines up to and including an empty one, unchanged. The bytes are
@@ -111,6 +112,7 @@
 			event.Bytes = e.data
 			return event, nil
 		}
+		event.HasData = event.HasData || bytes.HasPrefix(line, []byte("data"))
 		var parsed Event
 		if bytes.HasPrefix(line, []byte("id")) {
 			if err := e.parseField(&parsed, line); err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,8 +11,13 @@
 	"eelgrasshollow/internal/errkind"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxIdleBytes limits what a server may send between two events that continue a stream, such
+	// as comments.
+	maxIdleBytes = 256 << 10
+)
 
 // stream relays the events of a stream as they arrive and records the ID of the last one that
 // was written in x.LastEventID. If the stream breaks, attempts may resume it after that
@@ -27,7 +32,8 @@
 	}
 	gap := g.Metrics.eventGap.WithLabelValues(x.route.Name)
 	lastEventAt := time.Now()
-	for first := true; ; first = false {
+	begun, idleBytes := false, 0
+	for {
 		event, err := events.NextRaw()
 		if err == io.EOF {
 			x.writeHead(reply) // a stream may have no events
@@ -37,13 +43,20 @@
 			return brokenResponse(ctx, err)
 		}
 		received()
-		if first {
-			started()
-			g.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(time.Since(x.Arrived).Seconds())
+		if continues := event.HasData && (event.ID > lastID || lastID == 0); !continues {
+			if idleBytes += len(event.Bytes); idleBytes > maxIdleBytes {
+				return errkind.New(errkind.StreamBroken, "server sent %d bytes that do not continue the stream", idleBytes)
+			}
 		} else {
-			gap.Observe(time.Since(lastEventAt).Seconds())
+			if begun {
+				gap.Observe(time.Since(lastEventAt).Seconds())
+			} else {
+				begun = true
+				started()
+				g.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(time.Since(x.Arrived).Seconds())
+			}
+			lastEventAt, idleBytes = time.Now(), 0
 		}
-		lastEventAt = time.Now()
 		if event.ID > 0 && event.ID <= lastID {
 			continue
 		}
