Bound the memory of buffered response bodies over all requests

Found while looking at bytes without end: each response body that is buffered before it is relayed was limited to 16 MiB by itself, so that a few of them at once exceed the memory of a small entry VM (112 to 284 MB), which ends the process.

Now all bodies together may take 16 MiB beyond the first 64 KiB of each, so that small responses are always relayed; a body that finds no space fails as one that may have run. The text of a body or event that is too large no longer says that the response ended early, and its sound connection is not taken for a broken one.

Test: TestBodiesWithoutEndShareBoundedMemory.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,8 +20,6 @@
 	// maxRefusals is the number of servers that one request may skip because they stated that
 	// they have not run it. They don't count as attempts either, but draw on the retry budget.
 	maxRefusals = 3
-	// maxResponseBytes limits the body of a response that is buffered before it is relayed.
-	maxResponseBytes = 16 << 20
 	// attemptTimeoutTargets is the timeout of an attempt that may be repeated, in
 	// multiples of the route's target time. A response after that would be late anyway.
 	attemptTimeoutTargets = 2
@@ -262,13 +259,11 @@
 	case x.headWritten:
 		return errkind.New(errkind.StreamBroken, "server responded to the resumption of a stream with status %d", reply.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxResponseBytes+1))
+	body, err := g.buffers.read(reply.Body)
+	defer body.release()
 	if err != nil {
 		return brokenResponse(ctx, err)
 	}
-	if len(body) > maxResponseBytes {
-		return errkind.New(errkind.EndpointFailed, "response body exceeds %d bytes", maxResponseBytes)
-	}
 	started()
 	if reply.Status >= http.StatusInternalServerError && x.route.Retryable() && x.possibleRuns() < x.route.MaxAttempts && g.mayRetry(x) {
 		// The failure concerns this request only; the server can serve other requests.
@@ -281,10 +276,12 @@
 	x.status = reply.Status
 	h := x.w.Header()
 	copyHeader(h, reply.Header)
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Content-Length", strconv.Itoa(body.size()))
 	x.w.WriteHeader(reply.Status)
-	if _, err := x.w.Write(body); err != nil {
-		return errkind.Wrap(err, errkind.Canceled, "client disconnected")
+	for _, chunk := range body.chunks {
+		if _, err := x.w.Write(chunk); err != nil {
+			return errkind.Wrap(err, errkind.Canceled, "client disconnected")
+		}
 	}
 	return nil
 }
@@ -305,8 +302,8 @@
 	if ctx.Err() != nil {
 		return errkind.Wrap(ctx.Err(), errkind.Timeout, "timed out reading the response")
 	}
-	if !errors.Is(err, errkind.Sentinel(errkind.StreamBroken)) {
-		err = errors.Mark(err, errkind.ErrBroken)
+	if e := (*errkind.Error)(nil); errors.As(err, &e) {
+		return errkind.Wrap(err, errkind.EndpointFailed, "response can't be used") // the connection is sound
 	}
-	return errkind.Wrap(err, errkind.EndpointFailed, "response ended early")
+	return errkind.Wrap(errors.Mark(err, errkind.ErrBroken), errkind.EndpointFailed, "response ended early")
 }
--- /dev/null
+++ b/internal/gateway/buffer.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"io"
+
+	"eelgrasshollow/internal/errkind"
+
+	"golang.org/x/sync/semaphore"
+)
+
+const (
+	// maxBufferedBytes limits the bodies of all responses that are buffered before they are
+	// relayed, beyond the first unsharedBytes of each.
+	maxBufferedBytes = 16 << 20
+	// unsharedBytes of each body are not counted, so that large bodies never keep small ones from
+	// being relayed. It is also the size of the chunks in which the rest is read.
+	unsharedBytes = 64 << 10
+)
+
+// bodyBuffers limits the memory of buffered bodies. It is safe for concurrent use.
+type bodyBuffers struct{ space *semaphore.Weighted }
+
+func newBodyBuffers() *bodyBuffers {
+	return &bodyBuffers{space: semaphore.NewWeighted(maxBufferedBytes)}
+}
+
+// bufferedBody is a body, or what was read of it.
+type bufferedBody struct {
+	chunks [][]byte
+	space  *semaphore.Weighted
+	shared int64 // bytes taken from space
+}
+
+// read reads a whole body. The result must be released, also after an error.
+func (b *bodyBuffers) read(r io.Reader) (*bufferedBody, error) {
+	body := &bufferedBody{space: b.space}
+	chunk, err := io.ReadAll(io.LimitReader(r, unsharedBytes))
+	for {
+		body.chunks = append(body.chunks, chunk)
+		if err != nil || len(chunk) < unsharedBytes {
+			return body, err
+		}
+		if !b.space.TryAcquire(unsharedBytes) {
+			return body, errkind.New(errkind.EndpointFailed, "no space to buffer more than %d bytes of the response", body.size())
+		}
+		body.shared += unsharedBytes
+		chunk, err = io.ReadAll(io.LimitReader(r, unsharedBytes))
+	}
+}
+
+// size returns the length of the body in bytes.
+func (b *bufferedBody) size() int {
+	n := 0
+	for _, chunk := range b.chunks {
+		n += len(chunk)
+	}
+	return n
+}
+
+// release gives the body's space back.
+func (b *bufferedBody) release() {
+	b.chunks = nil
+	b.space.Release(b.shared)
+	b.shared = 0
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,11 +49,12 @@
 	Deps
 	viewWaiters atomic.Int32 // requests that wait for the first view
 	silence     *silenceWatch
+	buffers     *bodyBuffers
 }
 
 // New returns a Gateway with the given dependencies.
 func New(d Deps) *Gateway {
-	return &Gateway{Deps: d, silence: newSilenceWatch(d.Upstream.Probe, d.Log)}
+	return &Gateway{Deps: d, silence: newSilenceWatch(d.Upstream.Probe, d.Log), buffers: newBodyBuffers()}
 }
 
 const (
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -525,3 +526,54 @@
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
 	assert.Equal(t, len(up.sent), 0)
 }
+
+// endlessBody is a response body without end. It counts the bytes that were read.
+type endlessBody struct{ read *atomic.Int64 }
+
+func (b endlessBody) Read(p []byte) (int, error) {
+	b.read.Add(int64(len(p)))
+	return len(p), nil
+}
+
+func (endlessBody) Close() error { return nil }
+
+// Bodies without end must not use up the memory of the VM together, nor keep it from relaying small
+// responses.
+func TestBodiesWithoutEndShareBoundedMemory(t *testing.T) {
+	var read atomic.Int64
+	reading := make(chan struct{})
+	var once sync.Once
+	endless := func(_ context.Context, a Attempt) (*Reply, error) {
+		a.OnSend()
+		return &Reply{Status: 200, Header: http.Header{}, Signed: true, Body: endlessBody{&read}}, nil
+	}
+	held := func(_ context.Context, a Attempt) (*Reply, error) {
+		a.OnSend()
+		hold := readerFunc(func([]byte) (int, error) {
+			once.Do(func() { close(reading) })
+			<-t.Context().Done()
+			return 0, io.EOF
+		})
+		return &Reply{Status: 200, Header: http.Header{}, Signed: true, Body: io.NopCloser(io.MultiReader(io.LimitReader(endlessBody{&read}, maxBufferedBytes), hold))}, nil
+	}
+	large, _ := newGateway(t, setup{kind: fleet.Idempotent, servers: servers{"a": held}}, zap.NewNop())
+	go large.Serve(t.Context(), httptest.NewRecorder(), newRequest())
+	<-reading
+	large.Upstream = &fakeUpstream{replies: servers{"a": endless}}
+	read.Store(0)
+	const others = 8
+	for range others {
+		w := httptest.NewRecorder()
+		large.Serve(t.Context(), w, newRequest())
+		assert.Equal(t, w.Code, http.StatusBadGateway)
+	}
+	assert.Assert(t, read.Load() <= others*2*unsharedBytes, "%d bytes", read.Load())
+	large.Upstream = &fakeUpstream{replies: servers{"a": reply(200, "small", false)}}
+	w := httptest.NewRecorder()
+	assert.Assert(t, large.Serve(t.Context(), w, newRequest()))
+	assert.Equal(t, w.Body.String(), "small")
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
