Weigh a part's crashes against those it was not in flight at

Change: a record names up to six crashes that the part was in flight at, merged as a set. Three links quarantine only a part that was in flight at more than half of the crashes that the VM has heard of meanwhile, its own and those in others' records; five links any part.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -10,7 +10,7 @@
 //	Loaded      uint16 count, then for each: uint32 EndpointRun, uint32 Weights
 //	Placements  uint16 count, then for each: uint32 EndpointRun, uint64 Prefix
 //	Evicted     uint16 count, then for each: uint32 EndpointRun, uint64 Prefix
-//	Suspects    uint16 count, then for each: uint64 Part, uint32 Epoch, uint16 Crashes, 3 times uint32 EndpointRun;
+//	Suspects    uint16 count, then for each: uint64 Part, uint32 Epoch, uint16 Crashes, 6 times uint32 EndpointRun;
 //	            left out if there are none, as in the digests of earlier versions
 //
 // There are no bytes after the last field.
@@ -84,14 +84,14 @@
 }
 
 // SuspectRuns is the number of incarnations of endpoints that a Suspect names.
-const SuspectRuns = 3
+const SuspectRuns = 6
 
 // Suspect is a prompt part under which endpoints crashed; see package quarantine.
 type Suspect struct {
 	Part    prefix.Hash
 	Epoch   uint32                   // how often the part was cleared by an answer
 	Crashes uint16                   // length of the chain of crashes since
-	Runs    [SuspectRuns]EndpointRun // of the last crashes, the newest first; 0 for none
+	Runs    [SuspectRuns]EndpointRun // crashes under it, in ascending order; 0 for none
 }
 
 // Digest is the message that one entry VM sends to its peers.
--- a/internal/gateway/crashing_prompts_test.go
+++ b/internal/gateway/crashing_prompts_test.go
@@ -602,14 +602,14 @@
 		every time.Duration
 		which func(r *rand.Rand, live []*simServer) []*simServer
 	}{
-		"one by one": {5 * time.Second, func(r *rand.Rand, live []*simServer) []*simServer {
+		"one by one": {2 * time.Second, func(r *rand.Rand, live []*simServer) []*simServer {
 			return live[r.IntN(len(live)):][:1]
 		}},
-		"half of them": {10 * time.Second, func(r *rand.Rand, live []*simServer) []*simServer {
+		"half of them": {5 * time.Second, func(r *rand.Rand, live []*simServer) []*simServer {
 			r.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 			return live[:len(live)/2]
 		}},
-		"all of them": {10 * time.Second, func(_ *rand.Rand, live []*simServer) []*simServer { return live }},
+		"all of them": {8 * time.Second, func(_ *rand.Rand, live []*simServer) []*simServer { return live }},
 		"each as soon as it is back": {100 * time.Millisecond, func(_ *rand.Rand, live []*simServer) []*simServer {
 			var hit []*simServer
 			for _, s := range live {
@@ -640,7 +640,7 @@
 							}
 						}
 					})
-					s.play(lasting, subjects(40, "first", 8), subjects(20, "other", 8))
+					s.play(lasting, subjects(40, "first", 40), subjects(20, "other", 400))
 					s.stop()
 					for first := range s.begun {
 						assert.Equal(t, s.quarantineRefusals(first), 0, "of %d requests with %q, %d crashes", len(s.begun[first]), first, crashes)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,12 +6,13 @@
 // answered, and that endpoints go on crashing under it. So a Table counts for each part a chain
 // of crashes: each was suffered by a request that a VM had sent when it knew of the crashes
 // before. Endpoints that end together, as after a loss of power, are one link of a chain. An
-// answer to any request with the part clears it. A part whose chain has quarantineCrashes links is
-// quarantined: requests with it are refused, apart from rare trials, and from early ones that tell
-// parts apart which suffered the same crashes.
+// answer to any request with the part clears it. A part is quarantined when its chain has
+// quarantineCrashes links and it was in flight at most of the crashes that this VM has heard of
+// meanwhile; a longer chain is needed where endpoints crash for other reasons too. Requests with a
+// quarantined part are refused, apart from rare trials, and from early ones that tell parts apart
+// which suffered the same crashes.
 //
-// VMs exchange the records of parts. Records are ordered, and the greater one holds, so that they
-// may be lost, repeated and reordered.
+// VMs exchange the records of parts and merge them. Records may be lost, repeated and reordered.
 //
 // A Table does no I/O and has no clock of its own. It is not safe for concurrent use.
 package quarantine
@@ -27,8 +28,12 @@
 )
 
 const (
-	// quarantineCrashes is the number of links of a chain from which a part is quarantined.
+	// quarantineCrashes is the number of links of a chain from which a part is quarantined that
+	// was in flight at most crashes, and longChainCrashes that of any part.
 	quarantineCrashes = 3
+	longChainCrashes  = 5
+	// maxSeenCrashes bounds the crashes that a VM remembers.
+	maxSeenCrashes = 64
 	// firstTrialAfter is the time from the quarantine of a part to the first trial. It grows by
 	// trialBackoff with each trial that crashes an endpoint, up to maxTrialAfter.
 	firstTrialAfter = 30 * time.Second
@@ -57,11 +62,27 @@
 	suspectedAt time.Time // of the first link
 	trialUntil  time.Time // a trial of this VM runs until then at the latest
 	announcedAt time.Time
+	quarantined bool
 	unsent      bool // the record is news for the other VMs
 }
 
-// quarantined reports whether the chain is long enough.
-func (e *entry) quarantined() bool { return e.Crashes >= quarantineCrashes }
+// runCount returns the number of crashes at which the part was in flight, as far as they fit into
+// the record.
+func (e *entry) runCount() int {
+	n := 0
+	for _, run := range e.Runs {
+		if run != 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// seenCrash is a crash under any request, of this VM or another.
+type seenCrash struct {
+	run digest.EndpointRun
+	at  time.Time
+}
 
 // trialAt returns the time of the next trial of a quarantined part.
 func (e *entry) trialAt() time.Time {
@@ -79,7 +100,8 @@
 // Table holds the records of one VM.
 type Table struct {
 	entries     map[prefix.Hash]*entry
-	quarantined int // entries that are quarantined
+	quarantined int         // entries that are quarantined
+	seen        []seenCrash // each run once, the oldest first
 	// runsTrials reports whether this VM is the one that makes the trials of a part. At most one
 	// of all VMs should be.
 	runsTrials func(part prefix.Hash) bool
@@ -108,10 +130,11 @@
 	return mark
 }
 
-// RecordCrash records that an incarnation of an endpoint crashed under a request that it had not
-// begun to answer, or had only just. mark is of the time when the request was sent. It returns
-// the parts that are quarantined because of it.
+// RecordCrash records that an incarnation of an endpoint crashed under a request. parts are those
+// that may have caused it: none if the request had been answered for a while. mark is of the time
+// when the request was sent. It returns the parts that are quarantined because of it.
 func (t *Table) RecordCrash(now time.Time, parts []Part, mark Mark, run digest.EndpointRun) (quarantined []Part) {
+	t.see(now, run)
 	for i, p := range parts {
 		var known digest.Suspect
 		if mark != nil {
@@ -121,14 +144,12 @@
 		if e == nil {
 			e = t.add(now, p.ID)
 		}
-		if e.Epoch != known.Epoch || known.Crashes+1 <= e.Crashes || slices.Contains(e.Runs[:], run) {
-			continue // answered since the request was sent, or a link that is known already
+		if e.Epoch != known.Epoch || slices.Contains(e.Runs[:], run) {
+			continue // answered since the request was sent, or a crash that is known already
 		}
-		next := e.Suspect
-		next.Crashes++
-		copy(next.Runs[1:], e.Runs[:])
+		next := digest.Suspect{Part: p.ID, Epoch: e.Epoch, Crashes: max(e.Crashes, known.Crashes+1)}
 		next.Runs[0] = run
-		if t.replace(now, e, next) {
+		if t.replace(now, e, merge(e.Suspect, next)) {
 			quarantined = append(quarantined, p)
 		}
 		e.unsent = true
@@ -136,6 +157,24 @@
 	return quarantined
 }
 
+// see remembers a crash, under whatever request and on whatever VM it was.
+func (t *Table) see(now time.Time, run digest.EndpointRun) {
+	if run != 0 && !slices.ContainsFunc(t.seen, func(c seenCrash) bool { return c.run == run }) {
+		t.seen = append(t.seen[max(0, len(t.seen)+1-maxSeenCrashes):], seenCrash{run, now})
+	}
+}
+
+// seenSince returns the number of crashes that this VM has heard of since a time.
+func (t *Table) seenSince(since time.Time) int {
+	n := 0
+	for _, c := range t.seen {
+		if !c.at.Before(since) {
+			n++
+		}
+	}
+	return n
+}
+
 // RecordAnswer records that an endpoint has answered a request with the parts. It returns those
 // that are no longer quarantined because of it.
 func (t *Table) RecordAnswer(now time.Time, parts []Part) (released []Part) {
@@ -144,7 +183,7 @@
 	}
 	for _, p := range parts {
 		if e := t.entries[p.ID]; e != nil && e.Crashes > 0 {
-			if e.quarantined() {
+			if e.quarantined {
 				released = append(released, p)
 			}
 			t.replace(now, e, digest.Suspect{Part: e.Part, Epoch: e.Epoch + 1})
@@ -161,38 +200,63 @@
 		if e == nil {
 			e = t.add(now, r.Part)
 		}
-		switch order := compare(r, e.Suspect); {
-		case order > 0:
-			t.replace(now, e, r)
-		case order < 0 && (r.Epoch != e.Epoch || r.Crashes != e.Crashes):
-			e.unsent = true // the other VM has missed it
+		for _, run := range r.Runs {
+			t.see(now, run)
+		}
+		next := merge(e.Suspect, r)
+		if next.Epoch != r.Epoch || next.Crashes != r.Crashes {
+			e.unsent = true // the other VM has missed something
 		}
+		t.replace(now, e, next)
 	}
 }
 
-// compare orders the records of one part: the one that holds is the greater.
-func compare(a, b digest.Suspect) int {
-	return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Crashes, b.Crashes), slices.Compare(a.Runs[:], b.Runs[:]))
+// merge returns what two records of one part say together: the later epoch holds; within it the
+// longest chain, and the crashes of both.
+func merge(a, b digest.Suspect) digest.Suspect {
+	if a.Epoch != b.Epoch {
+		if a.Epoch > b.Epoch {
+			return a
+		}
+		return b
+	}
+	a.Crashes = max(a.Crashes, b.Crashes)
+	runs := slices.DeleteFunc(slices.Concat(a.Runs[:], b.Runs[:]), func(run digest.EndpointRun) bool { return run == 0 })
+	slices.Sort(runs)
+	runs = slices.Compact(runs)
+	a.Runs = [digest.SuspectRuns]digest.EndpointRun{}
+	copy(a.Runs[:], runs) // those that fit
+	return a
 }
 
-// replace sets the record of an entry and reports whether the part is quarantined only now.
+// replace sets the record of an entry and reports whether the part is quarantined only now. A
+// quarantined part stays so until it is cleared.
 func (t *Table) replace(now time.Time, e *entry, next digest.Suspect) bool {
-	before := e.quarantined()
-	if e.Crashes == 0 && next.Crashes > 0 {
+	if e.Crashes == 0 && next.Crashes > 0 || next.Epoch != e.Epoch {
 		e.suspectedAt = now
 	}
 	if next.Epoch != e.Epoch || next.Crashes != e.Crashes {
 		e.changedAt, e.trialUntil = now, time.Time{}
 	}
+	before := e.quarantined
+	e.quarantined = before && next.Epoch == e.Epoch
 	e.Suspect = next
-	after := e.quarantined()
+	e.quarantined = e.quarantined || t.convicts(e)
 	switch {
-	case before && !after:
+	case before && !e.quarantined:
 		t.quarantined--
-	case !before && after:
+	case !before && e.quarantined:
 		t.quarantined++
 	}
-	return !before && after
+	return !before && e.quarantined
+}
+
+// convicts reports whether the crashes of a part suffice to quarantine it.
+func (t *Table) convicts(e *entry) bool {
+	if e.Crashes < quarantineCrashes {
+		return false
+	}
+	return e.Crashes >= longChainCrashes || e.runCount() == len(e.Runs) || 2*e.runCount() > t.seenSince(e.suspectedAt)
 }
 
 func sharesRun(a, b [digest.SuspectRuns]digest.EndpointRun) bool {
@@ -203,17 +267,17 @@
 // recordTTL, or else the one that is not quarantined and has not changed for the longest time.
 func (t *Table) add(now time.Time, part prefix.Hash) *entry {
 	if len(t.entries) >= maxRecords {
-		maps.DeleteFunc(t.entries, func(_ prefix.Hash, e *entry) bool { return !e.quarantined() && now.Sub(e.changedAt) > recordTTL })
+		maps.DeleteFunc(t.entries, func(_ prefix.Hash, e *entry) bool { return !e.quarantined && now.Sub(e.changedAt) > recordTTL })
 	}
 	if len(t.entries) >= maxRecords {
 		var oldest *entry
 		for _, e := range t.entries {
-			if oldest == nil || oldest.quarantined() && !e.quarantined() ||
-				oldest.quarantined() == e.quarantined() && e.changedAt.Before(oldest.changedAt) {
+			if oldest == nil || oldest.quarantined && !e.quarantined ||
+				oldest.quarantined == e.quarantined && e.changedAt.Before(oldest.changedAt) {
 				oldest = e
 			}
 		}
-		if oldest.quarantined() {
+		if oldest.quarantined {
 			t.quarantined--
 		}
 		delete(t.entries, oldest.Part)
@@ -241,7 +305,7 @@
 	}
 	for _, p := range parts {
 		e := t.entries[p.ID]
-		if e == nil || !e.quarantined() || answeredAt.Before(e.suspectedAt) || t.trialDue(now, e, parts) {
+		if e == nil || !e.quarantined || answeredAt.Before(e.suspectedAt) || t.trialDue(now, e, parts) {
 			continue
 		}
 		return &Refusal{Part: p, Crashes: int(e.Crashes), RetryAfter: max(e.trialAt().Sub(now), e.trialUntil.Sub(now), 0)}
@@ -263,7 +327,7 @@
 // crashes with that of e and is not shorter.
 func (t *Table) explained(e *entry, parts []Part) bool {
 	for id, other := range t.entries {
-		if other != e && other.quarantined() && other.Crashes >= e.Crashes && sharesRun(other.Runs, e.Runs) &&
+		if other != e && other.quarantined && other.Crashes >= e.Crashes && sharesRun(other.Runs, e.Runs) &&
 			!slices.ContainsFunc(parts, func(p Part) bool { return p.ID == id }) {
 			return true
 		}
@@ -278,7 +342,7 @@
 		return
 	}
 	for _, p := range parts {
-		if e := t.entries[p.ID]; e != nil && e.quarantined() {
+		if e := t.entries[p.ID]; e != nil && e.quarantined {
 			e.trialUntil = now.Add(trialTimeout)
 		}
 	}
@@ -290,7 +354,7 @@
 		return
 	}
 	for _, e := range t.entries {
-		if e.quarantined() && now.Sub(e.announcedAt) >= repeatInterval && t.runsTrials(e.Part) {
+		if e.quarantined && now.Sub(e.announcedAt) >= repeatInterval && t.runsTrials(e.Part) {
 			e.unsent, e.announcedAt = true, now
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -42,6 +42,23 @@
 	assert.Assert(t, table.Check(start, partsOf(7, 8), start) == nil)
 }
 
+// A part that is rarely in flight when endpoints crash for other reasons needs a longer chain than
+// one that is in flight at most crashes.
+func TestPartInFlightAtFewCrashesNeedsLongChain(t *testing.T) {
+	table, cause, rare := NewTable(nil), partsOf(1), partsOf(2)
+	crashRequests(table, 1, 1, rare)
+	crashRequests(table, 10, quarantineCrashes, cause)
+	assert.Assert(t, table.Check(start, cause, start) != nil, "in flight at three of four")
+	for run := range digest.EndpointRun(8) {
+		table.RecordCrash(start, nil, nil, 20+run) // under requests that had been answered
+	}
+	crashRequests(table, 30, quarantineCrashes-1, rare)
+	assert.Assert(t, table.Check(start, rare, start) == nil, "in flight at three of fourteen")
+	assert.Assert(t, table.Check(start, cause, start) != nil)
+	crashRequests(table, 40, longChainCrashes-quarantineCrashes, rare)
+	assert.Equal(t, table.Quarantined(), 2)
+}
+
 // Endpoints that end together, and requests that one crash ends together, are one link of a chain.
 func TestSimultaneousCrashesAreOneLink(t *testing.T) {
 	table, parts := NewTable(nil), partsOf(1)
@@ -61,6 +78,7 @@
 	late := table.Mark(parts)
 	assert.Equal(t, len(table.RecordAnswer(start, parts)), 0)
 	table.RecordCrash(start, parts, late, 50)
+	table.seen = nil // other crashes don't matter here
 	crashRequests(table, 60, quarantineCrashes-1, parts)
 	assert.Equal(t, table.Quarantined(), 0, "a request sent before the answer does not continue the chain")
 	crashRequests(table, 70, 1, parts)
@@ -171,7 +189,7 @@
 func checkCount(t *rapid.T, table *Table) {
 	count := 0
 	for _, e := range table.entries {
-		if e.quarantined() {
+		if e.quarantined {
 			count++
 		}
 	}
--- a/internal/routing/crash.go
+++ b/internal/routing/crash.go
@@ -49,11 +49,19 @@
 // RecordCrash records that the endpoint has crashed while it served a request that is over. It
 // returns the parts of the prompt that are quarantined because of it.
 func (c *Core) RecordCrash(now time.Time, p *Pending) []quarantine.Part {
-	if p.settled || p.state == nil {
+	if p.state == nil {
 		return nil
 	}
+	run := p.run
+	if run == 0 { // the time stands for the unknown incarnation
+		run = digest.Run(now.Unix())
+	}
+	crashed := digest.EndpointRunOf(p.state.id, run)
+	if p.settled {
+		return c.quarantine.RecordCrash(now, nil, nil, crashed)
+	}
 	c.digestUrgent, c.crashUrgent = true, true
-	return c.quarantine.RecordCrash(now, p.Request.SharedParts, p.mark, digest.EndpointRunOf(p.state.id, p.run))
+	return c.quarantine.RecordCrash(now, p.Request.SharedParts, p.mark, crashed)
 }
 
 // recordAnswer records the result of a request for the quarantine. It returns the parts of the
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -23,7 +23,7 @@
 const (
 	// maxDigestSuspects bounds the suspects in a regular digest, and maxRecallSuspects those in a
 	// digest for a VM that has just started.
-	maxDigestSuspects = 16
+	maxDigestSuspects = 12
 	maxRecallSuspects = 128
 )
 
