--- a/internal/routing/metrics.go
+++ b/internal/routing/metrics.go
@@ -47,6 +47,7 @@
 		gauge("digest_age_seconds", "Time since the oldest of these digests arrived.", func() float64 { return m.core.oldestDigest(m.now()).Seconds() }),
 		m.notices.total,
 		m.crashes,
+		gauge("quarantined_parts", "Prompt parts whose requests are refused because endpoints crashed under them.", func() float64 { return float64(m.core.quarantine.Quarantined()) }),
 		gauge("relay_members", "Entry VMs to which this one relays digests.", func() float64 { return float64(len(m.hub.members)) }),
 	}
 }
