Don't take the end of a crashed server's connection for that of its response

What a caller would see: part of a response, or a stream without its last events, as a complete success. Cause: a response with neither a length nor chunks ends with its connection, and the kernel closes the connections of a crashed process in order.

Now a stream without a length needs an event, and the end of any unframed body is believed only if its server still accepts connections. Ruled out: resets and ends inside an event, which were seen as breaks before.

Test: TestUnframedResponseOfCrashedServerIsNotComplete, failed before with status 200.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"eelgrasshollow/internal/errkind"
@@ -261,6 +263,9 @@
 	}
 	body, err := g.buffers.read(reply.Body)
 	defer body.release()
+	if err == nil {
+		err = g.checkEnd(ctx, x, reply)
+	}
 	if err != nil {
 		return brokenResponse(ctx, err)
 	}
@@ -286,6 +291,15 @@
 	return nil
 }
 
+// checkEnd returns an error if the end of a body may be that of its server: a body without a length
+// ends with its connection, and those of a crashed server are closed in order, too.
+func (g *Gateway) checkEnd(ctx context.Context, x *exchange, reply *Reply) error {
+	if reply.Unframed && errors.Is(g.Upstream.Probe(ctx, x.decision.Address), syscall.ECONNREFUSED) {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // errServerFailed is the error of an attempt that a server answered with a 5xx status,
 // when the request may be repeated and the retry has already been spent.
 var errServerFailed = errkind.New(errkind.Internal, "server failed to serve the request")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -150,6 +150,8 @@
 	Leaving  bool
 	PauseFor time.Duration
 	Stream   bool
+	// Unframed reports that the body has neither a length nor chunks: it ends with its connection.
+	Unframed bool
 	Body     io.ReadCloser
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,8 +36,12 @@
 	for {
 		event, err := events.NextRaw()
 		if err == io.EOF {
-			x.writeHead(reply) // a stream may have no events
-			return nil
+			if reply.Unframed && !begun && x.LastEventID == "" {
+				err = io.ErrUnexpectedEOF // nothing says that this is its end
+			} else if err = g.checkEnd(ctx, x, reply); err == nil {
+				x.writeHead(reply) // a stream may have no events
+				return nil
+			}
 		}
 		if err != nil {
 			return brokenResponse(ctx, err)
