--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -56,6 +56,36 @@
 	assert.Equal(t, calls.Load(), int32(1))
 }
 
+// The end of its connection doesn't say whether a response without a length is whole, if the endpoint
+// has ended with it.
+func TestUnframedResponseOfCrashedEndpointIsNotComplete(t *testing.T) {
+	for _, crashes := range []bool{false, true} {
+		var s *httptest.Server
+		s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			assert.NilError(t, err)
+			if crashes {
+				_ = s.Listener.Close()
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nsome bytes", engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
+			_ = conn.Close()
+		}))
+		c, call := New(testSettings(), nil), Call{Address: s.Listener.Addr().String(), ID: "id-1", Method: "POST", Path: "/x"}
+		response, err := c.DoOnce(t.Context(), call, allowBegin)
+		if crashes {
+			assert.Equal(t, errkind.Of(err).Outcome, errkind.Unknown)
+			assert.Assert(t, errors.Is(err, errkind.ErrBroken))
+		} else {
+			assert.NilError(t, err)
+			assert.Equal(t, string(response.Body), "some bytes")
+			response, err = c.Do(t.Context(), call, time.Second)
+			assert.NilError(t, err)
+			assert.Equal(t, string(response.Body), "some bytes")
+		}
+		s.Close()
+	}
+}
+
 func TestDoOnceDoesNotResend(t *testing.T) {
 	var calls atomic.Int32
 	c, call := startEndpoint(t, func(http.ResponseWriter, *http.Request) {
