--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"net/url"
 	"sync"
-	"syscall"
 	"time"
 
 	"eelgrasshollow/internal/engineapi"
@@ -172,11 +171,9 @@
 	if int64(len(body)) > limit {
 		return nil, errkind.New(errkind.EndpointFailed, "response body is larger than %d bytes", limit)
 	}
-	if unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0; unframed {
-		// The body ends with its connection, and those of a crashed endpoint are closed in order, too.
-		if err := c.Probe(ctx, response.Request.URL.Host); errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, classify(ctx, io.ErrUnexpectedEOF)
-		}
+	// The connections of a crashed endpoint are closed in order, too.
+	if liveness.EndsWithConnection(response) && liveness.Refused(c.Probe(ctx, response.Request.URL.Host)) {
+		return nil, classify(ctx, io.ErrUnexpectedEOF)
 	}
 	return &Response{
 		Status:      response.StatusCode,
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -112,7 +112,8 @@
 			event.Bytes = e.data
 			return event, nil
 		}
-		event.HasData = event.HasData || bytes.HasPrefix(line, []byte("data"))
+		field, _, _ := bytes.Cut(line, []byte(":"))
+		event.HasData = event.HasData || string(field) == "data"
 		var parsed Event
 		if bytes.HasPrefix(line, []byte("id")) {
 			if err := e.parseField(&parsed, line); err != nil {
--- a/internal/entry/crashing_prompts_test.go
+++ b/internal/entry/crashing_prompts_test.go
@@ -54,8 +54,7 @@
 	return routing.Endpoint{Name: address, Address: address, Models: []string{"quote"}, MaxConcurrent: 8}
 }
 
-// The failure: a prompt that crashes engines was repeated at one engine after the other, by the
-// router itself and by its clients.
+// Guards against repeating a prompt that crashes engines at one engine after the other.
 func TestPromptThatCrashesEnginesStopsReachingThem(t *testing.T) {
 	b := newTestFront(t, func(s *Settings, e *engine.Settings) { s.MaxAttempts = 2 })
 	var inventory fixedInventory
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -5,10 +5,10 @@
 	"io"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/routing"
 
 	"github.com/cockroachdb/errors"
@@ -294,7 +294,7 @@
 // checkEnd returns an error if the end of a body may be that of its server: a body without a length
 // ends with its connection, and those of a crashed server are closed in order, too.
 func (g *Gateway) checkEnd(ctx context.Context, x *exchange, reply *Reply) error {
-	if reply.Unframed && errors.Is(g.Upstream.Probe(ctx, x.decision.Address), syscall.ECONNREFUSED) {
+	if reply.Unframed && liveness.Refused(g.Upstream.Probe(ctx, x.decision.Address)) {
 		return io.ErrUnexpectedEOF
 	}
 	return nil
--- a/internal/gateway/crashing_prompts_test.go
+++ b/internal/gateway/crashing_prompts_test.go
@@ -516,8 +516,7 @@
 	return float64(begun) / float64(max(all, 1))
 }
 
-// The failure: each VM took a crash for the server's own fault and sent the next request with the
-// same prompt part to the next server, so that one part ended server after server.
+// Guards against one prompt part that crashes server after server, as each VM sends it to the next.
 func TestPromptPartThatCrashesServersStopsReachingThem(t *testing.T) {
 	const soundBesides = 0.6 // sound requests per second with the part "rare"
 	const calmTime, troubleTime = 8 * time.Second, 24 * time.Second
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -92,9 +92,9 @@
 	return e.changedAt.Add(min(after, maxTrialAfter))
 }
 
-// Mark is what a VM knew of a request's parts when it sent the request: their records, by the
-// order of the parts. A nil Mark means that it knew nothing of any.
-type Mark []digest.Suspect
+// Snapshot holds the records of a request's parts, in their order, as of the time when the request was
+// sent. A nil Snapshot means that there were none.
+type Snapshot []digest.Suspect
 
 // Table holds the records of one VM.
 type Table struct {
@@ -118,29 +118,29 @@
 	}
 }
 
-// Mark returns the current records of the parts.
-func (t *Table) Mark(parts []Part) Mark {
-	var mark Mark
+// Snapshot returns the current records of the parts.
+func (t *Table) Snapshot(parts []Part) Snapshot {
+	var snapshot Snapshot
 	for i, p := range parts {
 		if e := t.entries[p.ID]; e != nil {
-			if mark == nil {
-				mark = make(Mark, len(parts))
+			if snapshot == nil {
+				snapshot = make(Snapshot, len(parts))
 			}
-			mark[i] = e.Suspect
+			snapshot[i] = e.Suspect
 		}
 	}
-	return mark
+	return snapshot
 }
 
 // RecordCrash records that an incarnation of an endpoint crashed under a request. parts are those
-// that may have caused it: none if the request had been answered for a while. mark is of the time
-// when the request was sent. It returns the parts that are quarantined because of it.
-func (t *Table) RecordCrash(now time.Time, parts []Part, mark Mark, run digest.EndpointRun) (quarantined []Part) {
+// that may have caused it: none if the request had been answered for a while. sentWith is
+// the snapshot of the time when the request was sent. It returns the parts that are quarantined because of it.
+func (t *Table) RecordCrash(now time.Time, parts []Part, sentWith Snapshot, run digest.EndpointRun) (quarantined []Part) {
 	t.see(now, run)
 	for i, p := range parts {
 		var known digest.Suspect
-		if mark != nil {
-			known = mark[i]
+		if sentWith != nil {
+			known = sentWith[i]
 		}
 		e := t.entries[p.ID]
 		if e == nil {
@@ -243,7 +243,7 @@
 	before := e.quarantined
 	e.quarantined = before && next.Epoch == e.Epoch
 	e.Suspect = next
-	e.quarantined = e.quarantined || t.convicts(e)
+	e.quarantined = e.quarantined || t.reachesThreshold(e)
 	if e.quarantined {
 		t.quarantined[e.Part] = e
 	} else {
@@ -252,8 +252,8 @@
 	return !before && e.quarantined
 }
 
-// convicts reports whether the crashes of a part suffice to quarantine it.
-func (t *Table) convicts(e *entry) bool {
+// reachesThreshold reports whether the crashes of a part suffice to quarantine it.
+func (t *Table) reachesThreshold(e *entry) bool {
 	if e.Crashes < quarantineCrashes {
 		return false
 	}
@@ -306,7 +306,7 @@
 
 // Check returns a refusal if a part is quarantined. answeredAt is when an endpoint of the request's
 // service has last answered a request: if none has since the first crash, the service fails as a
-// whole, and its parts are not to blame.
+// whole, and the crashes are not attributed to a part.
 func (t *Table) Check(now time.Time, parts []Part, answeredAt time.Time) *Refusal {
 	if len(t.quarantined) == 0 {
 		return nil
@@ -323,7 +323,7 @@
 
 // trialDue reports whether this VM may send a request whose prompt has the quarantined part. Where
 // another part explains the crashes as well, and the prompt does not have that one, each VM may try
-// at once: the result tells which of them is to blame.
+// at once: the result tells which of them is the cause.
 func (t *Table) trialDue(now time.Time, e *entry, parts []Part) bool {
 	if now.Before(e.trialUntil) {
 		return false
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -27,7 +27,7 @@
 // endpoint. Endpoints are numbered from first.
 func crashRequests(table *Table, first, n int, parts []Part) {
 	for i := range n {
-		table.RecordCrash(start, parts, table.Mark(parts), digest.EndpointRun(first+i))
+		table.RecordCrash(start, parts, table.Snapshot(parts), digest.EndpointRun(first+i))
 	}
 }
 
@@ -35,7 +35,7 @@
 	table, parts := NewTable(nil), partsOf(1)
 	crashRequests(table, 1, quarantineCrashes-1, parts)
 	assert.Assert(t, table.Check(start, parts, start) == nil)
-	assert.DeepEqual(t, table.RecordCrash(start, parts, table.Mark(parts), 99), parts)
+	assert.DeepEqual(t, table.RecordCrash(start, parts, table.Snapshot(parts), 99), parts)
 	refusal := table.Check(start, partsOf(7, 1, 8), start)
 	assert.Equal(t, refusal.Part.Name, "part-1")
 	assert.Equal(t, refusal.RetryAfter, firstTrialAfter)
@@ -62,20 +62,20 @@
 // Endpoints that end together, and requests that one crash ends together, are one link of a chain.
 func TestSimultaneousCrashesAreOneLink(t *testing.T) {
 	table, parts := NewTable(nil), partsOf(1)
-	mark := table.Mark(parts)
+	mark := table.Snapshot(parts)
 	for run := range digest.EndpointRun(20) {
 		table.RecordCrash(start, parts, mark, run+1)
 	}
-	assert.Equal(t, table.Mark(parts)[0].Crashes, uint16(1))
-	mark = table.Mark(parts)
+	assert.Equal(t, table.Snapshot(parts)[0].Crashes, uint16(1))
+	mark = table.Snapshot(parts)
 	table.RecordCrash(start, parts, mark, 1)
-	assert.Equal(t, table.Mark(parts)[0].Crashes, uint16(1), "that crash is in the chain already")
+	assert.Equal(t, table.Snapshot(parts)[0].Crashes, uint16(1), "that crash is in the chain already")
 }
 
 func TestAnswerClearsPart(t *testing.T) {
 	table, parts := NewTable(nil), partsOf(1)
 	crashRequests(table, 1, quarantineCrashes-1, parts)
-	late := table.Mark(parts)
+	late := table.Snapshot(parts)
 	assert.Equal(t, len(table.RecordAnswer(start, parts)), 0)
 	table.RecordCrash(start, parts, late, 50)
 	table.seen = nil // other crashes don't matter here
@@ -106,7 +106,7 @@
 func TestTrialThatCrashesEndpointBlamesItsPart(t *testing.T) {
 	table, cause, sound := NewTable(nil), partsOf(1), partsOf(2)
 	crashRequests(table, 1, quarantineCrashes, partsOf(1, 2))
-	mark := table.Mark(cause)
+	mark := table.Snapshot(cause)
 	assert.Assert(t, table.Check(start, cause, start) == nil)
 	table.RecordSend(start, cause)
 	table.RecordCrash(start, cause, mark, 50)
@@ -133,7 +133,7 @@
 		now = now.Add(wait)
 		assert.Assert(t, other.Check(now, parts, now) != nil)
 		assert.Assert(t, chosen.Check(now, parts, now) == nil, "trial %d", trial)
-		mark := chosen.Mark(parts)
+		mark := chosen.Snapshot(parts)
 		chosen.RecordSend(now, parts)
 		assert.Assert(t, chosen.Check(now, parts, now) != nil, "one trial at a time")
 		chosen.RecordCrash(now, parts, mark, digest.EndpointRun(100+trial))
@@ -152,15 +152,15 @@
 func TestTablesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tables := []*Table{NewTable(nil), NewTable(nil), NewTable(nil)}
-		marks := map[int]Mark{}
+		marks := map[int]Snapshot{}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(tables)-1).Draw(t, "vm")
 			table, parts := tables[i], partsOf(prefix.Hash(rapid.IntRange(1, 3).Draw(t, "part")))
 			switch rapid.IntRange(0, 4).Draw(t, "event") {
 			case 0:
-				marks[step] = table.Mark(parts)
+				marks[step] = table.Snapshot(parts)
 			case 1:
-				table.RecordCrash(start, parts, table.Mark(parts), digest.EndpointRun(rapid.IntRange(1, 9).Draw(t, "run")))
+				table.RecordCrash(start, parts, table.Snapshot(parts), digest.EndpointRun(rapid.IntRange(1, 9).Draw(t, "run")))
 			case 2:
 				table.RecordAnswer(start, parts)
 			default:
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -313,7 +313,7 @@
 	p.phase, p.sentAt, p.run = phaseSent, now, s.run
 	p.tokensAhead = s.PendingTokens + s.PeerPendingTokens + p.uncachedTokens
 	p.Decision.SaveTo = c.saveTo(now, p)
-	p.mark = c.quarantine.Mark(p.Request.SharedParts)
+	p.quarantineState = c.quarantine.Snapshot(p.Request.SharedParts)
 	c.quarantine.RecordSend(now, p.Request.SharedParts)
 	s.cacheInflow.add(p.Request.PromptTokens-p.Decision.CachedTokens+p.Request.MaxTokens, now)
 	c.updateLifetime(s.index, &s.cacheInflow, s.CacheCapacityTokens, now)
--- a/internal/routing/crash.go
+++ b/internal/routing/crash.go
@@ -2,20 +2,19 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/prefix"
 	"eelgrasshollow/internal/quarantine"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
 // settledAfter is the time from the first token of a response from which on a crash of the endpoint
-// is no longer put down to its prompt.
+// is no longer attributed to its prompt.
 const settledAfter = 50 * time.Millisecond
 
 // quarantined returns a refusal if a part of the prompt is quarantined.
@@ -61,7 +60,7 @@
 		return c.quarantine.RecordCrash(now, nil, nil, crashed)
 	}
 	c.digestUrgent, c.crashUrgent = true, true
-	return c.quarantine.RecordCrash(now, p.Request.SharedParts, p.mark, crashed)
+	return c.quarantine.RecordCrash(now, p.Request.SharedParts, p.quarantineState, crashed)
 }
 
 // recordAnswer records the result of a request for the quarantine. It returns the parts of the
@@ -106,7 +105,7 @@
 func (m *Module) checkCrash(p *Pending) {
 	address := p.Decision.Address
 	_, err, _ := m.probes.Do(address, func() (any, error) { return nil, m.prober.Probe(context.Background(), address) })
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !liveness.Refused(err) {
 		return
 	}
 	m.crashes.Inc()
--- a/internal/routing/pending.go
+++ b/internal/routing/pending.go
@@ -27,10 +27,11 @@
 	queuedAt       time.Time // time of queueing at this endpoint or of the last reconsideration
 	sentAt         time.Time
 	startedAt      time.Time // first token; zero if there was none
-	settled        bool      // a crash of the endpoint is not put down to the prompt
-	mark           quarantine.Mark
-	phase          phase
-	onSettled      func() // called once, when the request is sent or refused
+	settled        bool      // a crash of the endpoint is not attributed to the prompt
+	// quarantineState holds the records of the prompt's parts when the request was sent.
+	quarantineState quarantine.Snapshot
+	phase           phase
+	onSettled       func() // called once, when the request is sent or refused
 }
 
 type phase int
