Quarantine a part that many crashes have in common after two links

Where requests with the part come often and wait long, each link of a chain costs the crashes of all that are on their way meanwhile: 17 to 26 crashes at 40 VMs with relays, 10 requests a second and 1.35 s before a server begins.

A record now names up to twelve crashes (16 bits each instead of six of 32, the same size); two links suffice for a part that was in flight at six crashes or more and at most of all.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -10,7 +10,7 @@
 //	Loaded      uint16 count, then for each: uint32 EndpointRun, uint32 Weights
 //	Placements  uint16 count, then for each: uint32 EndpointRun, uint64 Prefix
 //	Evicted     uint16 count, then for each: uint32 EndpointRun, uint64 Prefix
-//	Suspects    uint16 count, then for each: uint64 Part, uint32 Epoch, uint16 Crashes, 6 times uint32 EndpointRun;
+//	Suspects    uint16 count, then for each: uint64 Part, uint32 Epoch, uint16 Chain, 12 times uint16 CrashID;
 //	            left out if there are none, as in the digests of earlier versions
 //
 // There are no bytes after the last field.
@@ -83,15 +83,21 @@
 	Weights     WeightsID
 }
 
-// SuspectRuns is the number of incarnations of endpoints that a Suspect names.
-const SuspectRuns = 6
+// CrashID identifies the crash of one incarnation of an endpoint, as a hash that is not 0.
+type CrashID uint16
+
+// CrashIDOf returns the ID of the crash of an incarnation.
+func CrashIDOf(run EndpointRun) CrashID { return CrashID(max(run>>16, 1)) }
+
+// SuspectCrashes is the number of crashes that a Suspect names.
+const SuspectCrashes = 12
 
 // Suspect is a prompt part under which endpoints crashed; see package quarantine.
 type Suspect struct {
 	Part    prefix.Hash
-	Epoch   uint32                   // how often the part was cleared by an answer
-	Crashes uint16                   // length of the chain of crashes since
-	Runs    [SuspectRuns]EndpointRun // crashes under it, in ascending order; 0 for none
+	Epoch   uint32                  // how often the part was cleared by an answer
+	Chain   uint16                  // length of the chain of crashes since
+	Crashes [SuspectCrashes]CrashID // crashes under it, in ascending order; 0 for none
 }
 
 // Digest is the message that one entry VM sends to its peers.
@@ -109,7 +115,7 @@
 	loadBytes      = 4 + 4 + 2 + 4
 	loadedBytes    = 4 + 4
 	placementBytes = 4 + 8
-	suspectBytes   = 8 + 4 + 2 + SuspectRuns*4
+	suspectBytes   = 8 + 4 + 2 + SuspectCrashes*2
 	countBytes     = 2
 	headerBytes    = 2 + 2 + 2 + 2 + 2
 
@@ -170,9 +176,9 @@
 	for _, s := range d.Suspects {
 		b = binary.LittleEndian.AppendUint64(b, uint64(s.Part))
 		b = binary.LittleEndian.AppendUint32(b, s.Epoch)
-		b = binary.LittleEndian.AppendUint16(b, s.Crashes)
-		for _, run := range s.Runs {
-			b = binary.LittleEndian.AppendUint32(b, uint32(run))
+		b = binary.LittleEndian.AppendUint16(b, s.Chain)
+		for _, crash := range s.Crashes {
+			b = binary.LittleEndian.AppendUint16(b, uint16(crash))
 		}
 	}
 	return b
@@ -238,9 +244,9 @@
 func (r *reader) readSuspects() []Suspect {
 	var suspects []Suspect
 	for n := r.readUint16(); n > 0 && !r.malformed; n-- {
-		s := Suspect{Part: prefix.Hash(r.readUint64()), Epoch: r.readUint32(), Crashes: r.readUint16()}
-		for i := range s.Runs {
-			s.Runs[i] = EndpointRun(r.readUint32())
+		s := Suspect{Part: prefix.Hash(r.readUint64()), Epoch: r.readUint32(), Chain: r.readUint16()}
+		for i := range s.Crashes {
+			s.Crashes[i] = CrashID(r.readUint16())
 		}
 		suspects = append(suspects, s)
 	}
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -55,9 +55,9 @@
 		d := drawDigest(t)
 		without := d.Encode()
 		for range rapid.IntRange(1, 30).Draw(t, "suspects") {
-			s := Suspect{Part: prefix.Hash(rapid.Uint64().Draw(t, "part")), Epoch: rapid.Uint32().Draw(t, "epoch"), Crashes: rapid.Uint16().Draw(t, "crashes")}
-			for i := range s.Runs {
-				s.Runs[i] = EndpointRun(rapid.Uint32().Draw(t, "run"))
+			s := Suspect{Part: prefix.Hash(rapid.Uint64().Draw(t, "part")), Epoch: rapid.Uint32().Draw(t, "epoch"), Chain: rapid.Uint16().Draw(t, "chain")}
+			for i := range s.Crashes {
+				s.Crashes[i] = CrashID(rapid.Uint16().Draw(t, "crash"))
 			}
 			d.Suspects = append(d.Suspects, s)
 		}
--- a/internal/gateway/crashing_prompts_test.go
+++ b/internal/gateway/crashing_prompts_test.go
@@ -59,6 +59,8 @@
 // response to a request with a crashing part, and a successor starts at its address.
 type simFleet struct {
 	crashing map[string]bool // parts
+	// extraWait is the time for which requests wait at a server before they run.
+	extraWait time.Duration
 
 	mu       sync.Mutex
 	servers  map[string]*simServer // by address
@@ -215,7 +217,7 @@
 		f.mu.Unlock()
 	}
 	select {
-	case <-time.After(prefillTime):
+	case <-time.After(prefillTime + f.extraWait):
 	case <-s.ended:
 	case <-ctx.Done():
 		return nil, errkind.Wrap(ctx.Err(), errkind.Timeout, "no response in time")
@@ -530,29 +532,33 @@
 		perSecond    float64
 		parts        func(*rand.Rand) []string
 		restart      func(*simulation) // in the middle of the trouble; may be nil
+		extraWait    time.Duration
 	}{
-		"behind a part that others share": {6, 9, once, 500, 1.5, behind, nil},
+		"behind a part that others share": {6, 9, once, 500, 1.5, behind, nil, 0},
 		"before parts that others share": {6, 9, once, 500, 1.5, func(r *rand.Rand) []string {
 			return []string{"crashing", fmt.Sprint("first-subject-", r.IntN(10))}
-		}, nil},
+		}, nil, 0},
 		"between parts that others share": {6, 9, once, 500, 1.5, func(r *rand.Rand) []string {
 			return []string{"first", "crashing", fmt.Sprint("first-subject-", r.IntN(10))}
-		}, nil},
-		"rarely": {6, 9, once, 500, 0.4, behind, nil},
+		}, nil, 0},
+		"rarely": {6, 9, once, 500, 0.4, behind, nil, 0},
 		"always behind a part with few sound requests": {6, 9, once, 500, 1.5, func(*rand.Rand) []string {
 			return []string{"rare", "crashing"}
-		}, nil},
-		"often":                                 {6, 9, once, 500, 6, behind, nil},
-		"on a route that may be repeated":       {6, 9, resumable, 500, 1.5, behind, nil},
-		"at VMs that exchange news over relays": {40, 30, once, 24, 4, behind, nil},
-		"while the VMs restart in turn":         {6, 9, once, 500, 1.5, behind, func(s *simulation) { s.restartVMs(time.Second) }},
-		"while all VMs restart":                 {6, 9, once, 500, 1.5, behind, func(s *simulation) { s.restartVMs(0) }},
+		}, nil, 0},
+		"often":                                    {6, 9, once, 500, 6, behind, nil, 0},
+		"on a route that may be repeated":          {6, 9, resumable, 500, 1.5, behind, nil, 0},
+		"at VMs that exchange news over relays":    {40, 30, once, 24, 4, behind, nil, 0},
+		"often at a large fleet with full servers": {40, 30, once, 24, 10, behind, nil, 1200 * time.Millisecond},
+		"while the VMs restart in turn":            {6, 9, once, 500, 1.5, behind, func(s *simulation) { s.restartVMs(time.Second) }, 0},
+		"while all VMs restart":                    {6, 9, once, 500, 1.5, behind, func(s *simulation) { s.restartVMs(0) }, 0},
 	} {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
-					s := newSimulation(t, test.vms, test.calls, newSimFleet(test.servers, "crashing"), test.route, seed)
+					servers := newSimFleet(test.servers, "crashing")
+					servers.extraWait = test.extraWait
+					s := newSimulation(t, test.vms, test.calls, servers, test.route, seed)
 					sound := []traffic{subjects(40, "first", 40), subjects(20, "other", 40), subjects(soundBesides, "rare", 4)}
 					s.play(calmTime, sound...)
 					trouble := time.Now()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -7,7 +7,7 @@
 // of crashes: each was suffered by a request that a VM had sent when it knew of the crashes
 // before. Endpoints that end together, as after a loss of power, are one link of a chain. An
 // answer to any request with the part clears it. A part is quarantined when its chain has
-// quarantineCrashes links and it was in flight at most of the crashes that this VM has heard of
+// usualChain links and it was in flight at most of the crashes that this VM has heard of
 // meanwhile; a longer chain is needed where endpoints crash for other reasons too. Requests with a
 // quarantined part are refused, apart from rare trials, and from early ones that tell parts apart
 // which suffered the same crashes.
@@ -28,10 +28,13 @@
 )
 
 const (
-	// quarantineCrashes is the number of links of a chain from which a part is quarantined that
-	// was in flight at most crashes, and longChainCrashes that of any part.
-	quarantineCrashes = 3
-	longChainCrashes  = 5
+	// A part that was in flight at most crashes is quarantined from a chain of usualChain links on,
+	// or of shortChain links if it was in flight at manyCrashes of them; any part from longChain
+	// links on.
+	usualChain  = 3
+	shortChain  = 2
+	manyCrashes = 6
+	longChain   = 5
 	// maxSeenCrashes bounds the crashes that a VM remembers.
 	maxSeenCrashes = 64
 	// firstTrialAfter is the time from the quarantine of a part to the first trial. It grows by
@@ -65,12 +68,12 @@
 	quarantined bool
 }
 
-// runCount returns the number of crashes at which the part was in flight, as far as they fit into
+// crashCount returns the number of crashes at which the part was in flight, as far as they fit into
 // the record.
-func (e *entry) runCount() int {
+func (e *entry) crashCount() int {
 	n := 0
-	for _, run := range e.Runs {
-		if run != 0 {
+	for _, crash := range e.Crashes {
+		if crash != 0 {
 			n++
 		}
 	}
@@ -79,14 +82,14 @@
 
 // seenCrash is a crash under any request, of this VM or another.
 type seenCrash struct {
-	run digest.EndpointRun
-	at  time.Time
+	crash digest.CrashID
+	at    time.Time
 }
 
 // trialAt returns the time of the next trial of a quarantined part.
 func (e *entry) trialAt() time.Time {
 	after := firstTrialAfter
-	for n := e.Crashes; n > quarantineCrashes && after < maxTrialAfter; n-- {
+	for n := e.Chain; n > usualChain && after < maxTrialAfter; n-- {
 		after *= trialBackoff
 	}
 	return e.changedAt.Add(min(after, maxTrialAfter))
@@ -101,7 +104,7 @@
 	entries     map[prefix.Hash]*entry
 	quarantined map[prefix.Hash]*entry // of these, the quarantined ones
 	unsent      map[prefix.Hash]*entry // of these, those whose records are news for the other VMs
-	seen        []seenCrash            // each run once, the oldest first
+	seen        []seenCrash            // each crash once, the oldest first
 	// runsTrials reports whether this VM is the one that makes the trials of a part. At most one
 	// of all VMs should be.
 	runsTrials func(part prefix.Hash) bool
@@ -135,8 +138,8 @@
 // RecordCrash records that an incarnation of an endpoint crashed under a request. parts are those
 // that may have caused it: none if the request had been answered for a while. sentWith is
 // the snapshot of the time when the request was sent. It returns the parts that are quarantined because of it.
-func (t *Table) RecordCrash(now time.Time, parts []Part, sentWith Snapshot, run digest.EndpointRun) (quarantined []Part) {
-	t.see(now, run)
+func (t *Table) RecordCrash(now time.Time, parts []Part, sentWith Snapshot, crash digest.CrashID) (quarantined []Part) {
+	t.see(now, crash)
 	for i, p := range parts {
 		var known digest.Suspect
 		if sentWith != nil {
@@ -146,11 +149,11 @@
 		if e == nil {
 			e = t.add(now, p.ID)
 		}
-		if e.Epoch != known.Epoch || slices.Contains(e.Runs[:], run) {
+		if e.Epoch != known.Epoch || slices.Contains(e.Crashes[:], crash) {
 			continue // answered since the request was sent, or a crash that is known already
 		}
-		next := digest.Suspect{Part: p.ID, Epoch: e.Epoch, Crashes: max(e.Crashes, known.Crashes+1)}
-		next.Runs[0] = run
+		next := digest.Suspect{Part: p.ID, Epoch: e.Epoch, Chain: max(e.Chain, known.Chain+1)}
+		next.Crashes[0] = crash
 		if t.replace(now, e, merge(e.Suspect, next)) {
 			quarantined = append(quarantined, p)
 		}
@@ -160,9 +163,9 @@
 }
 
 // see remembers a crash, under whatever request and on whatever VM it was.
-func (t *Table) see(now time.Time, run digest.EndpointRun) {
-	if run != 0 && !slices.ContainsFunc(t.seen, func(c seenCrash) bool { return c.run == run }) {
-		t.seen = append(t.seen[max(0, len(t.seen)+1-maxSeenCrashes):], seenCrash{run, now})
+func (t *Table) see(now time.Time, crash digest.CrashID) {
+	if crash != 0 && !slices.ContainsFunc(t.seen, func(c seenCrash) bool { return c.crash == crash }) {
+		t.seen = append(t.seen[max(0, len(t.seen)+1-maxSeenCrashes):], seenCrash{crash, now})
 	}
 }
 
@@ -184,7 +187,7 @@
 		return nil
 	}
 	for _, p := range parts {
-		if e := t.entries[p.ID]; e != nil && e.Crashes > 0 {
+		if e := t.entries[p.ID]; e != nil && e.Chain > 0 {
 			if e.quarantined {
 				released = append(released, p)
 			}
@@ -202,11 +205,11 @@
 		if e == nil {
 			e = t.add(now, r.Part)
 		}
-		for _, run := range r.Runs {
-			t.see(now, run)
+		for _, crash := range r.Crashes {
+			t.see(now, crash)
 		}
 		next := merge(e.Suspect, r)
-		if next.Epoch != r.Epoch || next.Crashes != r.Crashes {
+		if next.Epoch != r.Epoch || next.Chain != r.Chain {
 			t.unsent[r.Part] = e // the other VM has missed something
 		}
 		t.replace(now, e, next)
@@ -222,22 +225,22 @@
 		}
 		return b
 	}
-	a.Crashes = max(a.Crashes, b.Crashes)
-	runs := slices.DeleteFunc(slices.Concat(a.Runs[:], b.Runs[:]), func(run digest.EndpointRun) bool { return run == 0 })
-	slices.Sort(runs)
-	runs = slices.Compact(runs)
-	a.Runs = [digest.SuspectRuns]digest.EndpointRun{}
-	copy(a.Runs[:], runs) // those that fit
+	a.Chain = max(a.Chain, b.Chain)
+	crashes := slices.DeleteFunc(slices.Concat(a.Crashes[:], b.Crashes[:]), func(crash digest.CrashID) bool { return crash == 0 })
+	slices.Sort(crashes)
+	crashes = slices.Compact(crashes)
+	a.Crashes = [digest.SuspectCrashes]digest.CrashID{}
+	copy(a.Crashes[:], crashes) // those that fit
 	return a
 }
 
 // replace sets the record of an entry and reports whether the part is quarantined only now. A
 // quarantined part stays so until it is cleared.
 func (t *Table) replace(now time.Time, e *entry, next digest.Suspect) bool {
-	if e.Crashes == 0 && next.Crashes > 0 || next.Epoch != e.Epoch {
+	if e.Chain == 0 && next.Chain > 0 || next.Epoch != e.Epoch {
 		e.suspectedAt = now
 	}
-	if next.Epoch != e.Epoch || next.Crashes != e.Crashes {
+	if next.Epoch != e.Epoch || next.Chain != e.Chain {
 		e.changedAt, e.trialUntil = now, time.Time{}
 	}
 	before := e.quarantined
@@ -254,14 +257,16 @@
 
 // reachesThreshold reports whether the crashes of a part suffice to quarantine it.
 func (t *Table) reachesThreshold(e *entry) bool {
-	if e.Crashes < quarantineCrashes {
-		return false
+	if e.Chain >= longChain {
+		return true
 	}
-	return e.Crashes >= longChainCrashes || e.runCount() == len(e.Runs) || 2*e.runCount() > t.seenSince(e.suspectedAt)
+	crashes := e.crashCount()
+	most := crashes == len(e.Crashes) || 2*crashes > t.seenSince(e.suspectedAt)
+	return most && (e.Chain >= usualChain || e.Chain >= shortChain && crashes >= manyCrashes)
 }
 
-func sharesRun(a, b [digest.SuspectRuns]digest.EndpointRun) bool {
-	return slices.ContainsFunc(a[:], func(run digest.EndpointRun) bool { return run != 0 && slices.Contains(b[:], run) })
+func sharesCrash(a, b [digest.SuspectCrashes]digest.CrashID) bool {
+	return slices.ContainsFunc(a[:], func(crash digest.CrashID) bool { return crash != 0 && slices.Contains(b[:], crash) })
 }
 
 // add adds an entry without crashes. If the table is full, it drops those that have not changed for
@@ -316,7 +321,7 @@
 		if e == nil || !e.quarantined || answeredAt.Before(e.suspectedAt) || t.trialDue(now, e, parts) {
 			continue
 		}
-		return &Refusal{Part: p, Crashes: int(e.Crashes), RetryAfter: max(e.trialAt().Sub(now), e.trialUntil.Sub(now), 0)}
+		return &Refusal{Part: p, Crashes: int(e.Chain), RetryAfter: max(e.trialAt().Sub(now), e.trialUntil.Sub(now), 0)}
 	}
 	return nil
 }
@@ -335,7 +340,7 @@
 // crashes with that of e and is not shorter.
 func (t *Table) explained(e *entry, parts []Part) bool {
 	for id, other := range t.quarantined {
-		if other != e && other.Crashes >= e.Crashes && sharesRun(other.Runs, e.Runs) &&
+		if other != e && other.Chain >= e.Chain && sharesCrash(other.Crashes, e.Crashes) &&
 			!slices.ContainsFunc(parts, func(p Part) bool { return p.ID == id }) {
 			return true
 		}
@@ -384,7 +389,7 @@
 
 func list(entries map[prefix.Hash]*entry, count int) []digest.Suspect {
 	all := slices.SortedFunc(maps.Values(entries), func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), a.changedAt.Compare(b.changedAt), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(cmp.Compare(b.Chain, a.Chain), a.changedAt.Compare(b.changedAt), cmp.Compare(a.Part, b.Part))
 	})
 	var records []digest.Suspect
 	for _, e := range all[:min(count, len(all))] {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -27,13 +27,13 @@
 // endpoint. Endpoints are numbered from first.
 func crashRequests(table *Table, first, n int, parts []Part) {
 	for i := range n {
-		table.RecordCrash(start, parts, table.Snapshot(parts), digest.EndpointRun(first+i))
+		table.RecordCrash(start, parts, table.Snapshot(parts), digest.CrashID(first+i))
 	}
 }
 
 func TestPartIsQuarantinedAfterChainOfCrashes(t *testing.T) {
 	table, parts := NewTable(nil), partsOf(1)
-	crashRequests(table, 1, quarantineCrashes-1, parts)
+	crashRequests(table, 1, usualChain-1, parts)
 	assert.Assert(t, table.Check(start, parts, start) == nil)
 	assert.DeepEqual(t, table.RecordCrash(start, parts, table.Snapshot(parts), 99), parts)
 	refusal := table.Check(start, partsOf(7, 1, 8), start)
@@ -47,15 +47,15 @@
 func TestPartInFlightAtFewCrashesNeedsLongChain(t *testing.T) {
 	table, cause, rare := NewTable(nil), partsOf(1), partsOf(2)
 	crashRequests(table, 1, 1, rare)
-	crashRequests(table, 10, quarantineCrashes, cause)
+	crashRequests(table, 10, usualChain, cause)
 	assert.Assert(t, table.Check(start, cause, start) != nil, "in flight at three of four")
-	for run := range digest.EndpointRun(8) {
+	for run := range digest.CrashID(8) {
 		table.RecordCrash(start, nil, nil, 20+run) // under requests that had been answered
 	}
-	crashRequests(table, 30, quarantineCrashes-1, rare)
+	crashRequests(table, 30, usualChain-1, rare)
 	assert.Assert(t, table.Check(start, rare, start) == nil, "in flight at three of fourteen")
 	assert.Assert(t, table.Check(start, cause, start) != nil)
-	crashRequests(table, 40, longChainCrashes-quarantineCrashes, rare)
+	crashRequests(table, 40, longChain-usualChain, rare)
 	assert.Equal(t, table.Quarantined(), 2)
 }
 
@@ -63,23 +63,23 @@
 func TestSimultaneousCrashesAreOneLink(t *testing.T) {
 	table, parts := NewTable(nil), partsOf(1)
 	mark := table.Snapshot(parts)
-	for run := range digest.EndpointRun(20) {
+	for run := range digest.CrashID(20) {
 		table.RecordCrash(start, parts, mark, run+1)
 	}
-	assert.Equal(t, table.Snapshot(parts)[0].Crashes, uint16(1))
+	assert.Equal(t, table.Snapshot(parts)[0].Chain, uint16(1))
 	mark = table.Snapshot(parts)
 	table.RecordCrash(start, parts, mark, 1)
-	assert.Equal(t, table.Snapshot(parts)[0].Crashes, uint16(1), "that crash is in the chain already")
+	assert.Equal(t, table.Snapshot(parts)[0].Chain, uint16(1), "that crash is in the chain already")
 }
 
 func TestAnswerClearsPart(t *testing.T) {
 	table, parts := NewTable(nil), partsOf(1)
-	crashRequests(table, 1, quarantineCrashes-1, parts)
+	crashRequests(table, 1, usualChain-1, parts)
 	late := table.Snapshot(parts)
 	assert.Equal(t, len(table.RecordAnswer(start, parts)), 0)
 	table.RecordCrash(start, parts, late, 50)
 	table.seen = nil // other crashes don't matter here
-	crashRequests(table, 60, quarantineCrashes-1, parts)
+	crashRequests(table, 60, usualChain-1, parts)
 	assert.Equal(t, table.Quarantined(), 0, "a request sent before the answer does not continue the chain")
 	crashRequests(table, 70, 1, parts)
 	assert.Equal(t, table.Quarantined(), 1)
@@ -92,7 +92,7 @@
 func TestPartsWithSameCrashesAreToldApart(t *testing.T) {
 	table, cause, sound := NewTable(nil), partsOf(1), partsOf(2)
 	both := partsOf(1, 2)
-	crashRequests(table, 1, quarantineCrashes, both)
+	crashRequests(table, 1, usualChain, both)
 	assert.Assert(t, table.Check(start, both, start) != nil, "a request with both tells nothing")
 	assert.Assert(t, table.Check(start, sound, start) == nil)
 	table.RecordSend(start, sound)
@@ -105,7 +105,7 @@
 
 func TestTrialThatCrashesEndpointBlamesItsPart(t *testing.T) {
 	table, cause, sound := NewTable(nil), partsOf(1), partsOf(2)
-	crashRequests(table, 1, quarantineCrashes, partsOf(1, 2))
+	crashRequests(table, 1, usualChain, partsOf(1, 2))
 	mark := table.Snapshot(cause)
 	assert.Assert(t, table.Check(start, cause, start) == nil)
 	table.RecordSend(start, cause)
@@ -117,7 +117,7 @@
 // If nothing is answered any more, the service fails as a whole.
 func TestNothingIsQuarantinedWhileServiceAnswersNothing(t *testing.T) {
 	table, parts := NewTable(nil), partsOf(1)
-	crashRequests(table, 1, quarantineCrashes, parts)
+	crashRequests(table, 1, usualChain, parts)
 	assert.Assert(t, table.Check(start, parts, start.Add(-time.Second)) == nil)
 	assert.Assert(t, table.Check(start, parts, start.Add(time.Millisecond)) != nil)
 }
@@ -125,7 +125,7 @@
 // One VM tries a quarantined part again, with one request at a time and ever more rarely.
 func TestTrialsOfQuarantinedPart(t *testing.T) {
 	chosen, other, parts := NewTable(nil), NewTable(func(prefix.Hash) bool { return false }), partsOf(1)
-	crashRequests(chosen, 1, quarantineCrashes, parts)
+	crashRequests(chosen, 1, usualChain, parts)
 	other.Merge(start, chosen.News(10))
 	now, wait := start, firstTrialAfter
 	for trial := range 6 {
@@ -136,7 +136,7 @@
 		mark := chosen.Snapshot(parts)
 		chosen.RecordSend(now, parts)
 		assert.Assert(t, chosen.Check(now, parts, now) != nil, "one trial at a time")
-		chosen.RecordCrash(now, parts, mark, digest.EndpointRun(100+trial))
+		chosen.RecordCrash(now, parts, mark, digest.CrashID(100+trial))
 		wait = min(wait*trialBackoff, maxTrialAfter)
 	}
 	assert.Equal(t, wait, maxTrialAfter)
@@ -160,7 +160,7 @@
 			case 0:
 				marks[step] = table.Snapshot(parts)
 			case 1:
-				table.RecordCrash(start, parts, table.Snapshot(parts), digest.EndpointRun(rapid.IntRange(1, 9).Draw(t, "run")))
+				table.RecordCrash(start, parts, table.Snapshot(parts), digest.CrashID(rapid.IntRange(1, 9).Draw(t, "run")))
 			case 2:
 				table.RecordAnswer(start, parts)
 			default:
@@ -199,7 +199,7 @@
 // A VM that has lost its records, as after a restart, gets them back from one that it tells less.
 func TestLowerRecordIsAnswered(t *testing.T) {
 	restarted, other, parts := NewTable(nil), NewTable(nil), partsOf(1)
-	crashRequests(other, 1, quarantineCrashes, parts)
+	crashRequests(other, 1, usualChain, parts)
 	other.News(10)
 	crashRequests(restarted, 50, 1, parts)
 	other.Merge(start, restarted.News(10))
@@ -209,7 +209,7 @@
 
 func TestQuarantinedPartsAreRepeated(t *testing.T) {
 	table := NewTable(nil)
-	crashRequests(table, 1, quarantineCrashes, partsOf(1))
+	crashRequests(table, 1, usualChain, partsOf(1))
 	table.Repeat(start)
 	assert.Equal(t, len(table.News(10)), 1)
 	table.Repeat(start.Add(repeatInterval - time.Millisecond))
@@ -221,7 +221,7 @@
 // However many parts are suspected, memory is bounded and quarantined parts stay.
 func TestTableIsBounded(t *testing.T) {
 	table := NewTable(nil)
-	crashRequests(table, 1, quarantineCrashes, partsOf(1))
+	crashRequests(table, 1, usualChain, partsOf(1))
 	for i := range 2 * maxRecords {
 		crashRequests(table, 10+i, 1, partsOf(prefix.Hash(2+i)))
 	}
--- a/internal/routing/crash.go
+++ b/internal/routing/crash.go
@@ -55,12 +55,12 @@
 	if run == 0 { // the time stands for the unknown incarnation
 		run = digest.Run(now.Unix())
 	}
-	crashed := digest.EndpointRunOf(p.state.id, run)
+	crash := digest.CrashIDOf(digest.EndpointRunOf(p.state.id, run))
 	if p.settled {
-		return c.quarantine.RecordCrash(now, nil, nil, crashed)
+		return c.quarantine.RecordCrash(now, nil, nil, crash)
 	}
 	c.digestUrgent, c.crashUrgent = true, true
-	return c.quarantine.RecordCrash(now, p.Request.SharedParts, p.quarantineState, crashed)
+	return c.quarantine.RecordCrash(now, p.Request.SharedParts, p.quarantineState, crash)
 }
 
 // recordAnswer records the result of a request for the quarantine. It returns the parts of the
