Three links again; a response clears its parts while it goes on

Reverted: two links for a part at many crashes.

A stream that had been answering for 5 s did not count, and ended with its engine like the rest.

Test: TestPartIsClearedWhileItsResponseGoesOn.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,12 +29,9 @@
 
 const (
 	// A part that was in flight at most crashes is quarantined from a chain of usualChain links on,
-	// or of shortChain links if it was in flight at manyCrashes of them; any part from longChain
-	// links on.
-	usualChain  = 3
-	shortChain  = 2
-	manyCrashes = 6
-	longChain   = 5
+	// any part from longChain links on.
+	usualChain = 3
+	longChain  = 5
 	// maxSeenCrashes bounds the crashes that a VM remembers.
 	maxSeenCrashes = 64
 	// firstTrialAfter is the time from the quarantine of a part to the first trial. It grows by
@@ -257,12 +254,11 @@
 
 // reachesThreshold reports whether the crashes of a part suffice to quarantine it.
 func (t *Table) reachesThreshold(e *entry) bool {
-	if e.Chain >= longChain {
-		return true
+	if e.Chain < usualChain || e.Chain >= longChain {
+		return e.Chain >= longChain
 	}
 	crashes := e.crashCount()
-	most := crashes == len(e.Crashes) || 2*crashes > t.seenSince(e.suspectedAt)
-	return most && (e.Chain >= usualChain || e.Chain >= shortChain && crashes >= manyCrashes)
+	return crashes == len(e.Crashes) || 2*crashes > t.seenSince(e.suspectedAt)
 }
 
 func sharesCrash(a, b [digest.SuspectCrashes]digest.CrashID) bool {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -68,7 +68,9 @@
 	previousVersions map[string]string       // weights version by model
 	tokenCosts       map[string]tokenCost    // by service
 	quarantine       *quarantine.Table
-	answeredAt       map[string]time.Time // last complete response, by service or model
+	answeredAt       map[string]time.Time // last response that has settled, by service or model
+	released         []Release            // not yet taken, see TakeReleases
+	unsettled        []*Pending           // requests with a first token, the oldest first; see settle
 }
 
 // NewCore returns a core without endpoints.
@@ -334,6 +336,8 @@
 func (c *Core) RecordFirstToken(now time.Time, p *Pending) {
 	if p.phase == phaseSent {
 		p.startedAt = now
+		c.settleStarted(now)
+		c.unsettled = append(c.unsettled, p)
 		c.endPrefill(p)
 	}
 }
@@ -346,22 +350,22 @@
 	}
 }
 
-// Finish ends a sent request with its result and dispatches queued requests. It returns the parts
-// of the prompt that the response has released from the quarantine.
-func (c *Core) Finish(now time.Time, p *Pending, r Result) (released []quarantine.Part) {
+// Finish ends a sent request with its result and dispatches queued requests.
+func (c *Core) Finish(now time.Time, p *Pending, r Result) {
 	if p.phase != phaseSent && p.phase != phaseStarted {
-		return nil
+		return
 	}
 	c.endPrefill(p)
 	p.phase = phaseOver
-	released = c.recordAnswer(now, p, r)
+	if r.Err == nil || hasSettled(now, p) {
+		c.settle(now, p)
+	}
 	s := p.state
 	s.InFlight--
 	c.recordResult(now, p, r)
 	if !s.removed {
 		c.dispatch(now, s)
 	}
-	return released
 }
 
 // Cancel withdraws a request that still waits and reports whether it did so.
@@ -382,6 +386,7 @@
 // parked and queued requests. The module calls it periodically.
 func (c *Core) Tick(now time.Time) {
 	c.expirePeers(now)
+	c.settleStarted(now)
 	c.quarantine.Repeat(now)
 	c.unpark(now)
 	for _, s := range c.endpoints {
--- a/internal/routing/crash.go
+++ b/internal/routing/crash.go
@@ -63,15 +63,41 @@
 	return c.quarantine.RecordCrash(now, p.Request.SharedParts, p.quarantineState, crash)
 }
 
-// recordAnswer records the result of a request for the quarantine. It returns the parts of the
-// prompt that are released because of it.
-func (c *Core) recordAnswer(now time.Time, p *Pending, r Result) []quarantine.Part {
-	p.settled = r.Err == nil || !p.startedAt.IsZero() && now.Sub(p.startedAt) >= settledAfter
-	if !p.settled {
-		return nil
-	}
+// hasSettled reports whether the response has gone on for settledAfter.
+func hasSettled(now time.Time, p *Pending) bool {
+	return !p.startedAt.IsZero() && now.Sub(p.startedAt) >= settledAfter
+}
+
+// settle records that the endpoint answers the request.
+func (c *Core) settle(now time.Time, p *Pending) {
+	p.settled = true
 	c.answeredAt[p.Request.group()] = now
-	return c.quarantine.RecordAnswer(now, p.Request.SharedParts)
+	for _, part := range c.quarantine.RecordAnswer(now, p.Request.SharedParts) {
+		c.released = append(c.released, Release{Part: part, Request: p.Request.ID, Endpoint: p.Decision.Endpoint})
+	}
+}
+
+// settleStarted settles the responses that have gone on for long enough.
+func (c *Core) settleStarted(now time.Time) {
+	for len(c.unsettled) > 0 && (c.unsettled[0].phase != phaseStarted || hasSettled(now, c.unsettled[0])) {
+		if p := c.unsettled[0]; p.phase == phaseStarted {
+			c.settle(now, p)
+		}
+		c.unsettled = c.unsettled[1:]
+	}
+}
+
+// Release tells which response has released a prompt part from the quarantine.
+type Release struct {
+	Part              quarantine.Part
+	Request, Endpoint string
+}
+
+// TakeReleases returns the releases since the last call.
+func (c *Core) TakeReleases() []Release {
+	released := c.released
+	c.released = nil
+	return released
 }
 
 // Prober opens a connection to an endpoint's address and closes it again. Its errors are those
@@ -119,10 +145,10 @@
 	}
 }
 
-// logReleased logs the parts that a response has released from the quarantine.
-func (m *Module) logReleased(p *Pending, parts []quarantine.Part) {
-	for _, part := range parts {
-		m.log.Info("prompt part released from quarantine", zap.String("part", part.Name), zap.String("request", p.Request.ID), zap.String("endpoint", p.Decision.Endpoint))
+// logReleases logs the parts that were released from the quarantine. The caller must hold the mutex.
+func (m *Module) logReleases() {
+	for _, r := range m.core.TakeReleases() {
+		m.log.Info("prompt part released from quarantine", zap.String("part", r.Part.Name), zap.String("request", r.Request), zap.String("endpoint", r.Endpoint))
 	}
 }
 
--- a/internal/routing/crash_test.go
+++ b/internal/routing/crash_test.go
@@ -5,9 +5,11 @@
 	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	pb "eelgrasshollow/gen/eelgrass/v1"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/quarantine"
 
 	"github.com/cockroachdb/errors"
 	dto "github.com/prometheus/client_model/go"
@@ -49,3 +51,33 @@
 		})
 	}
 }
+
+// A long response shows that its prompt is sound long before it ends.
+func TestPartIsClearedWhileItsResponseGoesOn(t *testing.T) {
+	c := newCore(9, 8)
+	part := []quarantine.Part{{ID: 7, Name: "part"}}
+	r := request("a")
+	r.SharedParts = part
+	crash := func(now time.Time) {
+		p := submit(c, now, r)
+		c.Finish(now, p, Result{Err: errkind.New(errkind.EndpointFailed, "reset"), Broken: true})
+		c.RecordCrash(now, p)
+	}
+	running := submit(c, epoch, r)
+	crash(epoch)
+	crash(epoch.Add(time.Second))
+	c.RecordFirstToken(epoch.Add(time.Second), running)
+	c.Tick(epoch.Add(time.Second + settledAfter))
+	crash(epoch.Add(2 * time.Second))
+	crash(epoch.Add(3 * time.Second))
+	assert.Equal(t, c.quarantine.Quarantined(), 0, "the chain began anew")
+	crash(epoch.Add(4 * time.Second))
+	assert.Equal(t, c.quarantine.Quarantined(), 1)
+	other := submit(c, epoch.Add(4*time.Second), request("a"))
+	c.Finish(epoch.Add(5*time.Second), other, successResult(other, "i", 0))
+	assert.Equal(t, submit(c, epoch.Add(5*time.Second), r).Refusal.Kind, errkind.Quarantined)
+
+	c.Finish(epoch.Add(6*time.Second), running, successResult(running, "i", 0))
+	assert.Equal(t, len(c.TakeReleases()), 1)
+	assert.Assert(t, submit(c, epoch.Add(7*time.Second), r).Refusal == nil)
+}
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -200,6 +200,7 @@
 		case <-ticker.C:
 			m.mu.Lock()
 			m.core.Tick(m.now())
+			m.logReleases()
 			m.mu.Unlock()
 		}
 	}
@@ -310,7 +311,8 @@
 	t.module.mu.Lock()
 	defer t.module.mu.Unlock()
 	now := t.module.now()
-	t.module.logReleased(t.pending, t.module.core.Finish(now, t.pending, r))
+	t.module.core.Finish(now, t.pending, r)
+	t.module.logReleases()
 	if r.Err == nil && !t.module.policy.PeerImports {
 		t.module.queueExport(now, t.pending)
 	}
