Scenarios: say how a process ended that should be running

The known red leader-partition found control-1 not running after a pause, and the error didn't say by what exit status or signal.

--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -144,7 +144,10 @@
 
 func (p *process) signal(s syscall.Signal) error {
 	if !p.running() {
-		return errors.Newf("%s is not running", p.name)
+		if p.exited == nil {
+			return errors.Newf("%s was not started", p.name)
+		}
+		return errors.Newf("%s is not running: %s, %v", p.name, p.cmd.ProcessState, p.err)
 	}
 	return p.cmd.Process.Signal(s)
 }
