Play the crashing prompt part with the real daemons

Three control and two entry VMs of platform mode before six servers that end on a part and come back after a second: both VMs quarantine it, sound prompts with the same first part are served, and at most three further requests with it reach servers.

--- /dev/null
+++ b/internal/onplatform/crashing_prompt_test.go
@@ -0,0 +1,145 @@
+package onplatform
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// crashingServers are servers that end when they get a prompt with the part "bad". A successor with
+// another ID starts at the same address after restartAfter.
+type crashingServers struct {
+	d  *deployment
+	mu sync.Mutex // guards the rest
+	// servers holds the one at each address, nil while it is down; started counts them.
+	servers map[string]*http.Server
+	started int
+	ids     map[string]string // by address; the list still names those that are down
+	crashes int
+	reached int  // requests with the part
+	over    bool // the test has ended
+}
+
+const restartAfter = time.Second
+
+// start starts a server at an address.
+func (s *crashingServers) start(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		return
+	}
+	s.started++
+	id := fmt.Sprint("i-", s.started)
+	s.ids[address] = id
+	s.servers[address] = s.d.serveStub(address, func(w http.ResponseWriter, r *http.Request) { s.handle(address, id, w, r) })
+}
+
+func (s *crashingServers) handle(address, id string, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Instance-Id", id)
+	if target := r.Header.Get("X-Target-Instance"); target != "" && target != id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if strings.Contains(r.Header.Get("X-Prompt-Prefix"), "bad:") {
+		s.crash(address)
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("X-Response-Stamp", "stamp")
+	_, _ = fmt.Fprint(w, "sound")
+}
+
+func (s *crashingServers) crash(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reached++
+	if server := s.servers[address]; server != nil {
+		s.crashes++
+		s.servers[address] = nil
+		_ = server.Close()
+		time.AfterFunc(restartAfter, func() { s.start(address) })
+	}
+}
+
+// list serves the platform's list of servers.
+func (s *crashingServers) list(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var entries []string
+	for address, id := range s.ids {
+		entries = append(entries, fmt.Sprintf(`{"id":"%s","service":"app","address":"%s","zone":"a","slots":6,"state":"ready"}`, id, address))
+	}
+	_, _ = fmt.Fprintf(w, `{"instances":[%s],"nextToken":null}`, strings.Join(entries, ","))
+}
+
+func (s *crashingServers) counts() (crashes, reached int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes, s.reached
+}
+
+// Guards against one prompt part that crashes server after server, with the real daemons.
+func TestDaemonsQuarantinePromptPart(t *testing.T) {
+	const lateSends = 3 // requests with the part that may reach servers once it is known
+	d := newEmptyDeployment(t, 1000)
+	servers := &crashingServers{d: d, servers: map[string]*http.Server{}, ids: map[string]string{}}
+	t.Cleanup(func() {
+		servers.mu.Lock()
+		defer servers.mu.Unlock()
+		servers.over = true
+	})
+	for n := range 6 {
+		servers.start(d.address(201+n, listPort))
+	}
+	d.serveStub(d.address(200, listPort), servers.list)
+	for n := 1; n <= 3; n++ {
+		d.start(controlName(n), n, true)
+	}
+	for n := 1; n <= 2; n++ {
+		d.start(entryName(n), entryHost(n), true)
+	}
+	d.eventually("a configuration is acknowledged", func() bool { return d.putConfig(1, 1, "/a/") })
+	requests := 0
+	prompt := func(n int, part string) (int, string) {
+		requests++
+		return sendRequest("POST", "http://"+d.address(entryHost(n), clientPort)+"/a/x", "h.example", "x", http.Header{
+			"X-Request-Id": {fmt.Sprint("id-", requests)}, "X-Deadline-Ms": {"2000"}, "Authorization": {"Bearer key"},
+			"X-Model": {"m"}, "X-Token-Usage": {"30,5"}, "X-Prompt-Prefix": {fmt.Sprintf("first:10,%s:10,own%d:10", part, requests)},
+		})
+	}
+	sound := func(n int) bool {
+		status, body := prompt(n, "sound")
+		return status == http.StatusOK && body == "sound"
+	}
+	for n := 1; n <= 2; n++ {
+		d.eventually("each VM serves", func() bool { return sound(n) })
+	}
+	quarantined := func(n int) bool {
+		_, text := sendRequest("GET", "http://"+d.address(entryHost(n), metricsPort)+"/metrics", "", "", nil)
+		return strings.Contains(text, "\neelgrass_routing_quarantined_parts 1")
+	}
+	d.eventually("both VMs have the part in quarantine", func() bool {
+		for n := 1; n <= 2; n++ {
+			prompt(n, "bad")
+			sound(n)
+		}
+		return quarantined(1) && quarantined(2)
+	})
+	crashes, before := servers.counts()
+	assert.Assert(t, crashes >= 3, "%d crashes", crashes)
+	for range 20 {
+		for n := 1; n <= 2; n++ {
+			d.eventually("sound prompts are served", func() bool { return sound(n) })
+			status, body := prompt(n, "bad")
+			assert.Assert(t, status != http.StatusServiceUnavailable || body == "quarantined\n", body)
+		}
+	}
+	_, after := servers.counts()
+	assert.Assert(t, after-before <= lateSends, "%d requests with the part reached servers", after-before)
+}
--- a/internal/onplatform/process_test.go
+++ b/internal/onplatform/process_test.go
@@ -203,13 +203,14 @@
 	}
 }
 
-// serveStub runs an HTTP server for a stub until the test ends.
-func (d *deployment) serveStub(address string, handler http.HandlerFunc) {
+// serveStub runs an HTTP server for a stub until the test ends or it is closed.
+func (d *deployment) serveStub(address string, handler http.HandlerFunc) *http.Server {
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(d.t, err)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: waitTimeout}
 	go func() { _ = server.Serve(listener) }() // returns after Close
 	d.t.Cleanup(func() { _ = server.Close() })
+	return server
 }
 
 // newDeployment returns a deployment with a server list of one server, which responds with the
