Scenarios and soak: give each process a group of its own

Cause: the tests were started in the background by a shell that ended first. That orphans the tests' process group, and the kernel sends SIGHUP and SIGCONT to a group that is orphaned while one of its processes is stopped (seen apart with sleep: status 129).

Played once each with a shell that ends after 6.5 s: leader-partition fails before and passes after.

--- a/internal/onplatform/process_test.go
+++ b/internal/onplatform/process_test.go
@@ -120,6 +120,8 @@
 		d.logs[name] = log
 	}
 	cmd.Stdout, cmd.Stderr = log, log
+	// In the tests' group, a paused daemon gets SIGHUP if the shell that started the tests ends first.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	assert.NilError(d.t, cmd.Start())
 	d.commands[name] = cmd
 }
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -65,6 +65,11 @@
 	err    error // result of Wait, valid once exited is closed
 }
 
+// ownProcessGroup puts a process into a group of its own. If the shell that started the tests ends
+// first, the tests' group is orphaned, and the kernel sends SIGHUP to a group that is orphaned while
+// one of its processes is paused.
+func ownProcessGroup() *syscall.SysProcAttr { return &syscall.SysProcAttr{Setpgid: true} }
+
 func (p *process) start() error {
 	if p.running() {
 		return errors.Newf("%s is already running", p.name)
@@ -76,6 +81,7 @@
 	defer logFile.Close()
 	p.cmd = exec.Command(p.path, p.args...)
 	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
+	p.cmd.SysProcAttr = ownProcessGroup()
 	p.cmd.Dir = filepath.Dir(p.logPath)
 	if err := p.cmd.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", p.name)
