--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,8 +15,9 @@
 	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 1 << 20
 	// maxIdleBytes limits what a server may send between two events that continue a stream, such
-	// as comments.
-	maxIdleBytes = 256 << 10
+	// as comments, and maxReplayBytes the events that the client has received already.
+	maxIdleBytes   = 16 << 10
+	maxReplayBytes = 1 << 20
 )
 
 // stream relays the events of a stream as they arrive and records the ID of the last one that
@@ -48,7 +49,11 @@
 		}
 		received()
 		if continues := event.HasData && (event.ID > lastID || lastID == 0); !continues {
-			if idleBytes += len(event.Bytes); idleBytes > maxIdleBytes {
+			limit := maxIdleBytes
+			if event.HasData && event.ID > 0 {
+				limit = maxReplayBytes
+			}
+			if idleBytes += len(event.Bytes); idleBytes > limit {
 				return errkind.New(errkind.StreamBroken, "server sent %d bytes that do not continue the stream", idleBytes)
 			}
 		} else {
