--- a/internal/gateway/crashing_prompts_test.go
+++ b/internal/gateway/crashing_prompts_test.go
@@ -554,7 +554,6 @@
 	} {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
-				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					servers := newSimFleet(test.servers, "crashing")
 					servers.extraWait = test.extraWait
@@ -627,7 +626,6 @@
 	} {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
-				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					const lasting = 40 * time.Second
 					s := newSimulation(t, 6, 500, newSimFleet(9), fleet.Route{Kind: fleet.Stream, MaxAttempts: 1}, seed)
