One place says which parts of a prompt others may share

shared, sharedParts and quarantineParts each left out the last part for themselves, and the last of them built a list of names only to read it again, on every request. No behaviour changed; tests of quarantine, gateway and platform, vet and staticcheck pass.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -64,27 +64,24 @@
 	return p.Parts[0].Name
 }
 
+// sharedPrefix returns the parts that other prompts may share: all but the last, which belongs to the
+// request itself or to its session.
+func (p Prompt) sharedPrefix() []Part { return p.Parts[:max(len(p.Parts)-1, 0)] }
+
 // shared returns the name of the last part that other prompts may share, and the tokens up to
-// its end; "" if there is none. The last part of a prompt belongs to the request itself or to
-// its session.
+// its end; "" if there is none.
 func (p Prompt) shared() (name string, tokens int) {
-	if len(p.Parts) < 2 {
-		return "", 0
-	}
-	for _, part := range p.Parts[:len(p.Parts)-1] {
+	for _, part := range p.sharedPrefix() {
 		name, tokens = part.Name, tokens+part.Tokens
 	}
 	return name, tokens
 }
 
-// sharedParts returns the names of the parts that other prompts may share: all but the last.
+// sharedParts returns the names of the parts that other prompts may share.
 func (p Prompt) sharedParts() []string {
-	if len(p.Parts) < 2 {
-		return nil
-	}
-	names := make([]string, len(p.Parts)-1)
-	for i := range names {
-		names[i] = p.Parts[i].Name
+	var names []string
+	for _, part := range p.sharedPrefix() {
+		names = append(names, part.Name)
 	}
 	return names
 }
@@ -92,14 +89,10 @@
 // quarantineParts returns the parts that other prompts may share in the form that routing takes.
 // Which account sends them does not matter.
 func (p Prompt) quarantineParts() []quarantine.Part {
-	names := p.sharedParts()
-	if len(names) == 0 {
-		return nil
-	}
-	parts := make([]quarantine.Part, len(names))
 	model := prefix.Namespace{Model: p.Model}.Seed()
-	for i, name := range names {
-		parts[i] = quarantine.Part{ID: prefix.PartHash(model, name), Name: name}
+	var parts []quarantine.Part
+	for _, part := range p.sharedPrefix() {
+		parts = append(parts, quarantine.Part{ID: prefix.PartHash(model, part.Name), Name: part.Name})
 	}
 	return parts
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -133,8 +133,9 @@
 }
 
 // RecordCrash records that an incarnation of an endpoint crashed under a request. parts are those
-// that may have caused it: none if the request had been answered for a while. sentWith is
-// the snapshot of the time when the request was sent. It returns the parts that are quarantined because of it.
+// that may have caused it: none if the request had been answered for a while. sentWith is the
+// snapshot of the time when the request was sent. It returns the parts that are quarantined because
+// of it.
 func (t *Table) RecordCrash(now time.Time, parts []Part, sentWith Snapshot, crash digest.CrashID) (quarantined []Part) {
 	t.see(now, crash)
 	for i, p := range parts {
