Log and count the rate limits that endpoints state

Requests go where they went before.

A response without a limit ends an earlier one only if it is signed and its request was sent later than the last response with one. Tests: ratelimit.TestParse, TestRateLimitEndsWithLaterRequests, six cases of the adapter's TestReplies.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -18,6 +18,7 @@
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/liveness"
+	"eelgrasshollow/internal/ratelimit"
 	"eelgrasshollow/internal/retryafter"
 
 	"github.com/cockroachdb/errors"
@@ -51,15 +52,22 @@
 type Notice struct {
 	Leaving  bool          // it will stop and takes no new requests
 	PauseFor time.Duration // how long it wants no requests
+	// Limit is the rate that it takes from all VMs together, or 0. Unlimited reports that it
+	// takes requests without a limit.
+	Limit     ratelimit.Limit
+	Unlimited bool
 }
 
 // noticeOf returns the notice of a response. A malformed time of a pause is ignored, and the
-// response then counts as a refusal without a pause.
+// response then counts as a refusal without a pause. A malformed limit leaves an earlier one in
+// force.
 func noticeOf(response *http.Response) Notice {
 	n := Notice{Leaving: response.Header.Get(engineapi.HeaderLeaving) == engineapi.HeaderLeavingValue}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		n.PauseFor, _ = retryafter.Parse(response.Header, time.Now()) // the valid values, if there are any
 	}
+	limit, err := ratelimit.Parse(response.Header.Values(engineapi.HeaderLimit))
+	n.Limit, n.Unlimited = limit, !limit.Stated() && err == nil
 	return n
 }
 
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -34,6 +34,9 @@
 	// wants no request from this VM for that time.
 	HeaderLeaving      = "X-Endpoint-Leaving"
 	HeaderLeavingValue = "1"
+	// HeaderLimit is the number of requests per second that an endpoint takes from all VMs
+	// together. A response without it ends an earlier limit.
+	HeaderLimit = "X-Endpoint-Limit"
 	// HeaderLastEventID carries the last stream position that the client received.
 	HeaderLastEventID = "Last-Event-ID"
 )
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -86,7 +86,7 @@
 
 // noticeFrom returns an endpoint's notice in the form that routing takes.
 func noticeFrom(incarnation string, n engine.Notice) routing.Notice {
-	return routing.Notice{Incarnation: incarnation, Leaving: n.Leaving, PauseFor: n.PauseFor}
+	return routing.Notice{Incarnation: incarnation, Leaving: n.Leaving, PauseFor: n.PauseFor, Limit: n.Limit, Unlimited: n.Unlimited}
 }
 
 // relayWhole relays a response that is not a stream.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -222,7 +222,10 @@
 func (g *Gateway) send(ctx context.Context, ticket routing.Ticket, a Attempt) (*Reply, error) {
 	reply, err := g.Upstream.Send(ctx, a)
 	if err == nil && !reply.WrongServer {
-		ticket.Notify(routing.Notice{Incarnation: ticket.Decision().Incarnation, Leaving: reply.Leaving, PauseFor: reply.PauseFor})
+		ticket.Notify(routing.Notice{
+			Incarnation: ticket.Decision().Incarnation, Leaving: reply.Leaving, PauseFor: reply.PauseFor,
+			Limit: reply.Limit, Unlimited: reply.Unlimited,
+		})
 	}
 	return reply, err
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -20,6 +20,7 @@
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
 	"eelgrasshollow/internal/quarantine"
+	"eelgrasshollow/internal/ratelimit"
 )
 
 // Request is a request that a client sent. A client's own retry is another Request.
@@ -142,7 +143,11 @@
 	// long it asks to receive nothing from this VM.
 	Leaving  bool
 	PauseFor time.Duration
-	Stream   bool
+	// Limit is the rate that the server states, or 0. Unlimited reports that the server takes
+	// requests without a limit.
+	Limit     ratelimit.Limit
+	Unlimited bool
+	Stream    bool
 	// Unframed reports that the body has neither a length nor chunks: it ends with its connection.
 	Unframed bool
 	Body     io.ReadCloser
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -10,6 +10,7 @@
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
 	"eelgrasshollow/internal/quarantine"
+	"eelgrasshollow/internal/ratelimit"
 )
 
 // Request describes a request to route. Either Model or Service is set.
@@ -60,6 +61,8 @@
 	Weights       string // weights that the endpoint is assumed to run
 	SaveTo        string // address of the store that the endpoint saves the prompt to, or ""
 	Parts         []ScorePart
+	// Limit is the rate that the endpoint stated, or 0, when the request was sent.
+	Limit ratelimit.Limit
 }
 
 // Result is the outcome of a request at an endpoint.
--- a/internal/routing/metrics.go
+++ b/internal/routing/metrics.go
@@ -13,7 +13,7 @@
 func newNoticeMetrics() noticeMetrics {
 	return noticeMetrics{prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "eelgrass", Subsystem: "routing", Name: "endpoint_notices_total",
-		Help: "Responses in which an endpoint announced that it leaves or asked for a pause.",
+		Help: "Responses in which an endpoint announced that it leaves, asked for a pause or stated a rate limit. A limit is applied when it changes.",
 	}, []string{"kind", "applied"})}
 }
 
@@ -33,6 +33,13 @@
 	})
 }
 
+func newLimitedSendCounter() prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "eelgrass", Subsystem: "routing", Name: "rate_limited_sends_total",
+		Help: "Attempts sent to endpoints that state a rate limit.",
+	})
+}
+
 // Collectors returns the metrics of the digest exchange and of endpoints' notices.
 func (m *Module) Collectors() []prometheus.Collector {
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
@@ -48,6 +55,8 @@
 		m.notices.total,
 		m.crashes,
 		gauge("quarantined_parts", "Prompt parts whose requests are refused because endpoints crashed under them.", func() float64 { return float64(m.core.quarantine.Quarantined()) }),
+		gauge("rate_limited_endpoints", "Endpoints that state a rate limit.", func() float64 { return float64(m.core.limitedEndpoints()) }),
+		m.limitedSends,
 		gauge("relay_members", "Entry VMs to which this one relays digests.", func() float64 { return float64(len(m.hub.members)) }),
 	}
 }
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -61,7 +62,9 @@
 	prober    Prober          // nil if crashes are not looked for
 	probes    singleflight.Group
 	crashes   prometheus.Counter
-	exports   chan Export
+	// limitedSends counts the attempts at endpoints that state a rate limit.
+	limitedSends prometheus.Counter
+	exports      chan Export
 
 	mu          sync.Mutex
 	core        *Core
@@ -80,7 +83,7 @@
 func NewModule(s Settings, inventory Inventory, prober Prober, now clock.Clock) *Module {
 	policy := DefaultPolicy(DefaultTuning())
 	policy.PeerImports = s.PeerImports
-	return &Module{settings: s, policy: policy, inventory: inventory, prober: prober, now: now, notices: newNoticeMetrics(), crashes: newCrashCounter()}
+	return &Module{settings: s, policy: policy, inventory: inventory, prober: prober, now: now, notices: newNoticeMetrics(), crashes: newCrashCounter(), limitedSends: newLimitedSendCounter()}
 }
 
 // Provision looks up the modules that routing depends on.
@@ -238,6 +241,9 @@
 	if p.Refusal != nil {
 		return nil, p.Refusal
 	}
+	if p.Decision.Limit.Stated() {
+		m.limitedSends.Inc()
+	}
 	return &ticket{module: m, pending: p}, nil
 }
 
@@ -287,10 +293,20 @@
 
 // Notify implements Ticket.
 func (t *ticket) Notify(n Notice) {
+	m, p := t.module, t.pending
+	m.mu.Lock()
+	from, changed := m.core.RecordLimit(m.now(), p, n)
+	m.mu.Unlock()
+	if changed {
+		m.log.Info("endpoint rate limit changed", zap.String("request", p.Request.ID), zap.String("endpoint", p.Decision.Endpoint),
+			zap.String("incarnation", n.Incarnation), zap.Float64("from_per_second", float64(from)), zap.Float64("per_second", float64(n.Limit)))
+	}
+	if n.Limit.Stated() {
+		m.notices.total.WithLabelValues("limit", strconv.FormatBool(changed)).Inc()
+	}
 	if n.Empty() {
 		return
 	}
-	m, p := t.module, t.pending
 	m.mu.Lock()
 	applied := m.core.ApplyNotice(m.now(), p, n)
 	m.mu.Unlock()
--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -7,6 +7,7 @@
 	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/ratelimit"
 )
 
 const (
@@ -35,15 +36,21 @@
 	// PauseFor is how long the endpoint asks to receive nothing from this VM; 0 means no
 	// pause.
 	PauseFor time.Duration
+	// Limit is the rate of requests that the endpoint takes from all VMs together, or 0.
+	Limit ratelimit.Limit
+	// Unlimited reports that the endpoint states no limit, which ends an earlier one.
+	Unlimited bool
 }
 
-// Empty reports whether the notice states nothing.
+// Empty reports whether the notice neither announces a stop nor asks for a pause.
 func (n Notice) Empty() bool { return !n.Leaving && n.PauseFor <= 0 }
 
 // selfReport is what the current incarnation of an endpoint has stated in its notices.
 type selfReport struct {
 	leaving     bool
 	pausedUntil time.Time // zero if it has never asked for a pause
+	limit       ratelimit.Limit
+	limitAt     time.Time // when an endpoint's response last confirmed limit, or its absence
 }
 
 // formerNotice is the selfReport of an endpoint that is no longer listed.
@@ -70,10 +77,7 @@
 // endpoint are placed again.
 func (c *Core) ApplyNotice(now time.Time, p *Pending, n Notice) bool {
 	s := p.state
-	if n.Empty() || s == nil || s.removed {
-		return false
-	}
-	if n.Incarnation != "" && !c.RecordIncarnation(s, n.Incarnation) || n.Incarnation == "" && p.run != s.run {
+	if n.Empty() || !c.isCurrent(p, n) {
 		return false
 	}
 	if n.Leaving && s.run == 0 {
@@ -93,6 +97,19 @@
 	return true
 }
 
+// isCurrent reports whether a notice in a response to p is of the current incarnation of an
+// endpoint that still exists.
+func (c *Core) isCurrent(p *Pending, n Notice) bool {
+	s := p.state
+	if s == nil || s.removed {
+		return false
+	}
+	if n.Incarnation == "" {
+		return p.run == s.run
+	}
+	return c.RecordIncarnation(s, n.Incarnation)
+}
+
 // keepNotice keeps the notices of an endpoint that is no longer listed.
 func (c *Core) keepNotice(now time.Time, s *State) {
 	if s.selfReport == (selfReport{}) || s.run == 0 {
