Reproduce: servers get several times the limit that they state

The simulation's peers now take 3 ms and can be cut off; its servers can state limits, fail requests and break streams.

--- a/internal/gateway/crashing_prompts_test.go
+++ b/internal/gateway/crashing_prompts_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/rpc"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -61,6 +62,7 @@
 	crashing map[string]bool // parts
 	// extraWait is the time for which requests wait at a server before they run.
 	extraWait time.Duration
+	limits    *simLimits // nil if no server states a rate limit
 
 	mu       sync.Mutex
 	servers  map[string]*simServer // by address
@@ -198,6 +200,7 @@
 type simUpstream struct {
 	*simFleet
 	startedAt time.Time // of the VM
+	vm        int
 }
 
 // Send implements Upstream.
@@ -207,6 +210,7 @@
 		return nil, errkind.Wrap(syscall.ECONNREFUSED, errkind.EndpointFailed, "connect").WithOutcome(errkind.NotRun)
 	}
 	a.OnSend()
+	f.limits.arrive(f.vm, a.Address)
 	if a.Server != serverID(s.endpoint.Name, s.endpoint.Address) {
 		return &Reply{Status: http.StatusMisdirectedRequest, NotRun: true, WrongServer: true, Body: http.NoBody}, nil
 	}
@@ -227,7 +231,11 @@
 		return nil, errkind.Wrap(errors.Mark(io.EOF, errkind.ErrBroken), errkind.EndpointFailed, "no response")
 	default:
 	}
-	body := &simBody{server: s, ctx: ctx}
+	if reply := f.limits.fail(f.vm, a); reply != nil {
+		return reply, nil
+	}
+	body := &simBody{server: s, ctx: ctx, breaksAfter: f.limits.breakStream()}
+	body.sent, _ = strconv.Atoi(a.LastEventID) // 0 without one
 	if crashing {
 		f.mu.Lock()
 		f.crashes = append(f.crashes, time.Now())
@@ -239,7 +247,7 @@
 		}
 		body.sent, body.rest = 1, []byte("id: 1\nda")
 	}
-	return &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Stream: true, Body: body}, nil
+	return f.limits.state(f.vm, a.Address, &Reply{Status: http.StatusOK, Header: http.Header{}, Signed: true, Stream: true, Body: body}), nil
 }
 
 // simBody is the body of a stream. It ends early if its server crashes.
@@ -248,13 +256,20 @@
 	ctx    context.Context
 	sent   int
 	rest   []byte
+	// breaksAfter is the number of events after which the connection breaks; 0 for none.
+	breaksAfter int
 }
 
 // Read implements io.Reader.
 func (b *simBody) Read(p []byte) (int, error) {
 	if len(b.rest) == 0 {
-		if b.sent == responseEvents {
+		switch b.sent {
+		case responseEvents:
 			return 0, io.EOF
+		case b.breaksAfter:
+			if b.breaksAfter > 0 {
+				return 0, io.ErrUnexpectedEOF
+			}
 		}
 		if b.sent > 0 {
 			select {
@@ -285,16 +300,41 @@
 
 // simPeers connects VMs over net/rpc in memory.
 type simPeers struct {
-	simModule
 	mu      sync.Mutex
 	servers map[string]*rpc.Server // by address
+	// cut reports whether calls between two addresses get no reply; nil for none.
+	cut func(from, to string) bool
+}
+
+// setCut sets which calls get no reply from now on.
+func (p *simPeers) setCut(cut func(from, to string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = cut
+}
+
+// peerDelay is the time until a call reaches the other VM.
+const peerDelay = 3 * time.Millisecond
+
+// simPool is the pool of peer connections of one VM.
+type simPool struct {
+	simModule
+	peers *simPeers
+	self  string
 }
 
 // Call makes a call to the VM with an address.
-func (p *simPeers) Call(_ context.Context, address, method string, args, reply any) error {
+func (s simPool) Call(ctx context.Context, address, method string, args, reply any) error {
+	p := s.peers
+	time.Sleep(peerDelay)
 	p.mu.Lock()
 	server := p.servers[address]
+	cut := p.cut != nil && p.cut(s.self, address)
 	p.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return errkind.Wrap(ctx.Err(), errkind.Timeout, "no reply")
+	}
 	if server == nil {
 		return errkind.New(errkind.NoQuorum, "VM is down")
 	}
@@ -333,13 +373,15 @@
 
 // simulation is a fleet of entry VMs before one service of servers.
 type simulation struct {
-	t       *testing.T
-	fleet   *simFleet
-	peers   *simPeers
-	vms     simVMs
-	route   *fleet.Route
-	calls   float64 // digests per second of one VM
-	random  *rand.Rand
+	t      *testing.T
+	fleet  *simFleet
+	peers  *simPeers
+	vms    simVMs
+	route  *fleet.Route
+	calls  float64 // digests per second of one VM
+	random *rand.Rand
+	// pickVM returns the VM that a client uses; nil for a random one.
+	pickVM  func(*rand.Rand) int
 	kernels []*kernel.Kernel
 	nodes   []*Gateway
 
@@ -377,7 +419,7 @@
 	k := kernel.New(zap.NewNop())
 	k.Register("entry.directory", s.vms)
 	k.Register(peer.ServerName, simPeerServer{peers: s.peers, address: s.vms.vms[i].PeerAddress})
-	k.Register(peer.PoolName, s.peers)
+	k.Register(peer.PoolName, simPool{peers: s.peers, self: s.vms.vms[i].PeerAddress})
 	router := routing.NewModule(routing.Settings{
 		QueuePerEndpoint: 64, LongestWait: 5 * time.Second, TrackedPrefixes: 20_000, DigestEvery: 250 * time.Millisecond, DigestBytes: 1024,
 		DigestCalls: s.calls, RetryShare: 1, PeerImports: true,
@@ -388,7 +430,7 @@
 	assert.NilError(s.t, config.Check())
 	s.kernels[i] = k
 	s.nodes[i] = New(Deps{
-		Directory: fakeDirectory{&fleetview.View{Config: config, Servers: []fleet.Server{{ID: "a"}}}, 0}, Limiter: fakeLimiter{}, Router: router, Upstream: simUpstream{s.fleet, time.Now()},
+		Directory: fakeDirectory{&fleetview.View{Config: config, Servers: []fleet.Server{{ID: "a"}}}, 0}, Limiter: fakeLimiter{}, Router: router, Upstream: simUpstream{s.fleet, time.Now(), i},
 		Retries: NewRetryBudgets(RetryLimits{Share: 0.2, Burst: 50, VMs: func() (int, bool) { return len(s.vms.vms), true }}),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Closing: func() bool { return false }, Log: zap.NewNop(),
 	})
@@ -415,7 +457,11 @@
 func (s *simulation) request(shared ...string) {
 	s.requests++
 	id := fmt.Sprintf("request-%d", s.requests)
-	g := s.nodes[s.random.IntN(len(s.nodes))]
+	vm := s.random.IntN(len(s.nodes))
+	if s.pickVM != nil {
+		vm = s.pickVM(s.random)
+	}
+	g := s.nodes[vm]
 	r := &Request{ID: id, Method: "POST", Host: "h", Path: "/x", RequestURI: "/x", Arrived: time.Now(), ClientTimeout: 5 * time.Second,
 		Prompt: Prompt{Known: true, Model: "m", MaxOutput: 10}}
 	for _, part := range append(slices.Clone(shared), "own-"+id) {
