--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -1,7 +1,8 @@
 // Package digest defines the digests that entry VMs send to each other for routing: requests in
-// flight and loaded weights by endpoint, the endpoints to which prefixes were sent, and the prompt
-// parts under which endpoints crashed. The size of a digest is limited. Lost digests lower the
-// cache hit rate and delay a quarantine, but never affect correctness.
+// flight and loaded weights by endpoint, the endpoints to which prefixes were sent, the prompt
+// parts under which endpoints crashed, and the rate limits that endpoints state. The size of a
+// digest is limited. Lost digests lower the cache hit rate and delay a quarantine or a rate limit,
+// but never affect correctness.
 //
 // The encoding has these fields in this order, integers in little-endian byte order:
 //
@@ -11,6 +12,8 @@
 //	Placements  uint16 count, then for each: uint32 EndpointRun, uint64 Prefix
 //	Evicted     uint16 count, then for each: uint32 EndpointRun, uint64 Prefix
 //	Suspects    uint16 count, then for each: uint64 Part, uint32 Epoch, uint16 Chain, 12 times uint16 CrashID;
+//	            left out if there are no suspects and no limits, as in the digests of earlier versions
+//	Limits      uint16 count, then for each: uint32 EndpointRun, uint32 Version, uint32 MilliPerSecond;
 //	            left out if there are none, as in the digests of earlier versions
 //
 // There are no bytes after the last field.
@@ -100,6 +103,15 @@
 	Crashes [SuspectCrashes]CrashID // crashes under it, in ascending order; 0 for none
 }
 
+// RateLimit is the number of requests that an incarnation of an endpoint takes from all VMs
+// together.
+type RateLimit struct {
+	EndpointRun EndpointRun
+	// Version counts the changes of the limit. A higher version replaces a lower one.
+	Version        uint32
+	MilliPerSecond uint32 // requests per 1,000 seconds; 0 for no limit
+}
+
 // Digest is the message that one entry VM sends to its peers.
 type Digest struct {
 	From       string // peer address of the sending VM
@@ -108,6 +120,7 @@
 	Placements []Placement // prefixes sent to endpoints
 	Evicted    []Placement // evicted prefixes
 	Suspects   []Suspect
+	Limits     []RateLimit
 }
 
 const (
@@ -116,27 +129,31 @@
 	loadedBytes    = 4 + 4
 	placementBytes = 4 + 8
 	suspectBytes   = 8 + 4 + 2 + SuspectCrashes*2
+	limitBytes     = 4 + 4 + 4
 	countBytes     = 2
 	headerBytes    = 2 + 2 + 2 + 2 + 2
 
-	// MaxNewsBytes is the greatest encoded size of a placement, an eviction, loaded weights or a
-	// suspect, with the count that the first suspect needs.
-	MaxNewsBytes = countBytes + suspectBytes
+	// MaxNewsBytes is the greatest encoded size of a placement, an eviction, loaded weights, a
+	// suspect or a limit, with the counts that the first one needs.
+	MaxNewsBytes = 2*countBytes + suspectBytes
 )
 
 // Size returns the length of the encoded digest in bytes.
 func (d *Digest) Size() int {
 	placements := len(d.Placements) + len(d.Evicted)
 	size := headerBytes + len(d.From) + len(d.Loads)*loadBytes + len(d.Loaded)*loadedBytes + placements*placementBytes
-	if len(d.Suspects) > 0 {
+	if len(d.Suspects)+len(d.Limits) > 0 {
 		size += countBytes + len(d.Suspects)*suspectBytes
 	}
+	if len(d.Limits) > 0 {
+		size += countBytes + len(d.Limits)*limitBytes
+	}
 	return size
 }
 
 // TrimTo removes items until the encoded digest is at most maxBytes long: first evictions and
 // then placements, both from the start, because routing appends the newest at the end; then
-// loads and then weights, both from the end. Suspects stay.
+// loads and then weights, both from the end. Suspects and limits stay.
 func (d *Digest) TrimTo(maxBytes int) {
 	d.Evicted = d.Evicted[d.excess(maxBytes, len(d.Evicted), placementBytes):]
 	d.Placements = d.Placements[d.excess(maxBytes, len(d.Placements), placementBytes):]
@@ -169,7 +186,7 @@
 		b = binary.LittleEndian.AppendUint32(b, uint32(l.Weights))
 	}
 	b = appendPlacements(appendPlacements(b, d.Placements), d.Evicted)
-	if len(d.Suspects) == 0 {
+	if len(d.Suspects)+len(d.Limits) == 0 {
 		return b
 	}
 	b = binary.LittleEndian.AppendUint16(b, uint16(len(d.Suspects)))
@@ -181,6 +198,15 @@
 			b = binary.LittleEndian.AppendUint16(b, uint16(crash))
 		}
 	}
+	if len(d.Limits) == 0 {
+		return b
+	}
+	b = binary.LittleEndian.AppendUint16(b, uint16(len(d.Limits)))
+	for _, l := range d.Limits {
+		b = binary.LittleEndian.AppendUint32(b, uint32(l.EndpointRun))
+		b = binary.LittleEndian.AppendUint32(b, l.Version)
+		b = binary.LittleEndian.AppendUint32(b, l.MilliPerSecond)
+	}
 	return b
 }
 
@@ -207,6 +233,9 @@
 	if len(r.rest) > 0 {
 		d.Suspects = r.readSuspects()
 	}
+	if len(r.rest) > 0 {
+		d.Limits = r.readLimits()
+	}
 	if r.malformed || len(r.rest) > 0 {
 		return nil, errkind.New(errkind.InvalidRequest, "malformed digest")
 	}
@@ -253,6 +282,14 @@
 	return suspects
 }
 
+func (r *reader) readLimits() []RateLimit {
+	var limits []RateLimit
+	for n := r.readUint16(); n > 0 && !r.malformed; n-- {
+		limits = append(limits, RateLimit{EndpointRun(r.readUint32()), r.readUint32(), r.readUint32()})
+	}
+	return limits
+}
+
 func (r *reader) readUint16() uint16 { return binary.LittleEndian.Uint16(r.next(2)) }
 func (r *reader) readUint32() uint32 { return binary.LittleEndian.Uint32(r.next(4)) }
 func (r *reader) readUint64() uint64 { return binary.LittleEndian.Uint64(r.next(8)) }
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -54,6 +54,7 @@
 }
 func (oneEndpoint) Started()              {}
 func (oneEndpoint) Notify(routing.Notice) {}
+func (oneEndpoint) Resend() bool          { return true }
 func (oneEndpoint) Done(routing.Result)   {}
 
 // serveOn serves a handler on a loopback address until the benchmark ends.
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -194,6 +194,8 @@
 
 func (t *fakeTicket) Decision() routing.Decision { return t.d }
 func (t *fakeTicket) Started()                   {}
+func (*fakeTicket) Resend() bool                 { return true }
+
 func (t *fakeTicket) Notify(n routing.Notice) {
 	t.r.mu.Lock()
 	defer t.r.mu.Unlock()
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -143,6 +143,7 @@
 
 // Notify does nothing.
 func (nopTicket) Notify(routing.Notice) {}
+func (nopTicket) Resend() bool          { return true }
 
 // Done does nothing.
 func (nopTicket) Done(routing.Result) {}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -173,7 +173,7 @@
 	}
 	reply, err := g.send(ctx, ticket, attempt)
 	watched.received()
-	if err == nil && reply.WrongWeights && !reply.Leaving && attempt.Weights > 0 && g.mayRetry(x) {
+	if err == nil && reply.WrongWeights && !reply.Leaving && attempt.Weights > 0 && ticket.Resend() && g.mayRetry(x) {
 		// The server's weights have changed since the last status check, and it has not
 		// run the request. Its cache contents are unknown, so the request is sent again
 		// with a cache namespace of its own.
--- a/internal/gateway/crashing_prompts_test.go
+++ b/internal/gateway/crashing_prompts_test.go
@@ -355,11 +355,12 @@
 func (s simPeerServer) Address() string { return s.address }
 
 func (s simPeerServer) Register(name string, receiver any) error {
-	server := rpc.NewServer()
 	s.peers.mu.Lock()
 	defer s.peers.mu.Unlock()
-	s.peers.servers[s.address] = server
-	return server.RegisterName(name, receiver)
+	if s.peers.servers[s.address] == nil {
+		s.peers.servers[s.address] = rpc.NewServer()
+	}
+	return s.peers.servers[s.address].RegisterName(name, receiver)
 }
 
 // simVMs lists the entry VMs.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -74,6 +74,8 @@
 
 func (p fakeTicket) Decision() routing.Decision { return p.d }
 func (p fakeTicket) Started()                   {}
+func (fakeTicket) Resend() bool                 { return true }
+
 func (p fakeTicket) Notify(n routing.Notice) {
 	p.r.mu.Lock()
 	defer p.r.mu.Unlock()
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -98,5 +98,7 @@
 	Started()
 	// Notify records what the endpoint states about itself in the header of its response.
 	Notify(Notice)
+	// Resend reports whether the request may be sent to the endpoint once more.
+	Resend() bool
 	Done(Result)
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -53,10 +53,12 @@
 	stores           []*storeState
 	retries          retryBudget
 	peers            map[string]peerView
-	newPlacements    []digest.Placement      // for the next digest
-	evictions        []digest.Placement      // for the next digest
-	digestUrgent     bool                    // see DigestUrgent
-	crashUrgent      bool                    // an endpoint has crashed since the last digest
+	newPlacements    []digest.Placement // for the next digest
+	evictions        []digest.Placement // for the next digest
+	digestUrgent     bool               // see DigestUrgent
+	relayUrgent      bool               // an endpoint has crashed, or a rate limit has changed, since the last digest
+	newLimits        []digest.RateLimit // for the next digest
+	pacers           map[digest.EndpointRun]*pacer
 	parked           []*Pending              // wait for an endpoint to recover
 	formerNotices    map[string]formerNotice // by name of an endpoint that is no longer listed
 	matches          []cacheindex.Match      // scratch: matches of the request's chain
@@ -81,6 +83,7 @@
 		byName: map[string]*State{},
 		peers:  map[string]peerView{}, previousVersions: map[string]string{}, tokenCosts: map[string]tokenCost{},
 		formerNotices: map[string]formerNotice{}, quarantine: quarantine.NewTable(nil), answeredAt: map[string]time.Time{},
+		pacers:  map[digest.EndpointRun]*pacer{},
 		retries: retryBudget{share: limits.RetryShare, burst: limits.RetryBurst, tokens: limits.RetryBurst},
 	}
 }
@@ -245,10 +248,10 @@
 		c.refuse(p, overloaded(wait))
 		return false
 	}
-	if c.hasCapacity(now, &p.Request, s) {
+	if c.hasCapacity(now, p, s) {
 		return true
 	}
-	wait := c.predictedWait(&p.Request, s)
+	wait := c.predictedWait(now, p, s)
 	if wait > c.maxWait(&p.Request) {
 		c.refuse(p, overloaded(wait))
 		return false
@@ -265,11 +268,11 @@
 
 // hasCapacity reports whether the endpoint has a free slot now, or a queue in which the
 // predicted wait is within the request's maximum.
-func (c *Core) hasCapacity(now time.Time, r *Request, s *State) bool {
+func (c *Core) hasCapacity(now time.Time, p *Pending, s *State) bool {
 	if c.hasSlot(now, s) && s.queue.Len() == 0 {
 		return true
 	}
-	return s.queue.Len() < c.limits.QueuePerEndpoint && c.predictedWait(r, s) <= c.maxWait(r)
+	return s.queue.Len() < c.limits.QueuePerEndpoint && c.predictedWait(now, p, s) <= c.maxWait(&p.Request)
 }
 
 // maxWait returns how long a request may wait for a slot.
@@ -280,10 +283,15 @@
 	return c.limits.LongestWait
 }
 
-// predictedWait estimates how long a new request waits for a slot in fair order.
-func (c *Core) predictedWait(r *Request, s *State) time.Duration {
-	ahead := s.queue.CountAhead(r.Account, r.Priority)
-	return time.Duration(ahead+1) * s.ServiceTime / time.Duration(s.limit(c.vmCount))
+// predictedWait estimates how long a request waits for a slot in fair order. At an endpoint that
+// states a rate limit, the time that the request has waited counts: it has been refused permits.
+func (c *Core) predictedWait(now time.Time, p *Pending, s *State) time.Duration {
+	ahead := s.queue.CountAhead(p.Request.Account, p.Request.Priority)
+	wait := time.Duration(ahead+1) * s.ServiceTime / time.Duration(s.limit(c.vmCount))
+	if !s.limited() {
+		return wait
+	}
+	return max(wait, now.Sub(p.submittedAt)+s.permitWait(now, ahead))
 }
 
 func overloaded(wait time.Duration) *errkind.Error {
@@ -314,7 +322,8 @@
 	s := p.state
 	p.phase, p.sentAt, p.run = phaseSent, now, s.run
 	p.tokensAhead = s.PendingTokens + s.PeerPendingTokens + p.uncachedTokens
-	p.Decision.SaveTo, p.Decision.Limit = c.saveTo(now, p), s.selfReport.limit
+	p.Decision.SaveTo, p.Decision.Limit = c.saveTo(now, p), s.selfReport.limit.perSecond
+	s.usePermit()
 	p.quarantineState = c.quarantine.Snapshot(p.Request.SharedParts)
 	c.quarantine.RecordSend(now, p.Request.SharedParts)
 	s.cacheInflow.add(p.Request.PromptTokens-p.Decision.CachedTokens+p.Request.MaxTokens, now)
@@ -388,6 +397,7 @@
 	c.expirePeers(now)
 	c.settleStarted(now)
 	c.quarantine.Repeat(now)
+	c.expirePacers(now)
 	c.unpark(now)
 	for _, s := range c.endpoints {
 		if s.queue.Len() == 0 {
--- a/internal/routing/crash.go
+++ b/internal/routing/crash.go
@@ -59,7 +59,7 @@
 	if p.settled {
 		return c.quarantine.RecordCrash(now, nil, nil, crash)
 	}
-	c.digestUrgent, c.crashUrgent = true, true
+	c.digestUrgent, c.relayUrgent = true, true
 	return c.quarantine.RecordCrash(now, p.Request.SharedParts, p.quarantineState, crash)
 }
 
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -39,7 +39,7 @@
 	if len(c.candidates) == 0 {
 		return nil
 	}
-	c.preferWithCapacity(now, r)
+	c.preferWithCapacity(now, p)
 	for i := range c.candidates {
 		eval.CachedPieces = max(eval.CachedPieces, c.candidates[i].Match.CachedPieces)
 	}
@@ -85,10 +85,10 @@
 
 // preferWithCapacity drops the candidates that would refuse the request if at least one
 // other candidate would accept it.
-func (c *Core) preferWithCapacity(now time.Time, r *Request) {
+func (c *Core) preferWithCapacity(now time.Time, p *Pending) {
 	withCapacity := 0
 	for i := range c.candidates {
-		if c.hasCapacity(now, r, c.candidates[i].State) {
+		if c.hasCapacity(now, p, c.candidates[i].State) {
 			c.candidates[withCapacity], c.candidates[i] = c.candidates[i], c.candidates[withCapacity]
 			withCapacity++
 		}
@@ -214,7 +214,7 @@
 		c.index.ClearEndpoint(s.index)
 		copy(s.endedRuns[1:], s.endedRuns[:])
 		s.endedRuns[0] = s.run
-		s.selfReport = selfReport{}
+		s.selfReport, s.permits = selfReport{}, permitQueue{}
 	}
 	delete(c.byRun, digest.EndpointRunOf(s.id, s.run))
 	s.Incarnation, s.run, s.eventSeq, s.announced = "", run, 0, false
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -67,6 +67,7 @@
 	ServiceTime     time.Duration
 
 	selfReport          selfReport
+	permits             permitQueue  // used while the endpoint states a rate limit
 	peerReported        reportedLoad // sum of the peers' last digests
 	costSamples         int          // responses that contributed to PrefillPerToken
 	peakInFlight        int          // most known requests since the last load report
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -128,7 +128,7 @@
 	urgent, interval := x.module.core.DigestUrgent(), x.module.settings.DigestEvery
 	if x.module.core.relayedVMs > 0 {
 		interval = x.module.core.relayInterval
-		urgent = x.module.core.crashUrgent && now.Sub(x.lastSent) >= minRelayInterval
+		urgent = x.module.core.relayUrgent && now.Sub(x.lastSent) >= minRelayInterval
 	}
 	x.module.mu.Unlock()
 	if !urgent && now.Sub(x.lastSent) < interval {
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -72,6 +72,8 @@
 	revision    uint64
 	hasRevision bool
 
+	permits permitClient
+
 	cancel context.CancelFunc
 	group  *errgroup.Group
 }
@@ -106,6 +108,7 @@
 		m.prober, _ = kernel.Lookup[Prober](k, "entry.engine")
 	}
 	m.exports = make(chan Export, exportQueueSize)
+	m.permits = newPermitClient()
 	return m.provisionPeers(k)
 }
 
@@ -125,6 +128,9 @@
 		return err
 	}
 	m.server = server
+	if err := server.Register(PermitService, permitReceiver{m}); err != nil {
+		return err
+	}
 	return server.Register(DigestService, digestReceiver{m})
 }
 
@@ -160,6 +166,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	m.group, ctx = errgroup.WithContext(ctx)
+	m.permits.start(ctx, m.group)
 	m.group.Go(func() error { return m.followInventory(ctx) })
 	m.group.Go(func() error { return m.runTicks(ctx) })
 	m.group.Go(func() error { return m.runExports(ctx) })
@@ -175,7 +182,9 @@
 
 // Stop ends the background work.
 func (m *Module) Stop(context.Context) error {
+	m.mu.Lock() // no call to the owner of a rate limit starts after this
 	m.cancel()
+	m.mu.Unlock()
 	return m.group.Wait()
 }
 
@@ -202,7 +211,9 @@
 			return nil
 		case <-ticker.C:
 			m.mu.Lock()
-			m.core.Tick(m.now())
+			now := m.now()
+			m.core.Tick(now)
+			m.askForPermits(now)
 			m.logReleases()
 			m.mu.Unlock()
 		}
@@ -229,6 +240,7 @@
 	now := m.now()
 	m.refresh(now) // place the request with a view at least as new as the one that authorized it
 	p := m.core.Submit(now, r, func() { close(settled) })
+	m.askForPermits(now)
 	m.mu.Unlock()
 	select {
 	case <-settled:
@@ -295,7 +307,9 @@
 func (t *ticket) Notify(n Notice) {
 	m, p := t.module, t.pending
 	m.mu.Lock()
-	from, changed := m.core.RecordLimit(m.now(), p, n)
+	now := m.now()
+	from, changed := m.core.RecordLimit(now, p, n)
+	m.askForPermits(now)
 	m.mu.Unlock()
 	if changed {
 		m.log.Info("endpoint rate limit changed", zap.String("request", p.Request.ID), zap.String("endpoint", p.Decision.Endpoint),
@@ -315,6 +329,13 @@
 		zap.String("incarnation", n.Incarnation), zap.Bool("leaving", n.Leaving), zap.Duration("pause", n.PauseFor), zap.Bool("applied", applied))
 }
 
+// Resend implements Ticket.
+func (t *ticket) Resend() bool {
+	t.module.mu.Lock()
+	defer t.module.mu.Unlock()
+	return t.module.core.TakeAgain(t.module.now(), t.pending)
+}
+
 // Done implements Ticket.
 func (t *ticket) Done(r Result) {
 	t.finish(r)
@@ -329,6 +350,7 @@
 	now := t.module.now()
 	t.module.core.Finish(now, t.pending, r)
 	t.module.logReleases()
+	t.module.askForPermits(now)
 	if r.Err == nil && !t.module.policy.PeerImports {
 		t.module.queueExport(now, t.pending)
 	}
--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -49,8 +49,7 @@
 type selfReport struct {
 	leaving     bool
 	pausedUntil time.Time // zero if it has never asked for a pause
-	limit       ratelimit.Limit
-	limitAt     time.Time // when an endpoint's response last confirmed limit, or its absence
+	limit       statedLimit
 }
 
 // formerNotice is the selfReport of an endpoint that is no longer listed.
@@ -90,11 +89,16 @@
 			s.selfReport.pausedUntil = until
 		}
 	}
+	c.placeQueuedAgain(now, s)
+	return true
+}
+
+// placeQueuedAgain selects endpoints anew for the requests that wait at one.
+func (c *Core) placeQueuedAgain(now time.Time, s *State) {
 	for _, queued := range s.queue.RemoveSubmittedBefore(now.Add(time.Nanosecond)) {
 		queued.state = nil
 		c.place(now, queued)
 	}
-	return true
 }
 
 // isCurrent reports whether a notice in a response to p is of the current incarnation of an
@@ -138,7 +142,7 @@
 
 // hasSlot reports whether another request of this VM may run at the endpoint now.
 func (c *Core) hasSlot(now time.Time, s *State) bool {
-	return s.selfReport.open(now) && s.InFlight < s.selfReport.rampLimit(now, s.limit(c.vmCount))
+	return s.selfReport.open(now) && s.hasPermit(now) && s.InFlight < s.selfReport.rampLimit(now, s.limit(c.vmCount))
 }
 
 // spreadRetryAfter adds a share of the wait that depends on the request, so that requests
--- /dev/null
+++ b/internal/routing/permitclient.go
@@ -0,0 +1,110 @@
+package routing
+
+import (
+	"context"
+	"time"
+
+	"eelgrasshollow/internal/prefix"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// PermitService is the net/rpc service name under which an entry VM gives permits.
+const PermitService = "Permit"
+
+const (
+	// permitTimeout limits a call to an owner. Requests wait for it.
+	permitTimeout = 250 * time.Millisecond
+	// ownerRetryInterval is the time after a failed call in which the owner is not called.
+	ownerRetryInterval = time.Second
+)
+
+// permitReceiver is the net/rpc receiver of the permit service.
+type permitReceiver struct{ module *Module }
+
+// Take answers another VM's ask for permits.
+func (r permitReceiver) Take(ask PermitAsk, reply *PermitReply) error {
+	m := r.module
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	*reply = m.core.GivePermits(m.now(), ask)
+	return nil
+}
+
+// permitClient calls the owners of endpoints. The module's mutex guards it.
+type permitClient struct {
+	ctx       context.Context // nil before the module has started
+	group     *errgroup.Group
+	awayUntil map[string]time.Time // by address of an owner that did not answer
+}
+
+func newPermitClient() permitClient { return permitClient{awayUntil: map[string]time.Time{}} }
+
+func (c *permitClient) start(ctx context.Context, group *errgroup.Group) { c.ctx, c.group = ctx, group }
+
+// permitOwner returns the peer address of the VM that gives the permits of an endpoint. All VMs
+// with the same list of VMs agree on it.
+func (m *Module) permitOwner(s *State) (address string, vms int) {
+	address, vms = m.self(), 1
+	key := prefix.Hash(s.id)
+	for _, vm := range m.allVMs() {
+		if vm.PeerAddress == "" || vm.PeerAddress == m.self() {
+			continue
+		}
+		vms++
+		if !vm.Leaving && rendezvous(key, nameHash(vm.PeerAddress)) > rendezvous(key, nameHash(address)) {
+			address = vm.PeerAddress
+		}
+	}
+	return address, vms
+}
+
+// askForPermits asks for the permits that queued requests need. An answer that this VM gives itself
+// may move requests to other endpoints, for which it asks next. The caller holds the mutex.
+func (m *Module) askForPermits(now time.Time) {
+	for {
+		asks := m.core.TakeAsks(now, m.self())
+		if len(asks) == 0 {
+			return
+		}
+		for _, ask := range asks {
+			m.ask(now, ask)
+		}
+	}
+}
+
+// ask answers an ask if this VM owns the endpoint or its owner is away, or else calls the owner.
+func (m *Module) ask(now time.Time, ask PermitAsk) {
+	owner, vms := m.permitOwner(ask.state)
+	ask.VMs = vms
+	switch {
+	case owner == m.self():
+		m.core.ApplyPermits(now, ask, m.core.GivePermits(now, ask))
+	case m.permits.ctx == nil || m.permits.ctx.Err() != nil || now.Before(m.permits.awayUntil[owner]):
+		m.core.ApplyOwnShare(now, ask)
+	default:
+		m.permits.group.Go(func() error { m.callOwner(m.permits.ctx, owner, ask); return nil })
+	}
+}
+
+// callOwner asks an owner for permits, and takes this VM's own share if it does not answer.
+func (m *Module) callOwner(ctx context.Context, owner string, ask PermitAsk) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var reply PermitReply
+	err := m.pool.Call(ctx, owner, PermitService+".Take", ask, &reply)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	defer m.askForPermits(now)
+	if err == nil {
+		delete(m.permits.awayUntil, owner)
+		m.core.ApplyPermits(now, ask, reply)
+		return
+	}
+	m.log.Info("owner of a rate limit does not answer; using this VM's share", zap.String("owner", owner), zap.String("endpoint", ask.state.Name),
+		zap.Float64("per_second", float64(ask.state.selfReport.limit.perSecond)), zap.Int("vms", ask.VMs), zap.Error(err))
+	m.permits.awayUntil[owner] = now.Add(ownerRetryInterval)
+	m.core.ApplyOwnShare(now, ask)
+}
--- /dev/null
+++ b/internal/routing/permits.go
@@ -0,0 +1,263 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"eelgrasshollow/internal/digest"
+	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/ratelimit"
+)
+
+// A request to an endpoint that states a rate limit needs a permit. One VM, the owner, spaces the
+// permits of an endpoint evenly at its limit, and gives them to the VMs that ask for them. All
+// VMs together therefore send at most the limit, as far as permits are used within permitTTL, and
+// whichever VM has requests can use all of it. While the owner does not answer, a VM uses its
+// equal share.
+const (
+	// permitHorizon is how far ahead of its time a permit is given. A request that would have to
+	// wait longer goes to another endpoint, if one has room.
+	permitHorizon = 100 * time.Millisecond
+	// permitTTL is how long a permit may be used.
+	permitTTL = 500 * time.Millisecond
+	// ownerHandover is how long a new owner gives no permits: the permits of another one may be
+	// in use for that long.
+	ownerHandover = permitHorizon + permitTTL
+	// maxAsksPerSecond limits how often all VMs together ask for the permits of one endpoint.
+	maxAsksPerSecond = 40
+	// askerTimeout is the time, in usual intervals between two asks of a VM, after which the VM
+	// does not count as one that wants permits.
+	askerTimeout = 4
+	// fallbackShare is the part of an endpoint's limit that all VMs together use while its owner
+	// does not answer. Their clocks are not coordinated, so by chance more than their mean
+	// falls into a short time.
+	fallbackShare = 0.7
+	// pacerTTL is how long an owner keeps the times of an endpoint for which nobody asks.
+	pacerTTL = time.Minute
+)
+
+// permitQueue is a VM's permits for one incarnation of an endpoint.
+type permitQueue struct {
+	begin    []time.Time // from when on each permit may be used, in ascending order
+	asked    int         // permits that the VM has asked for and got no reply yet
+	askAfter time.Time   // earliest time to ask again
+	// interval is the time between two permits that this VM may expect while all VMs that
+	// compete for them get as many. It is 0 while the VM has got all that it asked for.
+	interval time.Duration
+	// lastShare is the time of the last permit that the VM took from its equal share.
+	lastShare time.Time
+}
+
+// expire drops the permits that can't be used any more.
+func (q *permitQueue) expire(now time.Time) {
+	q.begin = slices.DeleteFunc(q.begin, func(at time.Time) bool { return now.Sub(at) > permitTTL })
+}
+
+// usable reports whether a permit may be used now.
+func (q *permitQueue) usable(now time.Time) bool {
+	q.expire(now)
+	return len(q.begin) > 0 && !q.begin[0].After(now)
+}
+
+// wait returns the time until a permit may be expected when ahead requests are to get theirs
+// first.
+func (q *permitQueue) wait(now time.Time, ahead int) time.Duration {
+	if ahead < len(q.begin) {
+		return max(q.begin[ahead].Sub(now), 0)
+	}
+	return max(q.askAfter.Sub(now), 0) + time.Duration(ahead-len(q.begin))*q.interval
+}
+
+// hasPermit reports whether the endpoint takes a request of this VM now as far as its rate limit
+// says.
+func (s *State) hasPermit(now time.Time) bool { return !s.limited() || s.permits.usable(now) }
+
+// usePermit removes the permit that a request uses.
+func (s *State) usePermit() {
+	if s.limited() {
+		s.permits.begin = s.permits.begin[1:]
+	}
+}
+
+// permitWait returns the time until a permit may be expected when ahead requests are to get
+// theirs first.
+func (s *State) permitWait(now time.Time, ahead int) time.Duration {
+	if !s.limited() {
+		return 0
+	}
+	return s.permits.wait(now, ahead)
+}
+
+// TakeAgain reports whether the endpoint of a request that was sent may get it once more, and
+// counts that against its rate limit.
+func (c *Core) TakeAgain(now time.Time, p *Pending) bool {
+	if p.state == nil || !p.state.hasPermit(now) {
+		return false
+	}
+	p.state.usePermit()
+	return true
+}
+
+// PermitAsk is a VM's question for permits of one incarnation of an endpoint.
+type PermitAsk struct {
+	Limit digest.RateLimit
+	Count int
+	VM    string // peer address of the VM
+	VMs   int    // entry VMs that the VM knows, including itself
+
+	state  *State
+	sentAt time.Time
+}
+
+// PermitReply is the owner's reply.
+type PermitReply struct {
+	// Limit is the limit that the owner knows, if it is newer than that of the VM.
+	Limit digest.RateLimit
+	// Begin are the times from the reply on after which each permit may be used.
+	Begin []time.Duration
+	// AskAfter is the time after which to ask for those that are missing.
+	AskAfter time.Duration
+	Askers   int // VMs that have asked lately
+}
+
+// TakeAsks returns the permits that requests in the queues of endpoints need, for the VM with the
+// peer address self. Each of them must be answered by ApplyPermits or ApplyOwnShare.
+func (c *Core) TakeAsks(now time.Time, self string) []PermitAsk {
+	var asks []PermitAsk
+	for _, s := range c.endpoints {
+		q := &s.permits
+		if !s.limited() || s.queue.Len() == 0 || now.Before(q.askAfter) {
+			continue
+		}
+		q.expire(now)
+		if count := s.queue.Len() - len(q.begin) - q.asked; count > 0 {
+			q.asked += count
+			asks = append(asks, PermitAsk{Limit: s.digestLimit(), Count: count, VM: self, VMs: 1, state: s, sentAt: now})
+		}
+	}
+	return asks
+}
+
+// askGap returns the mean time between two asks of one of vms VMs for the permits of an endpoint.
+func askGap(vms int) time.Duration {
+	return time.Duration(float64(vms) / maxAsksPerSecond * float64(time.Second))
+}
+
+// ApplyPermits applies the owner's reply to an ask. Requests that can't be sent now are placed
+// again: another endpoint may take them earlier.
+func (c *Core) ApplyPermits(now time.Time, ask PermitAsk, reply PermitReply) {
+	c.mergeLimit(now, reply.Limit)
+	s := ask.state
+	if s.removed || digest.EndpointRunOf(s.id, s.run) != ask.Limit.EndpointRun {
+		return // the reply is about an incarnation that has ended
+	}
+	q := &s.permits
+	q.asked = max(q.asked-ask.Count, 0)
+	for _, begin := range reply.Begin {
+		// A permit that was long on its way ends as early as the owner counts it.
+		if at := now.Add(begin); at.Sub(ask.sentAt) <= begin+permitTTL {
+			q.begin = append(q.begin, at)
+		}
+	}
+	slices.SortFunc(q.begin, time.Time.Compare)
+	q.interval = 0
+	if short := ask.Count - len(reply.Begin); short > 0 {
+		c.sampleCounter++
+		jitter := time.Duration(rendezvous(prefix.Hash(nameHash(ask.VM)), c.sampleCounter) % uint64(askGap(ask.VMs)+1))
+		q.askAfter = now.Add(max(reply.AskAfter, askGap(ask.VMs)/2+jitter))
+		q.interval = time.Duration(float64(max(reply.Askers, 1)) / float64(max(s.selfReport.limit.perSecond, ratelimit.Min)) * float64(time.Second))
+	}
+	c.dispatch(now, s)
+	if s.limited() {
+		c.placeQueuedAgain(now, s)
+	}
+}
+
+// ApplyOwnShare answers an ask whose owner did not reply with this VM's equal share of the limit.
+// Permits come at fixed times, so that the VMs that have used none for a while do not all use
+// theirs together.
+func (c *Core) ApplyOwnShare(now time.Time, ask PermitAsk) {
+	s := ask.state
+	period := time.Duration(float64(ask.VMs) / (fallbackShare * float64(max(s.selfReport.limit.perSecond, ratelimit.Min))) * float64(time.Second))
+	phase := time.Duration(rendezvous(prefix.Hash(nameHash(ask.VM)), uint64(s.id)) % uint64(period))
+	sinceLast := time.Duration(now.UnixNano()-int64(phase)) % period
+	q := &s.permits
+	unused := func(at time.Time) bool { return at.Sub(q.lastShare) >= period/2 }
+	next := now.Add(-sinceLast)
+	for sinceLast > permitTTL || !unused(next) {
+		next, sinceLast = next.Add(period), 0
+	}
+	reply := PermitReply{Askers: ask.VMs}
+	if next.Sub(now) <= permitHorizon {
+		q.lastShare = next
+		reply.Begin = []time.Duration{max(next.Sub(now), 0)}
+		next = next.Add(period)
+	}
+	reply.AskAfter = max(next.Sub(now)-permitHorizon, 0)
+	ask.sentAt = now
+	c.ApplyPermits(now, ask, reply)
+}
+
+// pacer spaces the permits of one incarnation of an endpoint.
+type pacer struct {
+	limit   digest.RateLimit
+	next    time.Time // time of the next permit
+	askers  map[string]time.Time
+	askedAt time.Time
+}
+
+// GivePermits answers an ask as the owner of the endpoint.
+func (c *Core) GivePermits(now time.Time, ask PermitAsk) PermitReply {
+	c.mergeLimit(now, ask.Limit)
+	p := c.pacers[ask.Limit.EndpointRun]
+	if p == nil {
+		p = &pacer{next: now.Add(ownerHandover), askers: map[string]time.Time{}}
+		c.pacers[ask.Limit.EndpointRun] = p
+	}
+	if ask.Limit.Version >= p.limit.Version {
+		p.limit = ask.Limit
+	}
+	if s := c.byRun[ask.Limit.EndpointRun]; s != nil && s.selfReport.limit.version >= p.limit.Version {
+		p.limit = s.digestLimit()
+	}
+	p.askedAt = now
+	p.askers[ask.VM] = now
+	timeout := max(askerTimeout*askGap(ask.VMs), time.Second)
+	for vm, at := range p.askers {
+		if now.Sub(at) > timeout {
+			delete(p.askers, vm)
+		}
+	}
+	reply := PermitReply{Limit: p.limit, Askers: len(p.askers)}
+	if p.limit.MilliPerSecond == 0 {
+		return reply // the VM applies that there is no limit any more
+	}
+	interval := time.Duration(milliPerUnit / (float64(p.limit.MilliPerSecond) * c.reachableShare(ask.VMs)) * float64(time.Second))
+	if saved := now.Add(-interval); p.next.Before(saved) {
+		p.next = saved // one permit that nobody asked for in time is kept
+	}
+	for len(reply.Begin) < ask.Count && p.next.Sub(now) <= permitHorizon {
+		reply.Begin = append(reply.Begin, max(p.next.Sub(now), 0))
+		p.next = p.next.Add(interval)
+	}
+	reply.AskAfter = max(p.next.Sub(now)-permitHorizon, 0)
+	return reply
+}
+
+// reachableShare returns the part of vms VMs whose digests arrive at this one. The others may be
+// cut off and use their equal shares, or have an owner of their own.
+func (c *Core) reachableShare(vms int) float64 {
+	if c.relayedVMs > 0 || vms <= 1 {
+		return 1
+	}
+	return min(float64(len(c.peers)+1)/float64(vms), 1)
+}
+
+// expirePacers drops the pacers of endpoints for which nobody asks.
+func (c *Core) expirePacers(now time.Time) {
+	for run, p := range c.pacers {
+		if now.Sub(p.askedAt) > pacerTTL {
+			delete(c.pacers, run)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/permits_test.go
@@ -0,0 +1,188 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"eelgrasshollow/internal/errkind"
+
+	"gotest.tools/v3/assert"
+)
+
+// limitAll states a limit for every endpoint of c.
+func limitAll(c *Core, now time.Time, perSecond float64) {
+	for _, s := range c.endpoints {
+		l := s.digestLimit()
+		l.Version, l.MilliPerSecond = l.Version+1, uint32(perSecond*milliPerUnit)
+		c.mergeLimit(now, l)
+	}
+}
+
+// give answers all asks of c as the owner of every endpoint.
+func give(c *Core, now time.Time) {
+	for asks := c.TakeAsks(now, "self"); len(asks) > 0; asks = c.TakeAsks(now, "self") {
+		for _, ask := range asks {
+			c.ApplyPermits(now, ask, c.GivePermits(now, ask))
+		}
+	}
+}
+
+// An owner spaces permits evenly, whichever VM asks and however many it asks for. A new owner
+// first waits for the end of those of another one.
+func TestOwnerSpacesPermits(t *testing.T) {
+	const perSecond, vms = 4.0, 3
+	c := listedCore(1, 100)
+	for vm := range vms - 1 {
+		c.peers[fmt.Sprint(vm)] = peerView{receivedAt: epoch}
+	}
+	limitAll(c, epoch, perSecond)
+	state, _ := c.State("e0")
+	var given []time.Time
+	for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
+		now := epoch.Add(at)
+		reply := c.GivePermits(now, PermitAsk{Limit: state.digestLimit(), Count: 50, VM: fmt.Sprint(int(at) % vms), VMs: vms})
+		for _, begin := range reply.Begin {
+			given = append(given, now.Add(begin))
+		}
+		assert.Assert(t, len(reply.Begin) == 0 || reply.AskAfter > 0)
+	}
+	assert.Assert(t, given[0].Sub(epoch) >= ownerHandover)
+	for i := range given {
+		most := 2 + int(given[i].Sub(epoch).Seconds()*perSecond)
+		assert.Assert(t, i+1 <= most, "%d permits by %v", i+1, given[i].Sub(epoch))
+	}
+	assert.Assert(t, float64(len(given)) >= perSecond*9, "%d permits in 10 s", len(given))
+}
+
+// An owner that hears from a few VMs only, as in a cut, gives their part of the limit.
+func TestOwnerThatIsCutOffGivesItsPart(t *testing.T) {
+	c := listedCore(1, 100)
+	limitAll(c, epoch, 4)
+	state, _ := c.State("e0")
+	given := 0
+	for at := time.Duration(0); at < 20*time.Second; at += 10 * time.Millisecond {
+		given += len(c.GivePermits(epoch.Add(at), PermitAsk{Limit: state.digestLimit(), Count: 50, VM: "self", VMs: 4}).Begin)
+	}
+	assert.Assert(t, given >= 18 && given <= 21, "%d permits in 20 s for one VM of four", given)
+}
+
+// While the owner is away, all VMs together stay within the limit, and each gets its share.
+func TestSharesWithoutOwnerStayWithinLimit(t *testing.T) {
+	for _, vms := range []int{6, 191} {
+		const perSecond, length = 4.0, 200 * time.Second
+		used := 0
+		for vm := range vms {
+			c := listedCore(1, 100)
+			limitAll(c, epoch, perSecond)
+			state, _ := c.State("e0")
+			for at := time.Duration(0); at < length; at += 100 * time.Millisecond {
+				now := epoch.Add(at)
+				c.ApplyOwnShare(now, PermitAsk{Limit: state.digestLimit(), Count: 1, VM: fmt.Sprint("vm", vm), VMs: vms, state: state, sentAt: now})
+				for state.hasPermit(now) {
+					state.usePermit()
+					used++
+				}
+			}
+		}
+		assert.Assert(t, float64(used) <= perSecond*length.Seconds(), "%d VMs sent %d requests", vms, used)
+		assert.Assert(t, float64(used) >= 0.9*fallbackShare*perSecond*length.Seconds(), "%d VMs sent %d requests", vms, used)
+	}
+}
+
+// Requests that get no permit go to endpoints that have room at once.
+func TestRequestWithoutPermitGoesElsewhere(t *testing.T) {
+	c := listedCore(2, 100)
+	state, _ := c.State("e0")
+	limit := state.digestLimit()
+	limit.Version, limit.MilliPerSecond = 1, 2*milliPerUnit
+	c.mergeLimit(epoch, limit)
+	sent := map[string]int{}
+	for i := range 500 {
+		now := epoch.Add(time.Duration(i) * 20 * time.Millisecond)
+		p := submit(c, now, request("a"))
+		give(c, now)
+		c.Tick(now)
+		assert.Equal(t, p.phase, phaseSent, "request %d", i)
+		sent[p.Decision.Endpoint]++
+		c.Finish(now, p, successResult(p, "run-1", 0))
+	}
+	assert.Assert(t, sent["e0"] <= 2*10+1 && sent["e0"] >= 10, "%d in 10 s with a limit of 2 a second", sent["e0"])
+}
+
+// If every endpoint is at its limit, a request waits for a permit only as long as it may. All
+// others are refused at once, with a time to retry, and the more urgent ones are served first.
+func TestUrgentRequestsGetPermitsFirst(t *testing.T) {
+	c := listedCore(1, 100)
+	limitAll(c, epoch, 4)
+	served, refused := map[int]int{}, map[int]int{}
+	var all []*Pending
+	for i := range 600 { // 20 a second, a fifth of them urgent
+		now := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
+		r := request("a")
+		r.ID, r.LongestWait = fmt.Sprint(i), 900*time.Millisecond
+		if i%5 == 0 {
+			r.Priority = 1
+		}
+		all = append(all, submit(c, now, r))
+		give(c, now)
+		c.Tick(now)
+		give(c, now)
+		for _, p := range all {
+			switch {
+			case p.phase == phaseSent:
+				served[p.Request.Priority]++
+				c.Finish(now, p, successResult(p, "run-1", 0))
+			case p.Refusal != nil && p.phase == phaseOver:
+				assert.Equal(t, p.Refusal.Kind, errkind.Overloaded)
+				assert.Assert(t, p.Refusal.RetryAfter > 0)
+				refused[p.Request.Priority]++
+				p.Refusal = nil
+			case p.phase == phaseWaiting:
+				assert.Assert(t, now.Sub(p.submittedAt) <= 2*r.LongestWait, "waits for %v", now.Sub(p.submittedAt))
+			}
+		}
+	}
+	assert.Assert(t, served[1] >= 100, "%d urgent requests served of 120, %d others of 480", served[1], served[0])
+	assert.Assert(t, served[0]+served[1] >= 110, "%d requests served in 30 s", served[0]+served[1])
+	assert.Assert(t, refused[0] > refused[1])
+}
+
+// A permit that was too long on its way is not used: the owner counts it as used by then.
+func TestLatePermitIsNotUsed(t *testing.T) {
+	c := listedCore(1, 100)
+	limitAll(c, epoch, 4)
+	p := submit(c, epoch, request("a"))
+	ask := c.TakeAsks(epoch, "self")[0]
+	c.ApplyPermits(epoch.Add(permitTTL+time.Millisecond), ask, PermitReply{Begin: []time.Duration{0}, Askers: 1})
+	assert.Equal(t, p.phase, phaseWaiting)
+	ask = c.TakeAsks(epoch.Add(time.Second), "self")[0]
+	c.ApplyPermits(epoch.Add(time.Second), ask, PermitReply{Begin: []time.Duration{0}, Askers: 1})
+	assert.Equal(t, p.phase, phaseSent)
+}
+
+// Sending a request to its endpoint once more needs another permit.
+func TestResendNeedsPermit(t *testing.T) {
+	c := listedCore(1, 100)
+	p := submit(c, epoch, request("a"))
+	assert.Assert(t, c.TakeAgain(epoch, p), "no limit is stated")
+	limitAll(c, epoch, 4)
+	assert.Assert(t, !c.TakeAgain(epoch, p))
+	submit(c, epoch, request("a"))
+	ask := c.TakeAsks(epoch, "self")[0]
+	c.ApplyPermits(epoch, ask, PermitReply{Begin: []time.Duration{0, 0}, Askers: 1})
+	assert.Assert(t, c.TakeAgain(epoch, p))
+	assert.Assert(t, !c.TakeAgain(epoch, p))
+}
+
+// What waits for permits is sent when the limit ends, also if the owner is the first to know.
+func TestQueuedRequestsAreSentWhenLimitEnds(t *testing.T) {
+	c := listedCore(1, 100)
+	limitAll(c, epoch, 0.1)
+	p := submit(c, epoch, request("a"))
+	ask := c.TakeAsks(epoch, "self")[0]
+	ended := ask.Limit
+	ended.Version, ended.MilliPerSecond = ended.Version+1, 0
+	c.ApplyPermits(epoch, ask, PermitReply{Limit: ended, Askers: 1})
+	assert.Equal(t, p.phase, phaseSent)
+}
--- a/internal/routing/ratelimit.go
+++ b/internal/routing/ratelimit.go
@@ -1,11 +1,34 @@
 package routing
 
 import (
+	"math"
 	"time"
 
+	"eelgrasshollow/internal/digest"
 	"eelgrasshollow/internal/ratelimit"
 )
 
+const (
+	// limitRepeatInterval is the time after which a limit that a response confirms is sent to
+	// the peers again, unless one of them has sent it since.
+	limitRepeatInterval = 2 * time.Second
+	// maxDigestLimits bounds the limits in a regular digest, and maxRecallLimits those in a
+	// digest for a VM that has just started.
+	maxDigestLimits = 32
+	maxRecallLimits = 256
+)
+
+// statedLimit is the rate limit that the current incarnation of an endpoint states, as its
+// responses to this VM and the digests of the peers say.
+type statedLimit struct {
+	perSecond ratelimit.Limit // 0 for none
+	version   uint32          // counts the changes; see digest.RateLimit
+	// confirmedAt is the time of the last response to this VM with the limit, or of the last
+	// change.
+	confirmedAt time.Time
+	announcedAt time.Time // when this VM or a peer last sent it in a digest
+}
+
 // RecordLimit records the rate limit that an endpoint states, or no longer states, in a response
 // to p. It returns the limit before and whether that has changed. A response without a limit ends
 // an earlier one only if its request was sent later than that limit was last confirmed: other
@@ -14,22 +37,88 @@
 	if !n.Limit.Stated() && !n.Unlimited || !c.isCurrent(p, n) {
 		return 0, false
 	}
-	r := &p.state.selfReport
-	from = r.limit
-	if !n.Limit.Stated() && (!from.Stated() || !p.sentAt.After(r.limitAt)) {
+	s := p.state
+	l := &s.selfReport.limit
+	from = l.perSecond
+	if !n.Limit.Stated() && (!from.Stated() || !p.sentAt.After(l.confirmedAt)) {
 		return from, false
 	}
-	r.limit, r.limitAt = n.Limit, now
+	l.confirmedAt = now
+	if from != n.Limit {
+		c.setLimit(now, s, n.Limit, l.version+1)
+		c.digestUrgent, c.relayUrgent = true, true
+	} else if now.Sub(l.announcedAt) < limitRepeatInterval {
+		return from, false
+	}
+	l.announcedAt = now
+	if len(c.newLimits) < maxDigestLimits {
+		c.newLimits = append(c.newLimits, s.digestLimit())
+	}
 	return from, from != n.Limit
 }
 
+// setLimit sets an endpoint's limit. What waits for permits under the limit before is sent if
+// there is none any more.
+func (c *Core) setLimit(now time.Time, s *State, limit ratelimit.Limit, version uint32) {
+	l := &s.selfReport.limit
+	l.perSecond, l.version, l.confirmedAt = limit, version, now
+	if !limit.Stated() {
+		c.dispatch(now, s)
+	}
+}
+
+// mergeLimit applies a limit from a peer. It reports whether it is newer than the one known.
+func (c *Core) mergeLimit(now time.Time, received digest.RateLimit) bool {
+	s := c.byRun[received.EndpointRun]
+	if s == nil {
+		return false
+	}
+	l := &s.selfReport.limit
+	limit := ratelimit.Limit(float64(received.MilliPerSecond) / milliPerUnit)
+	newer := received.Version > l.version ||
+		received.Version == l.version && limit.Stated() && (!l.perSecond.Stated() || limit < l.perSecond)
+	if newer {
+		c.setLimit(now, s, limit, received.Version)
+	}
+	if received.Version >= l.version {
+		l.announcedAt = now
+	}
+	return newer
+}
+
+// milliPerUnit is the number of digest.RateLimit's units in one request per second.
+const milliPerUnit = 1000
+
+// digestLimit returns the endpoint's limit in the form of digests.
+func (s *State) digestLimit() digest.RateLimit {
+	l := s.selfReport.limit
+	return digest.RateLimit{
+		EndpointRun: digest.EndpointRunOf(s.id, s.run), Version: l.version,
+		MilliPerSecond: uint32(min(math.Ceil(float64(l.perSecond)*milliPerUnit), math.MaxUint32)),
+	}
+}
+
+// recallLimits returns all limits for a VM that has just started.
+func (c *Core) recallLimits() []digest.RateLimit {
+	var limits []digest.RateLimit
+	for _, s := range c.endpoints {
+		if s.selfReport.limit.version > 0 && len(limits) < maxRecallLimits {
+			limits = append(limits, s.digestLimit())
+		}
+	}
+	return limits
+}
+
 // limitedEndpoints returns the number of endpoints that state a rate limit.
 func (c *Core) limitedEndpoints() int {
 	n := 0
 	for _, s := range c.endpoints {
-		if s.selfReport.limit.Stated() {
+		if s.limited() {
 			n++
 		}
 	}
 	return n
 }
+
+// limited reports whether the endpoint states a rate limit.
+func (s *State) limited() bool { return s.selfReport.limit.perSecond.Stated() }
--- a/internal/routing/ratelimit_test.go
+++ b/internal/routing/ratelimit_test.go
@@ -14,7 +14,7 @@
 func TestRateLimitEndsWithLaterRequests(t *testing.T) {
 	c := listedCore(1, 8)
 	state, _ := c.State("e0")
-	limit := func() ratelimit.Limit { return state.selfReport.limit }
+	limit := func() ratelimit.Limit { return state.selfReport.limit.perSecond }
 	record := func(at time.Duration, p *Pending, n Notice) bool {
 		n.Incarnation = p.Decision.Incarnation
 		_, changed := c.RecordLimit(epoch.Add(at), p, n)
@@ -27,8 +27,10 @@
 	assert.Equal(t, limit(), ratelimit.Limit(3))
 	assert.Assert(t, !record(2*time.Second, second, Notice{}), "a response that states nothing")
 
+	state.permits.begin = []time.Time{epoch.Add(3 * time.Second)}
 	third := submit(c, epoch.Add(3*time.Second), request("a"))
 	assert.Assert(t, record(4*time.Second, third, Notice{Limit: 2}), "another limit")
+	state.permits.begin = []time.Time{epoch.Add(5 * time.Second)}
 	fourth := submit(c, epoch.Add(5*time.Second), request("a"))
 	assert.Assert(t, record(6*time.Second, fourth, Notice{Unlimited: true}))
 	assert.Equal(t, limit(), ratelimit.Limit(0))
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -44,12 +44,13 @@
 	Next  uint64 // number of the last news item in Body
 }
 
-// newsItem is one placement, eviction, set of loaded weights or suspect in a digest.
+// newsItem is one placement, eviction, set of loaded weights, suspect or rate limit in a digest.
 type newsItem struct {
 	origin    string // peer address of the VM that it came from
 	placement digest.Placement
 	loaded    digest.LoadedWeights
 	suspect   digest.Suspect
+	limit     digest.RateLimit
 	kind      newsKind
 }
 
@@ -60,6 +61,7 @@
 	newsEvicted
 	newsLoaded
 	newsSuspect
+	newsLimit
 )
 
 // relayHub is what a relay keeps for its cell: which VMs belong to it, and the news that they
@@ -90,7 +92,10 @@
 	for _, s := range d.Suspects {
 		h.items = append(h.items, newsItem{origin: origin, kind: newsSuspect, suspect: s})
 	}
-	h.next += uint64(len(d.Placements) + len(d.Evicted) + len(d.Loaded) + len(d.Suspects))
+	for _, l := range d.Limits {
+		h.items = append(h.items, newsItem{origin: origin, kind: newsLimit, limit: l})
+	}
+	h.next += uint64(len(d.Placements) + len(d.Evicted) + len(d.Loaded) + len(d.Suspects) + len(d.Limits))
 	h.items = h.items[max(0, len(h.items)-maxRelayedNews):]
 }
 
@@ -118,6 +123,8 @@
 			d.Loaded = append(d.Loaded, item.loaded)
 		case newsSuspect:
 			d.Suspects = append(d.Suspects, item.suspect)
+		case newsLimit:
+			d.Limits = append(d.Limits, item.limit)
 		}
 	}
 	return h.next
@@ -143,7 +150,7 @@
 	defer m.mu.Unlock()
 	m.hub.members[d.From] = now
 	m.core.ApplyDigest(now, d)
-	m.core.crashUrgent = m.core.crashUrgent || len(d.Suspects) > 0
+	m.core.relayUrgent = m.core.relayUrgent || len(d.Suspects)+len(d.Limits) > 0
 	m.hub.record(d.From, d)
 	reply.Epoch = m.hub.epoch
 	if args.Epoch != m.hub.epoch {
--- a/internal/routing/score_queue.go
+++ b/internal/routing/score_queue.go
@@ -15,13 +15,14 @@
 	}
 }
 
-// admissionWait predicts the wait for a slot, in milliseconds, behind the requests in
-// flight and in the queue.
+// admissionWait predicts the wait for a slot and for a permit, in milliseconds, behind the
+// requests in flight and in the queue.
 func admissionWait(eval *Evaluation, s *State) float64 {
 	limit := s.limit(eval.VMs)
+	permit := milliseconds(s.permitWait(eval.Now, s.queue.Len()))
 	ahead := s.InFlight + s.queue.Len() + s.currentForeign(eval.Now) - limit + 1
 	if ahead <= 0 {
-		return 0
+		return permit
 	}
-	return float64(ahead) * milliseconds(s.ServiceTime) / float64(limit)
+	return max(permit, float64(ahead)*milliseconds(s.ServiceTime)/float64(limit))
 }
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -73,15 +73,15 @@
 
 // DigestUrgent reports whether the next digest should be sent early: an endpoint is
 // computing a new prefix, and other VMs may receive requests that share it, or an endpoint has
-// crashed under a prompt.
+// crashed under a prompt, or has changed its rate limit.
 func (c *Core) DigestUrgent() bool { return c.digestUrgent }
 
 // NextDigest returns the digest for the peers, at most maxBytes long when encoded, and
 // starts collecting the next one.
 func (c *Core) NextDigest(from string, maxBytes int) *digest.Digest {
 	d := &digest.Digest{From: from, Placements: c.newPlacements, Evicted: c.evictions}
-	d.Suspects = c.quarantine.News(maxDigestSuspects)
-	c.newPlacements, c.evictions, c.digestUrgent, c.crashUrgent = nil, nil, false, false
+	d.Suspects, d.Limits = c.quarantine.News(maxDigestSuspects), c.newLimits
+	c.newPlacements, c.evictions, c.newLimits, c.digestUrgent, c.relayUrgent = nil, nil, nil, false, false
 	for _, s := range c.endpoints {
 		if s.InFlight == 0 && s.announced {
 			continue
@@ -101,7 +101,7 @@
 // encoded: the loads, the loaded weights, and the most recently used branch points and
 // whole chains.
 func (c *Core) RecallDigest(now time.Time, from string, maxBytes int) *digest.Digest {
-	d := &digest.Digest{From: from, Suspects: c.quarantine.Recall(maxRecallSuspects)}
+	d := &digest.Digest{From: from, Suspects: c.quarantine.Recall(maxRecallSuspects), Limits: c.recallLimits()}
 	runs := make(map[cacheindex.Endpoint]digest.EndpointRun, len(c.byName))
 	for _, s := range c.endpoints {
 		if s.run != 0 {
@@ -140,6 +140,9 @@
 	c.updateVMCount()
 	c.equalizePeerLoads()
 	c.quarantine.Merge(now, d.Suspects)
+	for _, l := range d.Limits {
+		c.mergeLimit(now, l)
+	}
 	weightsByState := map[*State][]digest.WeightsID{}
 	for _, l := range d.Loaded {
 		if s := c.byRun[l.EndpointRun]; s != nil {
