Relays pass suspects and rate limits on before other news

Cause: relays number all news in one queue, and a VM fetches at most 2 KiB of it in a round. A busy fleet has more new placements than that, so a limit, or a quarantined prompt part, waited behind seconds of placements, or was dropped with them at 4,096 items.

Change: alerts (suspects, limits) have a queue and a cursor of their own and are added first.

--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -84,11 +84,12 @@
 
 	lastTopology topology
 
-	// lastRelay is the relay of the last exchange; relayEpoch and relayAfter are the last
-	// RelayReply from it.
-	lastRelay  string
-	relayEpoch uint64
-	relayAfter uint64
+	// lastRelay is the relay of the last exchange; relayEpoch, relayAfter and relayAfterAlert
+	// are the last RelayReply from it.
+	lastRelay       string
+	relayEpoch      uint64
+	relayAfter      uint64
+	relayAfterAlert uint64
 
 	mu              sync.Mutex
 	inFlight        map[string]bool // peers with a call in progress
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -28,12 +28,13 @@
 	memberTimeout = 3 * time.Second
 )
 
-// RelayArgs carries a VM's digest to its relay. Epoch and After are the relay's start and the
-// last news that the VM has; zero if it has none.
+// RelayArgs carries a VM's digest to its relay. Epoch, After and AfterAlert are the relay's start
+// and the last news and alert that the VM has; zero if it has none.
 type RelayArgs struct {
-	Body  []byte
-	Epoch uint64
-	After uint64
+	Body       []byte
+	Epoch      uint64
+	After      uint64
+	AfterAlert uint64
 }
 
 // RelayReply carries the relay's digest, which contains the loads of all other VMs and the
@@ -42,6 +43,8 @@
 	Body  []byte
 	Epoch uint64
 	Next  uint64 // number of the last news item in Body
+	// NextAlert is the number of the last alert in Body.
+	NextAlert uint64
 }
 
 // newsItem is one placement, eviction, set of loaded weights, suspect or rate limit in a digest.
@@ -69,9 +72,24 @@
 type relayHub struct {
 	epoch   uint64
 	members map[string]time.Time // time of the last exchange, by peer address
-	items   []newsItem
-	next    uint64 // number of the last item
-	sent    uint64 // number of the last item that the other relays have got
+	// alerts are suspects and rate limits. They go before other news, of which a busy fleet has
+	// more than fits: late, they would let requests pass that should not.
+	alerts newsQueue
+	news   newsQueue
+}
+
+// newsQueue holds the last maxRelayedNews items of a kind, numbered from 1 on.
+type newsQueue struct {
+	items []newsItem
+	next  uint64 // number of the last item
+	sent  uint64 // number of the last item that the other relays have got
+}
+
+// add appends items and drops the oldest ones beyond the limit.
+func (q *newsQueue) add(items ...newsItem) {
+	q.items = append(q.items, items...)
+	q.next += uint64(len(items))
+	q.items = q.items[max(0, len(q.items)-maxRelayedNews):]
 }
 
 func newRelayHub(epoch uint64) *relayHub {
@@ -81,33 +99,31 @@
 // record keeps the news of a digest from origin.
 func (h *relayHub) record(origin string, d *digest.Digest) {
 	for _, p := range d.Placements {
-		h.items = append(h.items, newsItem{origin: origin, kind: newsPlacement, placement: p})
+		h.news.add(newsItem{origin: origin, kind: newsPlacement, placement: p})
 	}
 	for _, p := range d.Evicted {
-		h.items = append(h.items, newsItem{origin: origin, kind: newsEvicted, placement: p})
+		h.news.add(newsItem{origin: origin, kind: newsEvicted, placement: p})
 	}
 	for _, l := range d.Loaded {
-		h.items = append(h.items, newsItem{origin: origin, kind: newsLoaded, loaded: l})
+		h.news.add(newsItem{origin: origin, kind: newsLoaded, loaded: l})
 	}
 	for _, s := range d.Suspects {
-		h.items = append(h.items, newsItem{origin: origin, kind: newsSuspect, suspect: s})
+		h.alerts.add(newsItem{origin: origin, kind: newsSuspect, suspect: s})
 	}
 	for _, l := range d.Limits {
-		h.items = append(h.items, newsItem{origin: origin, kind: newsLimit, limit: l})
+		h.alerts.add(newsItem{origin: origin, kind: newsLimit, limit: l})
 	}
-	h.next += uint64(len(d.Placements) + len(d.Evicted) + len(d.Loaded) + len(d.Suspects) + len(d.Limits))
-	h.items = h.items[max(0, len(h.items)-maxRelayedNews):]
 }
 
-// appendNews adds the items after a number to the digest, as far as it stays within maxBytes
-// and wanted accepts their origin. It returns the number of the last item that is dealt with.
-func (h *relayHub) appendNews(d *digest.Digest, after uint64, maxBytes int, wanted func(origin string) bool) uint64 {
-	first := h.next - uint64(len(h.items)) // number of the item before items[0]
+// appendTo adds the items after a number to the digest, as far as it stays within maxBytes and
+// wanted accepts their origin. It returns the number of the last item that is dealt with.
+func (q *newsQueue) appendTo(d *digest.Digest, after uint64, maxBytes int, wanted func(origin string) bool) uint64 {
+	first := q.next - uint64(len(q.items)) // number of the item before items[0]
 	start := 0
 	if after > first {
-		start = int(min(after, h.next) - first)
+		start = int(min(after, q.next) - first)
 	}
-	for i, item := range h.items[start:] {
+	for i, item := range q.items[start:] {
 		if !wanted(item.origin) {
 			continue
 		}
@@ -127,7 +143,7 @@
 			d.Limits = append(d.Limits, item.limit)
 		}
 	}
-	return h.next
+	return q.next
 }
 
 // expireMembers forgets VMs that exchange digests with another relay now, or with none.
@@ -158,12 +174,14 @@
 		state := m.core.RecallDigest(now, m.self(), maxRecallBytes)
 		state.Loads = m.core.otherLoads(d.From)
 		state.TrimTo(maxRecallBytes)
-		reply.Body, reply.Next = state.Encode(), m.hub.next
+		reply.Body, reply.Next, reply.NextAlert = state.Encode(), m.hub.news.next, m.hub.alerts.next
 		return nil
 	}
 	news := &digest.Digest{From: m.self(), Loads: m.core.otherLoads(d.From)}
 	news.TrimTo(relayDigestBytes / 2)
-	reply.Next = m.hub.appendNews(news, args.After, relayDigestBytes, func(origin string) bool { return origin != d.From })
+	wanted := func(origin string) bool { return origin != d.From }
+	reply.NextAlert = m.hub.alerts.appendTo(news, args.AfterAlert, relayDigestBytes, wanted)
+	reply.Next = m.hub.news.appendTo(news, args.After, relayDigestBytes, wanted)
 	reply.Body = news.Encode()
 	return nil
 }
@@ -231,9 +249,9 @@
 	m.mu.Lock()
 	if relay != x.lastRelay {
 		m.core.removePeer(x.lastRelay)
-		x.lastRelay, x.relayEpoch, x.relayAfter = relay, 0, 0
+		x.lastRelay, x.relayEpoch, x.relayAfter, x.relayAfterAlert = relay, 0, 0, 0
 	}
-	args := RelayArgs{Body: m.core.NextDigest(m.self(), m.settings.DigestBytes).Encode(), Epoch: x.relayEpoch, After: x.relayAfter}
+	args := RelayArgs{Body: m.core.NextDigest(m.self(), m.settings.DigestBytes).Encode(), Epoch: x.relayEpoch, After: x.relayAfter, AfterAlert: x.relayAfterAlert}
 	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 	defer cancel()
@@ -250,7 +268,7 @@
 	d.From = relay
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	x.relayEpoch, x.relayAfter = reply.Epoch, reply.Next
+	x.relayEpoch, x.relayAfter, x.relayAfterAlert = reply.Epoch, reply.Next, reply.NextAlert
 	m.core.ApplyDigest(m.now(), d)
 }
 
@@ -263,10 +281,12 @@
 	m.hub.record(m.self(), m.core.NextDigest(m.self(), m.settings.DigestBytes))
 	d := &digest.Digest{From: m.self(), Loads: m.core.cellLoads(m.hub.members)}
 	d.TrimTo(relayDigestBytes / 2)
-	m.hub.sent = m.hub.appendNews(d, m.hub.sent, relayDigestBytes, func(origin string) bool {
+	ofCell := func(origin string) bool {
 		_, member := m.hub.members[origin]
 		return member || origin == m.self()
-	})
+	}
+	m.hub.alerts.sent = m.hub.alerts.appendTo(d, m.hub.alerts.sent, relayDigestBytes, ofCell)
+	m.hub.news.sent = m.hub.news.appendTo(d, m.hub.news.sent, relayDigestBytes, ofCell)
 	m.mu.Unlock()
 	x.sendAll(ctx, relays, d.Encode(), calls)
 }
--- a/internal/routing/topology_test.go
+++ b/internal/routing/topology_test.go
@@ -151,6 +151,46 @@
 	})
 }
 
+// A rate limit must not wait behind other news, of which a busy fleet has more than fits into the
+// digests of relays.
+func TestRateLimitReachesEveryVMBeforeOtherNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vms := fleetOf(100, 4)
+		modules := relayedFleet(t, vms)
+		flood := func() {
+			for i, vm := range vms {
+				m := modules[vm.PeerAddress]
+				m.mu.Lock()
+				s := m.core.endpoints[i%len(m.core.endpoints)]
+				for n := range 50 {
+					m.core.queuePlacement(digest.Placement{EndpointRun: digest.EndpointRunOf(s.id, s.run), Prefix: prefix.Hash(time.Now().UnixNano() + int64(i*50+n))})
+				}
+				m.mu.Unlock()
+			}
+		}
+		for range 40 {
+			flood()
+			time.Sleep(100 * time.Millisecond)
+		}
+		origin := modules[vms[17].PeerAddress]
+		origin.mu.Lock()
+		s := origin.core.endpoints[3]
+		s.InFlight = 1
+		origin.core.RecordLimit(time.Now(), &Pending{state: s, run: s.run}, Notice{Limit: 3, Incarnation: "i1"})
+		origin.mu.Unlock()
+		for range 10 * (relayHops + 1) * maxRelayInterval / time.Second {
+			flood()
+			time.Sleep(100 * time.Millisecond)
+		}
+		for _, vm := range vms {
+			m := modules[vm.PeerAddress]
+			m.mu.Lock()
+			assert.Assert(t, m.core.endpoints[3].limited(), vm.PeerAddress)
+			m.mu.Unlock()
+		}
+	})
+}
+
 // A VM that has just started asks its relay for its state. If that has no room for all
 // placements, the most recently used ones must be in it.
 func TestRecallKeepsNewestPlacements(t *testing.T) {
