--- a/internal/onplatform/soak_faults_test.go
+++ b/internal/onplatform/soak_faults_test.go
@@ -85,6 +85,7 @@
 	}},
 	{name: "server leaves", targets: serverLinks[:soakServers], inject: (*soakRun).leave, notice: true},
 	{name: "server pauses", targets: serverLinks[:soakServers], inject: (*soakRun).pause, notice: true},
+	{name: "server states a limit", targets: serverLinks[:soakServers], inject: (*soakRun).limit, notice: true},
 	{name: "servers refuse", targets: []string{""}, inject: func(r *soakRun, _ string, hold time.Duration) {
 		r.servers.refusing.Add(1)
 		time.Sleep(hold)
--- a/internal/onplatform/soak_notices_test.go
+++ b/internal/onplatform/soak_notices_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +22,14 @@
 	pauseFor    = 2 * time.Second
 	pauseSlack  = 500 * time.Millisecond
 	pauseExcess = 2
+	// statedLimit is the number of requests per second that a server in need takes from all entry
+	// VMs together. After drainBound, it may get limitFactor times as many, and limitExcess more,
+	// in a limitWindow from entry VMs that were told limitNotice before.
+	statedLimit = 3
+	limitFactor = 1.5
+	limitExcess = 5
+	limitWindow = 4 * time.Second
+	limitNotice = 500 * time.Millisecond
 	// heldDelivery is the time after a fault of a link in which requests that it held may still
 	// arrive. Their entry VM has given them up, so it does not receive the responses.
 	heldDelivery = 500 * time.Millisecond
@@ -46,6 +55,9 @@
 	incarnation int
 	leaving     bool
 	pausing     bool
+	limitedAt   time.Time // when it began to state its limit; zero while it states none
+	counted     []time.Time
+	toldLimit   map[string]time.Time // first such response since the entry VM's last fault
 	toldLeaving map[string]time.Time // first such response, by entry VM
 	toldPause   map[string]time.Time // last such response, by entry VM
 	late        map[string]int       // requests during a pause, by entry VM
@@ -60,7 +72,7 @@
 }
 
 func newNoticeState(incarnation int) noticeState {
-	return noticeState{incarnation: incarnation, toldLeaving: map[string]time.Time{}, toldPause: map[string]time.Time{}, late: map[string]int{}}
+	return noticeState{incarnation: incarnation, toldLimit: map[string]time.Time{}, toldLeaving: map[string]time.Time{}, toldPause: map[string]time.Time{}, late: map[string]int{}}
 }
 
 // id returns the present ID of a server.
@@ -114,6 +126,10 @@
 			n.violations = append(n.violations, fmt.Sprintf("request %s reached server %d %v after %s had been asked for a pause of %v", requestID, server, now.Sub(told), vm, pauseFor))
 		}
 	}
+	if !s.limitedAt.IsZero() {
+		n.checkLimit(server, vm, now)
+		w.Header().Set("Server-Limit", strconv.Itoa(statedLimit))
+	}
 	if s.leaving {
 		w.Header().Set("Server-Leaving", "1")
 		if _, told := s.toldLeaving[vm]; !told {
@@ -127,6 +143,38 @@
 	return s.pausing
 }
 
+// checkLimit checks a request that arrives at a server that states a limit.
+func (n *serverNotices) checkLimit(server int, vm string, now time.Time) {
+	s := &n.servers[server]
+	told, ok := s.toldLimit[vm]
+	if !ok || n.excused(vm, server, told) {
+		s.toldLimit[vm] = now
+		return
+	}
+	if now.Sub(told) < limitNotice {
+		return
+	}
+	s.counted = append(s.counted, now)
+	s.counted = slices.DeleteFunc(s.counted, func(at time.Time) bool { return now.Sub(at) > limitWindow })
+	if allowed := limitFactor*statedLimit*limitWindow.Seconds() + limitExcess; now.Sub(s.limitedAt) > drainBound && float64(len(s.counted)) > allowed {
+		n.violations = append(n.violations, fmt.Sprintf("server %d, which takes %d requests a second, got %d in %v", server, statedLimit, len(s.counted), limitWindow))
+	}
+}
+
+// limit makes a server state a limit.
+func (r *soakRun) limit(target string, hold time.Duration) {
+	n, server := r.servers.notices, int(target[len(target)-1]-'0')
+	n.mu.Lock()
+	s := &n.servers[server]
+	s.limitedAt, s.counted = time.Now(), nil
+	clear(s.toldLimit)
+	n.mu.Unlock()
+	time.Sleep(drainBound + hold)
+	n.mu.Lock()
+	n.servers[server].limitedAt = time.Time{}
+	n.mu.Unlock()
+}
+
 // leave makes a server announce that it leaves, while the list goes on to call it ready. Then it
 // starts again at the same address.
 func (r *soakRun) leave(target string, hold time.Duration) {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -253,7 +253,7 @@
 	}
 	wait := c.predictedWait(now, p, s)
 	if wait > c.maxWait(&p.Request) {
-		c.refuse(p, overloaded(wait))
+		c.refuse(p, c.noCapacity(now, p, s, wait))
 		return false
 	}
 	evicted := s.queue.EvictionCandidate(p.Request.Priority)
@@ -294,8 +294,20 @@
 	return max(wait, now.Sub(p.submittedAt)+s.permitWait(now, ahead))
 }
 
+// noCapacity returns the error for a request that would wait too long at its best endpoint.
+func (c *Core) noCapacity(now time.Time, p *Pending, s *State, wait time.Duration) *errkind.Error {
+	if !s.limited() {
+		return overloaded(wait)
+	}
+	return errkind.New(errkind.Overloaded, "the endpoint's rate limit is used up").
+		WithRetryAfter(spreadRetryAfter(&p.Request, max(s.permitWait(now, s.queue.Len()), s.permits.interval, minRetryAfter)))
+}
+
+// minRetryAfter is the shortest time to retry after.
+const minRetryAfter = 100 * time.Millisecond
+
 func overloaded(wait time.Duration) *errkind.Error {
-	return errkind.New(errkind.Overloaded, "no free slot at the endpoint").WithRetryAfter(max(wait, 100*time.Millisecond))
+	return errkind.New(errkind.Overloaded, "no free slot at the endpoint").WithRetryAfter(max(wait, minRetryAfter))
 }
 
 func (c *Core) refuse(p *Pending, e *errkind.Error) {
--- a/internal/routing/metrics.go
+++ b/internal/routing/metrics.go
@@ -40,6 +40,13 @@
 	})
 }
 
+func newPermitCounter() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "eelgrass", Subsystem: "routing", Name: "permits_total",
+		Help: "Permits for endpoints that state a rate limit, by who answered (owner: another VM; self; share: this VM's part while the owner is away) and result.",
+	}, []string{"from", "result"})
+}
+
 // Collectors returns the metrics of the digest exchange and of endpoints' notices.
 func (m *Module) Collectors() []prometheus.Collector {
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
@@ -57,6 +64,7 @@
 		gauge("quarantined_parts", "Prompt parts whose requests are refused because endpoints crashed under them.", func() float64 { return float64(m.core.quarantine.Quarantined()) }),
 		gauge("rate_limited_endpoints", "Endpoints that state a rate limit.", func() float64 { return float64(m.core.limitedEndpoints()) }),
 		m.limitedSends,
+		m.permits.answers,
 		gauge("relay_members", "Entry VMs to which this one relays digests.", func() float64 { return float64(len(m.hub.members)) }),
 	}
 }
--- a/internal/routing/permitclient.go
+++ b/internal/routing/permitclient.go
@@ -6,6 +6,7 @@
 
 	"eelgrasshollow/internal/prefix"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
@@ -37,9 +38,18 @@
 	ctx       context.Context // nil before the module has started
 	group     *errgroup.Group
 	awayUntil map[string]time.Time // by address of an owner that did not answer
+	answers   *prometheus.CounterVec
 }
 
-func newPermitClient() permitClient { return permitClient{awayUntil: map[string]time.Time{}} }
+func newPermitClient() permitClient {
+	return permitClient{awayUntil: map[string]time.Time{}, answers: newPermitCounter()}
+}
+
+// count counts the permits that an ask for count of them got.
+func (c *permitClient) count(from string, count, given int) {
+	c.answers.WithLabelValues(from, "given").Add(float64(given))
+	c.answers.WithLabelValues(from, "refused").Add(float64(max(count-given, 0)))
+}
 
 func (c *permitClient) start(ctx context.Context, group *errgroup.Group) { c.ctx, c.group = ctx, group }
 
@@ -80,9 +90,11 @@
 	ask.VMs = vms
 	switch {
 	case owner == m.self():
-		m.core.ApplyPermits(now, ask, m.core.GivePermits(now, ask))
+		reply := m.core.GivePermits(now, ask)
+		m.permits.count("self", ask.Count, len(reply.Begin))
+		m.core.ApplyPermits(now, ask, reply)
 	case m.permits.ctx == nil || m.permits.ctx.Err() != nil || now.Before(m.permits.awayUntil[owner]):
-		m.core.ApplyOwnShare(now, ask)
+		m.takeOwnShare(now, ask)
 	default:
 		m.permits.group.Go(func() error { m.callOwner(m.permits.ctx, owner, ask); return nil })
 	}
@@ -100,11 +112,17 @@
 	defer m.askForPermits(now)
 	if err == nil {
 		delete(m.permits.awayUntil, owner)
+		m.permits.count("owner", ask.Count, len(reply.Begin))
 		m.core.ApplyPermits(now, ask, reply)
 		return
 	}
 	m.log.Info("owner of a rate limit does not answer; using this VM's share", zap.String("owner", owner), zap.String("endpoint", ask.state.Name),
 		zap.Float64("per_second", float64(ask.state.selfReport.limit.perSecond)), zap.Int("vms", ask.VMs), zap.Error(err))
 	m.permits.awayUntil[owner] = now.Add(ownerRetryInterval)
-	m.core.ApplyOwnShare(now, ask)
+	m.takeOwnShare(now, ask)
+}
+
+// takeOwnShare answers an ask with this VM's share. The caller holds the mutex.
+func (m *Module) takeOwnShare(now time.Time, ask PermitAsk) {
+	m.permits.count("share", ask.Count, m.core.ApplyOwnShare(now, ask))
 }
--- a/internal/routing/permits.go
+++ b/internal/routing/permits.go
@@ -173,10 +173,10 @@
 	}
 }
 
-// ApplyOwnShare answers an ask whose owner did not reply with this VM's equal share of the limit.
-// Permits come at fixed times, so that the VMs that have used none for a while do not all use
-// theirs together.
-func (c *Core) ApplyOwnShare(now time.Time, ask PermitAsk) {
+// ApplyOwnShare answers an ask whose owner did not reply with this VM's equal share of the limit,
+// and returns how many permits that is now. Permits come at fixed times, so that the VMs that have
+// used none for a while do not all use theirs together.
+func (c *Core) ApplyOwnShare(now time.Time, ask PermitAsk) int {
 	s := ask.state
 	period := time.Duration(float64(ask.VMs) / (fallbackShare * float64(max(s.selfReport.limit.perSecond, ratelimit.Min))) * float64(time.Second))
 	phase := time.Duration(rendezvous(prefix.Hash(nameHash(ask.VM)), uint64(s.id)) % uint64(period))
@@ -196,6 +196,7 @@
 	reply.AskAfter = max(next.Sub(now)-permitHorizon, 0)
 	ask.sentAt = now
 	c.ApplyPermits(now, ask, reply)
+	return len(reply.Begin)
 }
 
 // pacer spaces the permits of one incarnation of an endpoint.
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -23,6 +23,7 @@
 	FaultCutStream = "cut-stream" // cut the connection after AfterTokens tokens; a plain service cuts it before its response
 	FaultLeaving   = "leaving"    // announce in every response that the stand-in will stop; it keeps serving
 	FaultPause     = "pause"      // refuse requests with status 503 and a Retry-After of DelayMS
+	FaultLimit     = "limit"      // state in every response that PerSecond requests are taken; all are
 	FaultClear     = "clear"      // end all faults
 )
 
@@ -34,6 +35,7 @@
 	Count       int   `json:"count,omitempty"`
 	DelayMS     int64 `json:"delay_ms,omitempty"`
 	AfterTokens int   `json:"after_tokens,omitempty"`
+	PerSecond   int   `json:"per_second,omitempty"`
 }
 
 // faults holds the active faults of a stand-in by kind.
@@ -131,11 +133,14 @@
 	}
 }
 
-// announce applies FaultLeaving to the header of a response.
+// announce applies FaultLeaving and FaultLimit to the header of a response.
 func (f *faults) announce(w http.ResponseWriter) {
 	if _, ok := f.trigger(FaultLeaving); ok {
 		w.Header().Set(engineapi.HeaderLeaving, engineapi.HeaderLeavingValue)
 	}
+	if fault, ok := f.trigger(FaultLimit); ok {
+		w.Header().Set(engineapi.HeaderLimit, strconv.Itoa(fault.PerSecond))
+	}
 }
 
 // pause applies FaultPause and reports whether it has refused the request.
@@ -153,7 +158,7 @@
 // handler serves POST /admin/fault; FaultCrash calls onCrash.
 func (f *faults) handler(onCrash func()) http.HandlerFunc {
 	known := map[string]bool{FaultCrash: true, FaultSilent: true, FaultLate: true, FaultCrossed: true,
-		FaultEmpty: true, FaultLoseEvent: true, FaultCutStream: true, FaultLeaving: true, FaultPause: true, FaultClear: true}
+		FaultEmpty: true, FaultLoseEvent: true, FaultCutStream: true, FaultLeaving: true, FaultPause: true, FaultLimit: true, FaultClear: true}
 	return func(w http.ResponseWriter, r *http.Request) {
 		var next Fault
 		if err := json.NewDecoder(r.Body).Decode(&next); err != nil || !known[next.Kind] {
