--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -85,7 +85,8 @@
 func NewModule(s Settings, inventory Inventory, prober Prober, now clock.Clock) *Module {
 	policy := DefaultPolicy(DefaultTuning())
 	policy.PeerImports = s.PeerImports
-	return &Module{settings: s, policy: policy, inventory: inventory, prober: prober, now: now, notices: newNoticeMetrics(), crashes: newCrashCounter(), limitedSends: newLimitedSendCounter()}
+	return &Module{settings: s, policy: policy, inventory: inventory, prober: prober, now: now, notices: newNoticeMetrics(), crashes: newCrashCounter(), limitedSends: newLimitedSendCounter(),
+		permits: newPermitClient()}
 }
 
 // Provision looks up the modules that routing depends on.
@@ -108,7 +109,6 @@
 		m.prober, _ = kernel.Lookup[Prober](k, "entry.engine")
 	}
 	m.exports = make(chan Export, exportQueueSize)
-	m.permits = newPermitClient()
 	return m.provisionPeers(k)
 }
 
