Don't let an entry VM that stops own the permits of an endpoint for itself

A VM that stops is no owner for the others, but took itself for one as long as it had the highest weight: for the seconds of a graceful stop it gave its own requests permits at the full limit, beside the new owner. TestVMsAgreeOnOwner fails without the change.

--- a/internal/routing/permitclient.go
+++ b/internal/routing/permitclient.go
@@ -53,21 +53,21 @@
 
 func (c *permitClient) start(ctx context.Context, group *errgroup.Group) { c.ctx, c.group = ctx, group }
 
-// permitOwner returns the peer address of the VM that gives the permits of an endpoint. All VMs
-// with the same list of VMs agree on it.
+// permitOwner returns the peer address of the VM that gives the permits of an endpoint, and the
+// number of VMs. All VMs with the same list of VMs agree on it; VMs that stop are no owners.
 func (m *Module) permitOwner(s *State) (address string, vms int) {
-	address, vms = m.self(), 1
-	key := prefix.Hash(s.id)
+	key, highest := prefix.Hash(s.id), uint64(0)
+	address = m.self()
 	for _, vm := range m.allVMs() {
-		if vm.PeerAddress == "" || vm.PeerAddress == m.self() {
+		if vm.PeerAddress == "" {
 			continue
 		}
 		vms++
-		if !vm.Leaving && rendezvous(key, nameHash(vm.PeerAddress)) > rendezvous(key, nameHash(address)) {
-			address = vm.PeerAddress
+		if weight := rendezvous(key, nameHash(vm.PeerAddress)); !vm.Leaving && weight >= highest {
+			address, highest = vm.PeerAddress, weight
 		}
 	}
-	return address, vms
+	return address, max(vms, 1)
 }
 
 // askForPermits asks for the permits that queued requests need. An answer that this VM gives itself
