Let requests return gradually when a rate limit ends

A server that has just recovered is used over a second now, as after a pause. TestEndpointIsUsedGraduallyAfterLimit sent 40 of 40 at once without the change.

Tried and reverted: refusing at once what the permits of all endpoints together can't serve in time.

--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -14,8 +14,8 @@
 	// maxPause bounds a pause. It protects against an absurd value that would take an
 	// endpoint out of use for good.
 	maxPause = time.Minute
-	// pauseRampUp is the time after a pause in which the number of requests that may run at
-	// the endpoint grows to its usual limit.
+	// pauseRampUp is the time after a pause, or after the end of a rate limit, in which the number
+	// of requests that may run at the endpoint grows to its usual limit.
 	pauseRampUp = time.Second
 	// retryAfterSpread is the share of the time to retry after by which it varies between
 	// requests that are refused together.
@@ -48,7 +48,7 @@
 // selfReport is what the current incarnation of an endpoint has stated in its notices.
 type selfReport struct {
 	leaving     bool
-	pausedUntil time.Time // zero if it has never asked for a pause
+	pausedUntil time.Time // end of its last pause or rate limit; zero if there was none
 	limit       statedLimit
 }
 
@@ -62,7 +62,7 @@
 // open reports whether the endpoint takes new requests as far as its notices say.
 func (r selfReport) open(now time.Time) bool { return !r.leaving && !now.Before(r.pausedUntil) }
 
-// rampLimit lowers the limit of concurrent requests after a pause.
+// rampLimit lowers the limit of concurrent requests after a pause or a rate limit.
 func (r selfReport) rampLimit(now time.Time, limit int) int {
 	since := now.Sub(r.pausedUntil)
 	if r.pausedUntil.IsZero() || since >= pauseRampUp {
--- a/internal/routing/permits_test.go
+++ b/internal/routing/permits_test.go
@@ -186,3 +186,24 @@
 	c.ApplyPermits(epoch, ask, PermitReply{Limit: ended, Askers: 1})
 	assert.Equal(t, p.phase, phaseSent)
 }
+
+// When a limit ends, the requests that waited for it are not sent all at once.
+func TestEndpointIsUsedGraduallyAfterLimit(t *testing.T) {
+	const concurrent = 40
+	c := listedCore(1, concurrent)
+	limitAll(c, epoch, 60)
+	r := request("a")
+	r.LongestWait = 4 * time.Second
+	for range concurrent {
+		submit(c, epoch, r)
+	}
+	state, _ := c.State("e0")
+	ended := state.digestLimit()
+	ended.Version, ended.MilliPerSecond = ended.Version+1, 0
+	c.mergeLimit(epoch, ended)
+	assert.Equal(t, state.InFlight, 1)
+	c.Tick(epoch.Add(pauseRampUp / 2))
+	assert.Assert(t, state.InFlight >= concurrent/4 && state.InFlight <= concurrent/2, "%d", state.InFlight)
+	c.Tick(epoch.Add(pauseRampUp))
+	assert.Equal(t, state.InFlight, concurrent)
+}
--- a/internal/routing/ratelimit.go
+++ b/internal/routing/ratelimit.go
@@ -58,11 +58,15 @@
 }
 
 // setLimit sets an endpoint's limit. What waits for permits under the limit before is sent if
-// there is none any more.
+// there is none any more, but not all at once.
 func (c *Core) setLimit(now time.Time, s *State, limit ratelimit.Limit, version uint32) {
 	l := &s.selfReport.limit
+	ended := l.perSecond.Stated() && !limit.Stated()
 	l.perSecond, l.version, l.confirmedAt = limit, version, now
-	if !limit.Stated() {
+	if ended {
+		if s.selfReport.pausedUntil.Before(now) {
+			s.selfReport.pausedUntil = now
+		}
 		c.dispatch(now, s)
 	}
 }
