Count rate limits in whole units and ignore late news of ended ones

A VM that learned a limit of 1.1 a second from a digest held 1.101 (rounded up) and took the next response for a change, which goes to all VMs early, each time. Limits are whole requests per 1,000 seconds now, everywhere. Found by reading; TestLimitFromPeerIsThatOfResponse fails on the rounding.

A response to a request that was sent before a limit ended could bring the limit back on all VMs, until the next response without one. It now needs a request that was sent later, as the end does (TestRateLimitEndsWithLaterRequests). The log says when the owner of a limit answers again.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -333,7 +333,7 @@
 		zap.Duration("sent_after", x.sentAfter), zap.Duration("first_event_after", x.firstEventAfter), zap.Duration("took", took), zap.Duration("config_age", g.Directory.Age()), zap.String("outcome", string(outcome)),
 	}
 	if x.decision.Limit.Stated() {
-		fields = append(fields, zap.Float64("endpoint_limit", float64(x.decision.Limit)))
+		fields = append(fields, zap.Float64("endpoint_limit", x.decision.Limit.PerSecond()))
 	}
 	if err != nil {
 		g.Log.Warn("request failed", append(fields, zap.String("kind", kind), zap.Error(err))...)
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -9,17 +9,28 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Min is the lowest limit, in requests per second. With a lower one, and with 0, no response
-// would ever show that the limit has ended.
-const Min = 1.0 / 60
+// Min is the lowest limit, one request a minute. With a lower one, and with 0, no response would
+// ever show that the limit has ended.
+const Min Limit = 17
 
-// Limit is the number of requests per second that a server takes from all VMs together; 0 means
-// that it states no limit.
-type Limit float64
+// perUnit is the number of Limit's units in one request per second.
+const perUnit = 1000
+
+// Limit is the number of requests per 1,000 seconds that a server takes from all VMs together; 0
+// means that it states no limit.
+type Limit uint32
 
 // Stated reports whether there is a limit.
 func (l Limit) Stated() bool { return l > 0 }
 
+// PerSecond returns the limit in requests per second.
+func (l Limit) PerSecond() float64 { return float64(l) / perUnit }
+
+// PerSecond returns the limit of a number of requests per second, at least Min.
+func PerSecond(n float64) Limit {
+	return Limit(min(max(math.Round(n*perUnit), float64(Min)), math.MaxUint32))
+}
+
 // Parse returns the limit in the values of a header, or 0 without values. A value is a decimal
 // number of requests per second; values below Min count as Min, and the lowest value applies.
 // A value that is malformed, negative or not finite is ignored; Parse then returns an error besides
@@ -33,7 +44,7 @@
 			invalid = errors.CombineErrors(invalid, errors.Newf("invalid rate limit: %q", text))
 			continue
 		}
-		if limit := Limit(max(perSecond, Min)); !lowest.Stated() || limit < lowest {
+		if limit := PerSecond(perSecond); !lowest.Stated() || limit < lowest {
 			lowest = limit
 		}
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -334,7 +334,7 @@
 	s := p.state
 	p.phase, p.sentAt, p.run = phaseSent, now, s.run
 	p.tokensAhead = s.PendingTokens + s.PeerPendingTokens + p.uncachedTokens
-	p.Decision.SaveTo, p.Decision.Limit = c.saveTo(now, p), s.selfReport.limit.perSecond
+	p.Decision.SaveTo, p.Decision.Limit = c.saveTo(now, p), s.selfReport.limit.value
 	s.usePermit()
 	p.quarantineState = c.quarantine.Snapshot(p.Request.SharedParts)
 	c.quarantine.RecordSend(now, p.Request.SharedParts)
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -313,7 +313,7 @@
 	m.mu.Unlock()
 	if changed {
 		m.log.Info("endpoint rate limit changed", zap.String("request", p.Request.ID), zap.String("endpoint", p.Decision.Endpoint),
-			zap.String("incarnation", n.Incarnation), zap.Float64("from_per_second", float64(from)), zap.Float64("per_second", float64(n.Limit)))
+			zap.String("incarnation", n.Incarnation), zap.Float64("from_per_second", from.PerSecond()), zap.Float64("per_second", n.Limit.PerSecond()))
 	}
 	if n.Limit.Stated() {
 		m.notices.total.WithLabelValues("limit", strconv.FormatBool(changed)).Inc()
--- a/internal/routing/permitclient.go
+++ b/internal/routing/permitclient.go
@@ -111,13 +111,16 @@
 	now := m.now()
 	defer m.askForPermits(now)
 	if err == nil {
-		delete(m.permits.awayUntil, owner)
+		if _, wasAway := m.permits.awayUntil[owner]; wasAway {
+			delete(m.permits.awayUntil, owner)
+			m.log.Info("owner of a rate limit answers again", zap.String("owner", owner), zap.String("endpoint", ask.state.Name))
+		}
 		m.permits.count("owner", ask.Count, len(reply.Begin))
 		m.core.ApplyPermits(now, ask, reply)
 		return
 	}
 	m.log.Info("owner of a rate limit does not answer; using this VM's share", zap.String("owner", owner), zap.String("endpoint", ask.state.Name),
-		zap.Float64("per_second", float64(ask.state.selfReport.limit.perSecond)), zap.Int("vms", ask.VMs), zap.Error(err))
+		zap.Float64("per_second", ask.state.selfReport.limit.value.PerSecond()), zap.Int("vms", ask.VMs), zap.Error(err))
 	m.permits.awayUntil[owner] = now.Add(ownerRetryInterval)
 	m.takeOwnShare(now, ask)
 }
--- a/internal/routing/permits.go
+++ b/internal/routing/permits.go
@@ -165,7 +165,7 @@
 		c.sampleCounter++
 		jitter := time.Duration(rendezvous(prefix.Hash(nameHash(ask.VM)), c.sampleCounter) % uint64(askGap(ask.VMs)+1))
 		q.askAfter = now.Add(max(reply.AskAfter, askGap(ask.VMs)/2+jitter))
-		q.interval = time.Duration(float64(max(reply.Askers, 1)) / float64(max(s.selfReport.limit.perSecond, ratelimit.Min)) * float64(time.Second))
+		q.interval = time.Duration(float64(max(reply.Askers, 1)) / max(s.selfReport.limit.value, ratelimit.Min).PerSecond() * float64(time.Second))
 	}
 	c.dispatch(now, s)
 	if s.limited() {
@@ -178,7 +178,7 @@
 // used none for a while do not all use theirs together.
 func (c *Core) ApplyOwnShare(now time.Time, ask PermitAsk) int {
 	s := ask.state
-	period := time.Duration(float64(ask.VMs) / (fallbackShare * float64(max(s.selfReport.limit.perSecond, ratelimit.Min))) * float64(time.Second))
+	period := time.Duration(float64(ask.VMs) / (fallbackShare * max(s.selfReport.limit.value, ratelimit.Min).PerSecond()) * float64(time.Second))
 	phase := time.Duration(rendezvous(prefix.Hash(nameHash(ask.VM)), uint64(s.id)) % uint64(period))
 	sinceLast := time.Duration(now.UnixNano()-int64(phase)) % period
 	q := &s.permits
@@ -233,7 +233,7 @@
 	if p.limit.MilliPerSecond == 0 {
 		return reply // the VM applies that there is no limit any more
 	}
-	interval := time.Duration(milliPerUnit / (float64(p.limit.MilliPerSecond) * c.reachableShare(ask.VMs)) * float64(time.Second))
+	interval := time.Duration(1 / (ratelimit.Limit(p.limit.MilliPerSecond).PerSecond() * c.reachableShare(ask.VMs)) * float64(time.Second))
 	if saved := now.Add(-interval); p.next.Before(saved) {
 		p.next = saved // one permit that nobody asked for in time is kept
 	}
--- a/internal/routing/ratelimit.go
+++ b/internal/routing/ratelimit.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"time"
 
 	"eelgrasshollow/internal/digest"
@@ -21,8 +20,8 @@
 // statedLimit is the rate limit that the current incarnation of an endpoint states, as its
 // responses to this VM and the digests of the peers say.
 type statedLimit struct {
-	perSecond ratelimit.Limit // 0 for none
-	version   uint32          // counts the changes; see digest.RateLimit
+	value   ratelimit.Limit // 0 for none
+	version uint32          // counts the changes; see digest.RateLimit
 	// confirmedAt is the time of the last response to this VM with the limit, or of the last
 	// change.
 	confirmedAt time.Time
@@ -32,15 +31,20 @@
 // RecordLimit records the rate limit that an endpoint states, or no longer states, in a response
 // to p. It returns the limit before and whether that has changed. A response without a limit ends
 // an earlier one only if its request was sent later than that limit was last confirmed: other
-// responses may have been made before it.
+// responses may have been made before it. For the same reason, a limit that has ended comes back
+// only with a request that was sent later.
 func (c *Core) RecordLimit(now time.Time, p *Pending, n Notice) (from ratelimit.Limit, changed bool) {
 	if !n.Limit.Stated() && !n.Unlimited || !c.isCurrent(p, n) {
 		return 0, false
 	}
 	s := p.state
 	l := &s.selfReport.limit
-	from = l.perSecond
-	if !n.Limit.Stated() && (!from.Stated() || !p.sentAt.After(l.confirmedAt)) {
+	from = l.value
+	if !from.Stated() && !n.Limit.Stated() {
+		return from, false
+	}
+	beginsOrEnds := from.Stated() != n.Limit.Stated()
+	if beginsOrEnds && l.version > 0 && !p.sentAt.After(l.confirmedAt) {
 		return from, false
 	}
 	l.confirmedAt = now
@@ -61,8 +65,8 @@
 // there is none any more, but not all at once.
 func (c *Core) setLimit(now time.Time, s *State, limit ratelimit.Limit, version uint32) {
 	l := &s.selfReport.limit
-	ended := l.perSecond.Stated() && !limit.Stated()
-	l.perSecond, l.version, l.confirmedAt = limit, version, now
+	ended := l.value.Stated() && !limit.Stated()
+	l.value, l.version, l.confirmedAt = limit, version, now
 	if ended {
 		if s.selfReport.pausedUntil.Before(now) {
 			s.selfReport.pausedUntil = now
@@ -78,9 +82,9 @@
 		return false
 	}
 	l := &s.selfReport.limit
-	limit := ratelimit.Limit(float64(received.MilliPerSecond) / milliPerUnit)
+	limit := ratelimit.Limit(received.MilliPerSecond)
 	newer := received.Version > l.version ||
-		received.Version == l.version && limit.Stated() && (!l.perSecond.Stated() || limit < l.perSecond)
+		received.Version == l.version && limit.Stated() && (!l.value.Stated() || limit < l.value)
 	if newer {
 		c.setLimit(now, s, limit, received.Version)
 	}
@@ -90,16 +94,10 @@
 	return newer
 }
 
-// milliPerUnit is the number of digest.RateLimit's units in one request per second.
-const milliPerUnit = 1000
-
 // digestLimit returns the endpoint's limit in the form of digests.
 func (s *State) digestLimit() digest.RateLimit {
 	l := s.selfReport.limit
-	return digest.RateLimit{
-		EndpointRun: digest.EndpointRunOf(s.id, s.run), Version: l.version,
-		MilliPerSecond: uint32(min(math.Ceil(float64(l.perSecond)*milliPerUnit), math.MaxUint32)),
-	}
+	return digest.RateLimit{EndpointRun: digest.EndpointRunOf(s.id, s.run), Version: l.version, MilliPerSecond: uint32(l.value)}
 }
 
 // recallLimits returns all limits for a VM that has just started.
@@ -125,4 +123,4 @@
 }
 
 // limited reports whether the endpoint states a rate limit.
-func (s *State) limited() bool { return s.selfReport.limit.perSecond.Stated() }
+func (s *State) limited() bool { return s.selfReport.limit.value.Stated() }
