Permits end no later than their owner assumes; postmortem

A permit that took 0.25 s to arrive could be used for 0.5 s from then on, 0.25 s longer than its owner counts. It ends 0.5 s after the ask now (TestLatePermitIsNotUsed has the case and fails without).

--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -333,7 +333,7 @@
 func (t *ticket) Resend() bool {
 	t.module.mu.Lock()
 	defer t.module.mu.Unlock()
-	return t.module.core.TakeAgain(t.module.now(), t.pending)
+	return t.module.core.Resend(t.module.now(), t.pending)
 }
 
 // Done implements Ticket.
--- a/internal/routing/permits.go
+++ b/internal/routing/permits.go
@@ -20,27 +20,22 @@
 	permitHorizon = 100 * time.Millisecond
 	// permitTTL is how long a permit may be used.
 	permitTTL = 500 * time.Millisecond
-	// ownerHandover is how long a new owner gives no permits: the permits of another one may be
-	// in use for that long.
-	ownerHandover = permitHorizon + permitTTL
 	// maxAsksPerSecond limits how often all VMs together ask for the permits of one endpoint.
 	maxAsksPerSecond = 40
-	// askerTimeout is the time, in usual intervals between two asks of a VM, after which the VM
-	// does not count as one that wants permits.
-	askerTimeout = 4
 	// fallbackShare is the part of an endpoint's limit that all VMs together use while its owner
 	// does not answer. Their clocks are not coordinated, so by chance more than their mean
 	// falls into a short time.
 	fallbackShare = 0.7
-	// pacerTTL is how long an owner keeps the times of an endpoint for which nobody asks.
-	pacerTTL = time.Minute
 )
 
+// permit is the right to send one request to an endpoint from begin to end.
+type permit struct{ begin, end time.Time }
+
 // permitQueue is a VM's permits for one incarnation of an endpoint.
 type permitQueue struct {
-	begin    []time.Time // from when on each permit may be used, in ascending order
-	asked    int         // permits that the VM has asked for and got no reply yet
-	askAfter time.Time   // earliest time to ask again
+	permits  []permit  // in the order of their begin
+	asked    int       // permits that the VM has asked for and got no reply yet
+	askAfter time.Time // earliest time to ask again
 	// interval is the time between two permits that this VM may expect while all VMs that
 	// compete for them get as many. It is 0 while the VM has got all that it asked for.
 	interval time.Duration
@@ -50,22 +45,33 @@
 
 // expire drops the permits that can't be used any more.
 func (q *permitQueue) expire(now time.Time) {
-	q.begin = slices.DeleteFunc(q.begin, func(at time.Time) bool { return now.Sub(at) > permitTTL })
+	q.permits = slices.DeleteFunc(q.permits, func(p permit) bool { return now.After(p.end) })
 }
 
 // usable reports whether a permit may be used now.
 func (q *permitQueue) usable(now time.Time) bool {
 	q.expire(now)
-	return len(q.begin) > 0 && !q.begin[0].After(now)
+	return len(q.permits) > 0 && !q.permits[0].begin.After(now)
+}
+
+// add adds the permits of a reply that arrived now to an ask sent at the given time. Each ends no
+// later than its owner assumes, however long the reply took.
+func (q *permitQueue) add(now, sentAt time.Time, begin []time.Duration) {
+	for _, after := range begin {
+		if p := (permit{now.Add(after), sentAt.Add(after + permitTTL)}); p.begin.Before(p.end) {
+			q.permits = append(q.permits, p)
+		}
+	}
+	slices.SortFunc(q.permits, func(a, b permit) int { return a.begin.Compare(b.begin) })
 }
 
 // wait returns the time until a permit may be expected when ahead requests are to get theirs
 // first.
 func (q *permitQueue) wait(now time.Time, ahead int) time.Duration {
-	if ahead < len(q.begin) {
-		return max(q.begin[ahead].Sub(now), 0)
+	if ahead < len(q.permits) {
+		return max(q.permits[ahead].begin.Sub(now), 0)
 	}
-	return max(q.askAfter.Sub(now), 0) + time.Duration(ahead-len(q.begin))*q.interval
+	return max(q.askAfter.Sub(now), 0) + time.Duration(ahead-len(q.permits))*q.interval
 }
 
 // hasPermit reports whether the endpoint takes a request of this VM now as far as its rate limit
@@ -75,7 +81,7 @@
 // usePermit removes the permit that a request uses.
 func (s *State) usePermit() {
 	if s.limited() {
-		s.permits.begin = s.permits.begin[1:]
+		s.permits.permits = s.permits.permits[1:]
 	}
 }
 
@@ -88,9 +94,9 @@
 	return s.permits.wait(now, ahead)
 }
 
-// TakeAgain reports whether the endpoint of a request that was sent may get it once more, and
-// counts that against its rate limit.
-func (c *Core) TakeAgain(now time.Time, p *Pending) bool {
+// Resend reports whether the endpoint of a request that was sent may get it once more, and counts
+// that against its rate limit.
+func (c *Core) Resend(now time.Time, p *Pending) bool {
 	if p.state == nil || !p.state.hasPermit(now) {
 		return false
 	}
@@ -111,7 +117,7 @@
 
 // PermitReply is the owner's reply.
 type PermitReply struct {
-	// Limit is the limit that the owner knows, if it is newer than that of the VM.
+	// Limit is the newest limit that the owner knows.
 	Limit digest.RateLimit
 	// Begin are the times from the reply on after which each permit may be used.
 	Begin []time.Duration
@@ -130,7 +136,7 @@
 			continue
 		}
 		q.expire(now)
-		if count := s.queue.Len() - len(q.begin) - q.asked; count > 0 {
+		if count := s.queue.Len() - len(q.permits) - q.asked; count > 0 {
 			q.asked += count
 			asks = append(asks, PermitAsk{Limit: s.digestLimit(), Count: count, VM: self, VMs: 1, state: s, sentAt: now})
 		}
@@ -153,13 +159,7 @@
 	}
 	q := &s.permits
 	q.asked = max(q.asked-ask.Count, 0)
-	for _, begin := range reply.Begin {
-		// A permit that was long on its way ends as early as the owner counts it.
-		if at := now.Add(begin); at.Sub(ask.sentAt) <= begin+permitTTL {
-			q.begin = append(q.begin, at)
-		}
-	}
-	slices.SortFunc(q.begin, time.Time.Compare)
+	q.add(now, ask.sentAt, reply.Begin)
 	q.interval = 0
 	if short := ask.Count - len(reply.Begin); short > 0 {
 		c.sampleCounter++
@@ -198,67 +198,3 @@
 	c.ApplyPermits(now, ask, reply)
 	return len(reply.Begin)
 }
-
-// pacer spaces the permits of one incarnation of an endpoint.
-type pacer struct {
-	limit   digest.RateLimit
-	next    time.Time // time of the next permit
-	askers  map[string]time.Time
-	askedAt time.Time
-}
-
-// GivePermits answers an ask as the owner of the endpoint.
-func (c *Core) GivePermits(now time.Time, ask PermitAsk) PermitReply {
-	c.mergeLimit(now, ask.Limit)
-	p := c.pacers[ask.Limit.EndpointRun]
-	if p == nil {
-		p = &pacer{next: now.Add(ownerHandover), askers: map[string]time.Time{}}
-		c.pacers[ask.Limit.EndpointRun] = p
-	}
-	if ask.Limit.Version >= p.limit.Version {
-		p.limit = ask.Limit
-	}
-	if s := c.byRun[ask.Limit.EndpointRun]; s != nil && s.selfReport.limit.version >= p.limit.Version {
-		p.limit = s.digestLimit()
-	}
-	p.askedAt = now
-	p.askers[ask.VM] = now
-	timeout := max(askerTimeout*askGap(ask.VMs), time.Second)
-	for vm, at := range p.askers {
-		if now.Sub(at) > timeout {
-			delete(p.askers, vm)
-		}
-	}
-	reply := PermitReply{Limit: p.limit, Askers: len(p.askers)}
-	if p.limit.MilliPerSecond == 0 {
-		return reply // the VM applies that there is no limit any more
-	}
-	interval := time.Duration(1 / (ratelimit.Limit(p.limit.MilliPerSecond).PerSecond() * c.reachableShare(ask.VMs)) * float64(time.Second))
-	if saved := now.Add(-interval); p.next.Before(saved) {
-		p.next = saved // one permit that nobody asked for in time is kept
-	}
-	for len(reply.Begin) < ask.Count && p.next.Sub(now) <= permitHorizon {
-		reply.Begin = append(reply.Begin, max(p.next.Sub(now), 0))
-		p.next = p.next.Add(interval)
-	}
-	reply.AskAfter = max(p.next.Sub(now)-permitHorizon, 0)
-	return reply
-}
-
-// reachableShare returns the part of vms VMs whose digests arrive at this one. The others may be
-// cut off and use their equal shares, or have an owner of their own.
-func (c *Core) reachableShare(vms int) float64 {
-	if c.relayedVMs > 0 || vms <= 1 {
-		return 1
-	}
-	return min(float64(len(c.peers)+1)/float64(vms), 1)
-}
-
-// expirePacers drops the pacers of endpoints for which nobody asks.
-func (c *Core) expirePacers(now time.Time) {
-	for run, p := range c.pacers {
-		if now.Sub(p.askedAt) > pacerTTL {
-			delete(c.pacers, run)
-		}
-	}
-}
--- a/internal/routing/permits_test.go
+++ b/internal/routing/permits_test.go
@@ -160,20 +160,29 @@
 	ask = c.TakeAsks(epoch.Add(time.Second), "self")[0]
 	c.ApplyPermits(epoch.Add(time.Second), ask, PermitReply{Begin: []time.Duration{0}, Askers: 1})
 	assert.Equal(t, p.phase, phaseSent)
+
+	limitAll(c, epoch, 4)
+	submit(c, epoch.Add(2*time.Second), request("a"))
+	ask = c.TakeAsks(epoch.Add(2*time.Second), "self")[0]
+	late := epoch.Add(2*time.Second + permitTTL/2)
+	c.ApplyPermits(late, ask, PermitReply{Begin: []time.Duration{0, 0}, Askers: 1})
+	state, _ := c.State("e0")
+	assert.Assert(t, state.hasPermit(late.Add(permitTTL/2-time.Millisecond)))
+	assert.Assert(t, !state.hasPermit(late.Add(permitTTL/2+time.Millisecond)), "its time counts from the ask")
 }
 
 // Sending a request to its endpoint once more needs another permit.
 func TestResendNeedsPermit(t *testing.T) {
 	c := listedCore(1, 100)
 	p := submit(c, epoch, request("a"))
-	assert.Assert(t, c.TakeAgain(epoch, p), "no limit is stated")
+	assert.Assert(t, c.Resend(epoch, p), "no limit is stated")
 	limitAll(c, epoch, 4)
-	assert.Assert(t, !c.TakeAgain(epoch, p))
+	assert.Assert(t, !c.Resend(epoch, p))
 	submit(c, epoch, request("a"))
 	ask := c.TakeAsks(epoch, "self")[0]
 	c.ApplyPermits(epoch, ask, PermitReply{Begin: []time.Duration{0, 0}, Askers: 1})
-	assert.Assert(t, c.TakeAgain(epoch, p))
-	assert.Assert(t, !c.TakeAgain(epoch, p))
+	assert.Assert(t, c.Resend(epoch, p))
+	assert.Assert(t, !c.Resend(epoch, p))
 }
 
 // What waits for permits is sent when the limit ends, also if the owner is the first to know.
