Give the permits of limited endpoints to long prompts

Cause: a limit counts requests, and permits went to whoever came first, nine short prompts in ten. The long ones (17,000 tokens against 400) overloaded the engines without a limit, and the limited ones were idle.

Change: at a limited endpoint, the extra weight of prefill, which stands for the delay of others, is replaced by the price of a permit: the size of the prompts that make up most of the work, in proportion to the share of permits that this VM is refused.

--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -59,6 +59,7 @@
 	relayUrgent      bool               // an endpoint has crashed, or a rate limit has changed, since the last digest
 	newLimits        []digest.RateLimit // for the next digest
 	pacers           map[digest.EndpointRun]*pacer
+	workloads        map[string]*workload    // by service or model
 	parked           []*Pending              // wait for an endpoint to recover
 	formerNotices    map[string]formerNotice // by name of an endpoint that is no longer listed
 	matches          []cacheindex.Match      // scratch: matches of the request's chain
@@ -83,7 +84,7 @@
 		byName: map[string]*State{},
 		peers:  map[string]peerView{}, previousVersions: map[string]string{}, tokenCosts: map[string]tokenCost{},
 		formerNotices: map[string]formerNotice{}, quarantine: quarantine.NewTable(nil), answeredAt: map[string]time.Time{},
-		pacers:  map[digest.EndpointRun]*pacer{},
+		pacers: map[digest.EndpointRun]*pacer{}, workloads: map[string]*workload{},
 		retries: retryBudget{share: limits.RetryShare, burst: limits.RetryBurst, tokens: limits.RetryBurst},
 	}
 }
@@ -345,6 +346,7 @@
 			store.linkTraffic.add(p.Request.PromptTokens, now)
 		}
 	}
+	c.workloadOf(&p.Request).add(p.uncachedTokens)
 	s.InFlight++
 	s.updatePeak()
 	s.PendingTokens += p.uncachedTokens
@@ -423,6 +425,16 @@
 	}
 }
 
+// workloadOf returns the workload of the request's service or model.
+func (c *Core) workloadOf(r *Request) *workload {
+	w := c.workloads[r.group()]
+	if w == nil {
+		w = &workload{}
+		c.workloads[r.group()] = w
+	}
+	return w
+}
+
 // State returns the state of the named endpoint.
 func (c *Core) State(name string) (*State, bool) {
 	s, ok := c.byName[name]
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -75,3 +75,44 @@
 func movingAverage(old, sample time.Duration) time.Duration {
 	return old + time.Duration(learningRate*float64(sample-old))
 }
+
+// workRate is the weight of a request, and permitRate that of a permit, in a workload.
+const (
+	workRate   = 0.01
+	permitRate = 0.05
+)
+
+// workload describes the requests of this VM for a service or model.
+type workload struct {
+	meanTokens, meanSquare float64 // of the uncached tokens, and of their squares
+	permitsRefused         float64 // share of the permits that were asked for
+}
+
+// add counts a request that was sent.
+func (w *workload) add(uncachedTokens int) {
+	t := float64(uncachedTokens)
+	w.meanTokens += (t - w.meanTokens) * workRate
+	w.meanSquare += (t*t - w.meanSquare) * workRate
+}
+
+// addPermit counts a permit that was asked for.
+func (w *workload) addPermit(refused bool) {
+	share := 0.0
+	if refused {
+		share = 1
+	}
+	w.permitsRefused += (share - w.permitsRefused) * permitRate
+}
+
+// permitPrice returns the number of tokens that the use of a permit is worth. While permits are
+// refused, that is the size of the requests that make up most of the work, so that these get the
+// permits; while there are enough, it is 0.
+func (w *workload) permitPrice() float64 {
+	if w.meanTokens <= 0 {
+		return 0
+	}
+	return min(priceSlope*w.permitsRefused, 1) * w.meanSquare / w.meanTokens
+}
+
+// priceSlope is the inverse of the share of refused permits from which on permitPrice is highest.
+const priceSlope = 2
--- a/internal/routing/permits.go
+++ b/internal/routing/permits.go
@@ -111,8 +111,9 @@
 	VM    string // peer address of the VM
 	VMs   int    // entry VMs that the VM knows, including itself
 
-	state  *State
-	sentAt time.Time
+	state    *State
+	workload *workload
+	sentAt   time.Time
 }
 
 // PermitReply is the owner's reply.
@@ -138,7 +139,7 @@
 		q.expire(now)
 		if count := s.queue.Len() - len(q.permits) - q.asked; count > 0 {
 			q.asked += count
-			asks = append(asks, PermitAsk{Limit: s.digestLimit(), Count: count, VM: self, VMs: 1, state: s, sentAt: now})
+			asks = append(asks, PermitAsk{Limit: s.digestLimit(), Count: count, VM: self, VMs: 1, state: s, workload: c.workloadOf(&s.queue.Peek().Request), sentAt: now})
 		}
 	}
 	return asks
@@ -159,6 +160,9 @@
 	}
 	q := &s.permits
 	q.asked = max(q.asked-ask.Count, 0)
+	for n := range ask.Count {
+		ask.workload.addPermit(n >= len(reply.Begin))
+	}
 	q.add(now, ask.sentAt, reply.Begin)
 	q.interval = 0
 	if short := ask.Count - len(reply.Begin); short > 0 {
--- a/internal/routing/permits_test.go
+++ b/internal/routing/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -79,7 +80,7 @@
 			state, _ := c.State("e0")
 			for at := time.Duration(0); at < length; at += 100 * time.Millisecond {
 				now := epoch.Add(at)
-				c.ApplyOwnShare(now, PermitAsk{Limit: state.digestLimit(), Count: 1, VM: fmt.Sprint("vm", vm), VMs: vms, state: state, sentAt: now})
+				c.ApplyOwnShare(now, PermitAsk{Limit: state.digestLimit(), Count: 1, VM: fmt.Sprint("vm", vm), VMs: vms, state: state, workload: &workload{}, sentAt: now})
 				for state.hasPermit(now) {
 					state.usePermit()
 					used++
@@ -217,3 +218,68 @@
 	c.Tick(epoch.Add(pauseRampUp))
 	assert.Equal(t, state.InFlight, concurrent)
 }
+
+// If some endpoints state a limit, the others get the rest of the requests. The permits must go to
+// the long prompts: a limit counts requests, and the others are then left with short ones.
+func TestPermitsGoToLongPrompts(t *testing.T) {
+	const (
+		perToken = 16 * time.Microsecond
+		short    = 300
+		long     = 15_000
+		step     = 20 * time.Millisecond // a short prompt in each, a long one in every 25th
+		warmUp   = 10 * time.Second
+		end      = 40 * time.Second
+	)
+	c := listedCore(2, 64)
+	limit := c.endpoints[0].digestLimit()
+	limit.Version, limit.MilliPerSecond = 1, uint32(ratelimit.PerSecond(2.5))
+	c.mergeLimit(epoch, limit)
+	busyUntil, running := map[string]time.Time{}, map[*Pending]time.Time{} // by end of the prefill
+	longAt, atLimited := map[string]int{}, 0
+	var waiting []*Pending
+	for at := time.Duration(0); at < end; at += step {
+		now := epoch.Add(at)
+		for p, done := range running {
+			if !done.After(now) {
+				c.RecordFirstToken(now, p)
+				c.Finish(now, p, successResult(p, "run-1", 0))
+				delete(running, p)
+			}
+		}
+		for _, s := range c.endpoints {
+			s.PrefillPerToken = perToken
+		}
+		tokens := []int{short}
+		if (at/step)%25 == 0 {
+			tokens = append(tokens, long)
+		}
+		for _, n := range tokens {
+			r := request("a")
+			r.ID, r.PromptTokens, r.LongestWait = fmt.Sprint(at, n), n, 900*time.Millisecond
+			waiting = append(waiting, submit(c, now, r))
+		}
+		give(c, now)
+		c.Tick(now)
+		give(c, now)
+		waiting = slices.DeleteFunc(waiting, func(p *Pending) bool {
+			if p.phase != phaseSent {
+				return p.Refusal != nil
+			}
+			e := p.Decision.Endpoint
+			if busyUntil[e].Before(now) {
+				busyUntil[e] = now
+			}
+			busyUntil[e] = busyUntil[e].Add(time.Duration(p.Request.PromptTokens) * perToken)
+			running[p] = busyUntil[e]
+			if at >= warmUp && p.Request.PromptTokens == long {
+				longAt[e]++
+			}
+			if at >= warmUp && e == "e0" {
+				atLimited++
+			}
+			return true
+		})
+	}
+	assert.Assert(t, longAt["e0"] >= 3*longAt["e1"], "%d long prompts by permit, %d without", longAt["e0"], longAt["e1"])
+	assert.Assert(t, atLimited >= 30, "%d requests by permit in 30 s with a limit of 2.5 a second", atLimited)
+}
--- a/internal/routing/plugin.go
+++ b/internal/routing/plugin.go
@@ -36,6 +36,8 @@
 	// PeerSources maps weights to the endpoint or store that holds most of the chain. It
 	// is empty if endpoints cannot import from each other.
 	PeerSources map[string]ImportSource
+	// PermitTokens is the number of uncached tokens that the use of a permit is worth.
+	PermitTokens float64
 	// Relaxation is the constraint on retries that currently applies.
 	Relaxation Relaxation
 	// FailedDomains are the failure domains of the endpoints that the request excludes.
--- a/internal/routing/score_prefill.go
+++ b/internal/routing/score_prefill.go
@@ -1,6 +1,9 @@
 package routing
 
-// prefillScorer predicts the time to compute the uncached tokens.
+// prefillScorer predicts the time to compute the uncached tokens. A weight above 1 stands for the
+// delay of other requests at the endpoint. An endpoint that states a rate limit has few others;
+// there, it stands for the use of a permit. So the permits go to long prompts rather than to short
+// ones, which the other endpoints serve more easily.
 type prefillScorer struct {
 	weight     float64
 	maxExtraMS float64 // upper bound on the cost added by a weight above 1
@@ -10,9 +13,14 @@
 func (prefillScorer) Name() string { return "prefill" }
 
 // Score implements Scorer.
-func (p prefillScorer) Score(_ *Evaluation, candidates []Candidate, out []float64) {
+func (p prefillScorer) Score(eval *Evaluation, candidates []Candidate, out []float64) {
 	for i := range candidates {
-		cost := float64(candidates[i].UncachedTokens) * milliseconds(candidates[i].State.PrefillPerToken)
-		out[i] = cost + min((p.weight-1)*cost, p.maxExtraMS)
+		s := candidates[i].State
+		cost := float64(candidates[i].UncachedTokens) * milliseconds(s.PrefillPerToken)
+		others := cost
+		if s.limited() {
+			others = eval.PermitTokens * milliseconds(s.PrefillPerToken)
+		}
+		out[i] = cost + min((p.weight-1)*others, p.maxExtraMS)
 	}
 }
