Keep no workload of models that no endpoint has

The mean size of requests was kept by model as soon as a request for it was routed; clients may name any model, so the map of an entry VM could grow without bound. It is kept once a request has been sent.

--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -53,23 +53,23 @@
 	stores           []*storeState
 	retries          retryBudget
 	peers            map[string]peerView
-	newPlacements    []digest.Placement // for the next digest
-	evictions        []digest.Placement // for the next digest
-	digestUrgent     bool               // see DigestUrgent
-	relayUrgent      bool               // an endpoint has crashed, or a rate limit has changed, since the last digest
-	newLimits        []digest.RateLimit // for the next digest
-	pacers           map[digest.EndpointRun]*pacer
-	workloads        map[string]*workload    // by service or model
-	parked           []*Pending              // wait for an endpoint to recover
-	formerNotices    map[string]formerNotice // by name of an endpoint that is no longer listed
-	matches          []cacheindex.Match      // scratch: matches of the request's chain
-	storeMatches     []cacheindex.Match      // scratch: matches of a chain keyed by weights
-	candidates       []Candidate             // scratch
-	scoreBuffer      []float64               // scratch
-	branchPoints     []int                   // scratch
-	targetVersions   map[string]string       // weights version by model
-	previousVersions map[string]string       // weights version by model
-	tokenCosts       map[string]tokenCost    // by service
+	newPlacements    []digest.Placement            // for the next digest
+	evictions        []digest.Placement            // for the next digest
+	digestUrgent     bool                          // see DigestUrgent
+	relayUrgent      bool                          // an endpoint has crashed, or a rate limit has changed, since the last digest
+	newLimits        []digest.RateLimit            // for the next digest
+	pacers           map[digest.EndpointRun]*pacer // of the endpoints whose permits this VM gives
+	workloads        map[string]*workload          // by service or model
+	parked           []*Pending                    // wait for an endpoint to recover
+	formerNotices    map[string]formerNotice       // by name of an endpoint that is no longer listed
+	matches          []cacheindex.Match            // scratch: matches of the request's chain
+	storeMatches     []cacheindex.Match            // scratch: matches of a chain keyed by weights
+	candidates       []Candidate                   // scratch
+	scoreBuffer      []float64                     // scratch
+	branchPoints     []int                         // scratch
+	targetVersions   map[string]string             // weights version by model
+	previousVersions map[string]string             // weights version by model
+	tokenCosts       map[string]tokenCost          // by service
 	quarantine       *quarantine.Table
 	answeredAt       map[string]time.Time // last response that has settled, by service or model
 	released         []Release            // not yet taken, see TakeReleases
@@ -425,7 +425,7 @@
 	}
 }
 
-// workloadOf returns the workload of the request's service or model.
+// workloadOf returns the workload of the service or model of a request that has an endpoint.
 func (c *Core) workloadOf(r *Request) *workload {
 	w := c.workloads[r.group()]
 	if w == nil {
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -76,10 +76,12 @@
 	return old + time.Duration(learningRate*float64(sample-old))
 }
 
-// workRate is the weight of a request, and permitRate that of a permit, in a workload.
 const (
+	// workRate is the weight of a request, and permitRate that of a permit, in a workload.
 	workRate   = 0.01
 	permitRate = 0.05
+	// highestPriceShare is the share of refused permits from which on permitPrice is highest.
+	highestPriceShare = 0.5
 )
 
 // workload describes the requests of this VM for a service or model.
@@ -106,13 +108,10 @@
 
 // permitPrice returns the number of tokens that the use of a permit is worth. While permits are
 // refused, that is the size of the requests that make up most of the work, so that these get the
-// permits; while there are enough, it is 0.
+// permits; while there are enough, it is 0, as it is for a nil workload, of which no request was sent.
 func (w *workload) permitPrice() float64 {
-	if w.meanTokens <= 0 {
+	if w == nil || w.meanTokens <= 0 {
 		return 0
 	}
-	return min(priceSlope*w.permitsRefused, 1) * w.meanSquare / w.meanTokens
+	return min(w.permitsRefused/highestPriceShare, 1) * w.meanSquare / w.meanTokens
 }
-
-// priceSlope is the inverse of the share of refused permits from which on permitPrice is highest.
-const priceSlope = 2
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -21,7 +21,7 @@
 func (c *Core) decide(now time.Time, p *Pending) *Candidate {
 	r := &p.Request
 	group := c.endpointsFor(r)
-	eval := Evaluation{Now: now, Request: r, VMs: c.vmCount, PermitTokens: c.workloadOf(r).permitPrice()}
+	eval := Evaluation{Now: now, Request: r, VMs: c.vmCount, PermitTokens: c.workloads[r.group()].permitPrice()}
 	if len(r.Chain) > 0 {
 		c.matches = c.index.Find(r.Chain, now, c.matches)
 		eval.StoreSource = c.storeSource()
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -85,8 +85,8 @@
 func NewModule(s Settings, inventory Inventory, prober Prober, now clock.Clock) *Module {
 	policy := DefaultPolicy(DefaultTuning())
 	policy.PeerImports = s.PeerImports
-	return &Module{settings: s, policy: policy, inventory: inventory, prober: prober, now: now, notices: newNoticeMetrics(), crashes: newCrashCounter(), limitedSends: newLimitedSendCounter(),
-		permits: newPermitClient()}
+	return &Module{settings: s, policy: policy, inventory: inventory, prober: prober, now: now, notices: newNoticeMetrics(), crashes: newCrashCounter(),
+		limitedSends: newLimitedSendCounter(), permits: newPermitClient()}
 }
 
 // Provision looks up the modules that routing depends on.
--- a/internal/routing/ratelimit_test.go
+++ b/internal/routing/ratelimit_test.go
@@ -1,9 +1,11 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/ratelimit"
 
 	"gotest.tools/v3/assert"
@@ -63,3 +65,14 @@
 		assert.Equal(t, len(b.NextDigest("b", 1024).Limits), 1, "it is repeated")
 	}
 }
+
+// Clients may name any model; a core must not keep anything for one that no endpoint has.
+func TestUnknownModelsLeaveNothingBehind(t *testing.T) {
+	c := listedCore(1, 8)
+	for i := range 100 {
+		r := request("a")
+		r.Model = fmt.Sprint("unknown-", i)
+		assert.Equal(t, submit(c, epoch, r).Refusal.Kind, errkind.NoEndpoint)
+	}
+	assert.Equal(t, len(c.workloads), 0)
+}
