--- a/review/rig/modelserver.go
+++ b/review/rig/modelserver.go
@@ -34,11 +34,24 @@
 	Address string
 	model   string
 
+	// LoadTime is how long new weights take.
+	LoadTime time.Duration
+
 	mu      sync.Mutex
 	version int64
+	busy    bool
 	cache   map[string]Part // by salt, model and the names of all parts up to it
 	seq     int64
 	runs    []Run
+	orders  []Order
+}
+
+// Order is an order that has arrived at a server.
+type Order struct {
+	Server, Holder string
+	Fence, Version int64
+	At             time.Time
+	Status         int
 }
 
 // peers holds all servers by address, for copies between them.
@@ -96,7 +109,7 @@
 	defer s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	text, _ := json.Marshal(map[string]any{ // maps of strings always encode
-		"stage": "both", "models": []Model{{Name: s.model, Version: s.version, Adapters: []string{}}}, "busy": false, "seq": s.seq, "queued": 0, "active": 0,
+		"stage": "both", "models": []Model{{Name: s.model, Version: s.version, Adapters: []string{}}}, "busy": s.busy, "seq": s.seq, "queued": 0, "active": 0,
 		"kvUsed": 0, "kvTotal": 300000, "handles": 0, "born": s.rig.start.UnixMilli(),
 	})
 	_, _ = w.Write(text) // the reader may have disconnected
@@ -106,6 +119,7 @@
 	var o struct {
 		OpType, Model, Holder string
 		Version, FencingToken int64
+		Precondition          *int64
 	}
 	if r.Header.Get("X-Target-Instance") != s.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -117,9 +131,31 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.seq++
-	s.version, s.cache = o.Version, map[string]Part{}
-	w.WriteHeader(http.StatusAccepted)
+	status := http.StatusAccepted
+	switch {
+	case s.busy || o.Precondition != nil && *o.Precondition != s.seq:
+		status = http.StatusConflict
+	case o.Version <= s.version:
+		status = http.StatusOK
+	default:
+		s.seq++
+		s.busy, s.cache = true, map[string]Part{}
+		time.AfterFunc(s.LoadTime, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.busy, s.version = false, o.Version
+		})
+	}
+	s.orders = append(s.orders, Order{Server: s.ID, Holder: o.Holder, Fence: o.FencingToken, Version: o.Version, At: time.Now(), Status: status})
+	s.rig.Log("server %s: order of %s for version %d with fence %d: %d", s.ID, o.Holder, o.Version, o.FencingToken, status)
+	w.WriteHeader(status)
+}
+
+// Orders returns the orders that have arrived.
+func (s *ModelServer) Orders() []Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Order{}, s.orders...)
 }
 
 // serve runs a request.
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -330,15 +330,21 @@
 }
 
 // Kill kills the process of a VM and waits for its end.
-func (r *Rig) Kill(name string) error {
-	if err := r.Signal(name, syscall.SIGKILL); err != nil {
+func (r *Rig) Kill(name string) error { return r.Stop(name, syscall.SIGKILL) }
+
+// Stop sends a signal that ends the process of a VM and waits for its end.
+func (r *Rig) Stop(name string, s syscall.Signal) error {
+	if err := r.Signal(name, s); err != nil {
 		return err
 	}
 	r.mu.Lock()
 	cmd := r.procs[name]
+	r.mu.Unlock()
+	_ = cmd.Wait() // the state of its end is of no interest
+	r.mu.Lock()
 	delete(r.procs, name)
 	r.mu.Unlock()
-	_ = cmd.Wait() // it was killed
+	r.Log("%s has ended", name)
 	return nil
 }
 
@@ -349,7 +355,7 @@
 	r.mu.Unlock()
 	for _, cmd := range procs {
 		_ = cmd.Process.Kill() // it may have ended
-		_ = cmd.Wait()
+		_ = cmd.Wait()         // another goroutine may have waited for it
 	}
 }
 
