--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -360,6 +360,27 @@
 	return nil
 }
 
+// AnonymousBytes returns the memory of the process of a VM without pages of files, 0 if it does not run.
+func (r *Rig) AnonymousBytes(name string) int64 {
+	r.mu.Lock()
+	cmd := r.procs[name]
+	r.mu.Unlock()
+	if cmd == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "RssAnon: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10
+		}
+	}
+	return 0
+}
+
 // endAll ends all processes that this run has started.
 func (r *Rig) endAll() {
 	r.mu.Lock()
