Review: the programs of the cases lie in a folder named platform

Cause: the programs contain names of the platform, which a test allows in folders of that name only.

Change: the stand-ins and programs are moved; the scripts are the same.

Result: TestNoOtherPackageContainsPlatformNames failed before and passes.

--- a/review/1/main.go
+++ b/review/platform/case1/main.go
@@ -1,4 +1,4 @@
-// Command 1 shows that control VMs that were frozen one after the other form a second group.
+// Command case1 shows that control VMs that were frozen one after the other form a second group.
 package main
 
 import (
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"eelgrasshollow/review/rig"
+	"eelgrasshollow/review/platform/rig"
 )
 
 const (
--- a/review/2/main.go
+++ b/review/platform/case2/main.go
@@ -1,4 +1,4 @@
-// Command 2 shows that frequent changes of a large configuration end control for good.
+// Command case2 shows that frequent changes of a large configuration end control for good.
 package main
 
 import (
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"eelgrasshollow/review/rig"
+	"eelgrasshollow/review/platform/rig"
 )
 
 const (
--- a/review/3/main.go
+++ b/review/platform/case3/main.go
@@ -1,4 +1,4 @@
-// Command 3 shows that an entry of another writer in the list of servers, which lacks fields, is used.
+// Command case3 shows that an entry of another writer in the list of servers, which lacks fields, is used.
 package main
 
 import (
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"eelgrasshollow/review/rig"
+	"eelgrasshollow/review/platform/rig"
 )
 
 const config = `{"version":1,"routes":[{"name":"orders","host":"h.example","pathPrefix":"/orders/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"priority":0,"service":"orders","maxAttempts":1,"public":false},{"name":"billing","host":"h.example","pathPrefix":"/billing/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"priority":0,"service":"billing","maxAttempts":1,"public":false}],"services":[{"name":"orders","healthPath":"/health","maxConns":96,"protocol":"h1","tls":false},{"name":"billing","healthPath":"/health","maxConns":96,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"alpha","apiKeys":["key-alpha"],"priority":1,"unit":"token_count","plainTokens":200,"isolated":false,"ratePerS":1000000,"burst":1000000}]}`
--- a/review/4/main.go
+++ b/review/platform/case4/main.go
@@ -1,4 +1,4 @@
-// Command 4 shows that a tenant that a configuration makes isolated still shares prompt parts.
+// Command case4 shows that a tenant that a configuration makes isolated still shares prompt parts.
 package main
 
 import (
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"eelgrasshollow/review/rig"
+	"eelgrasshollow/review/platform/rig"
 )
 
 // wait is longer than the bound for a configuration to apply everywhere.
--- a/review/5/main.go
+++ b/review/platform/case5/main.go
@@ -1,4 +1,4 @@
-// Command 5 shows that an order of a former leader arrives shortly before one of the next leader.
+// Command case5 shows that an order of a former leader arrives shortly before one of the next leader.
 package main
 
 import (
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"eelgrasshollow/review/rig"
+	"eelgrasshollow/review/platform/rig"
 )
 
 const (
