Observability: cache namespace of each request, and model servers that are listed without weights

The line of a request now names the namespace of its last attempt, a counter tells how many sends of prompts had none, and "servers known" names the model servers whose entries have no weights. No change of logic.

--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -452,7 +452,7 @@
 	for _, s := range servers {
 		next.byKey[s.Key()] = s
 	}
-	c.cfg.Log.Info("servers known", zap.Int("servers", len(servers)), zap.Int("out_of_use", next.outOfUse()), zap.String("from", from))
+	c.cfg.Log.Info("servers known", zap.Int("servers", len(servers)), zap.Int("out_of_use", next.outOfUse()), zap.Strings("model_servers_without_weights", next.modelServersWithoutWeights()), zap.String("from", from))
 }
 
 // readListWhileLost reads the list of servers while control is unreachable.
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -94,6 +94,19 @@
 	return v.byKey[key].WeightsVersion(model)
 }
 
+// modelServersWithoutWeights returns the IDs of the servers of services with models whose entries name no weights.
+func (v *View) modelServersWithoutWeights() (ids []string) {
+	if v.Config == nil {
+		return nil
+	}
+	for _, s := range v.Servers {
+		if service := v.Config.Service(s.Service); service != nil && service.Engine != nil && len(s.Weights) == 0 {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
 // snapshot returns the servers and stores for routing.
 func (v *View) snapshot() routing.Snapshot {
 	snapshot := routing.Snapshot{Revision: v.InventoryRevision}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -200,10 +200,11 @@
 		},
 	}
 	if version, known := g.Directory.View().WeightsVersion(decision.Endpoint, x.Prompt.Model); known && x.Prompt.Known {
-		attempt.Weights, attempt.CacheSalt = version, x.cacheSalt(version)
+		attempt.Weights, attempt.CacheSalt = version, x.namespaceOf(version)
 		attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
 	}
 	x.server, x.decision = attempt.Server, decision
+	g.observeNamespace(x, attempt)
 	var watched *watchedAttempt
 	if x.mayFollow() {
 		watched = g.silence.add(decision.Address, cancel, func() {
@@ -231,6 +232,7 @@
 		_ = reply.Body.Close() // the text of the refusal is not used
 		attempt.Weights, attempt.ImportFrom, attempt.SaveTo, attempt.CacheSalt, attempt.TimeLeft = 0, "", "", x.ID, time.Until(x.deadline)
 		x.sends.Add(-1)
+		g.observeNamespace(x, attempt)
 		reply, err = g.send(ctx, ticket, attempt)
 	}
 	result := routing.Result{Incarnation: decision.Incarnation, CacheUnknown: true, PromptTokens: x.Prompt.Tokens}
@@ -283,6 +285,14 @@
 	return err
 }
 
+// observeNamespace records the cache namespace of an attempt that is about to be sent.
+func (g *Gateway) observeNamespace(x *exchange, a Attempt) {
+	x.cacheSalt = a.CacheSalt
+	if x.Prompt.Known {
+		g.Metrics.cacheNamespaces.WithLabelValues(strconv.FormatBool(a.CacheSalt != "")).Inc()
+	}
+}
+
 // send sends an attempt once and passes on what the server states about itself. A response of
 // another server at the address says nothing about this one.
 func (g *Gateway) send(ctx context.Context, ticket routing.Ticket, a Attempt) (*Reply, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,6 +122,7 @@
 	status      int              // HTTP status relayed from a server, or 0
 	server      string           // ID of the server of the last attempt
 	decision    routing.Decision // of the last attempt
+	cacheSalt   string           // cache namespace of the last attempt
 	resumes     int
 	helper      string // peer address of the VM that the request was forwarded to, or ""
 	ranHere     bool   // a server may have run an attempt of this VM
@@ -311,11 +312,11 @@
 	return ""
 }
 
-// cacheSalt returns the cache namespace of the request on a server that runs the given
+// namespaceOf returns the cache namespace of the request on a server that runs the given
 // weights version. The version in the namespace prevents servers with different weights from
 // copying cached prompts. A server refuses a version other than its own, so every cache
 // entry of a namespace was computed with that namespace's weights.
-func (x *exchange) cacheSalt(version int64) string {
+func (x *exchange) namespaceOf(version int64) string {
 	return prefix.Namespace{Account: x.isolatedAccount(), Model: x.Prompt.Model, Version: strconv.FormatInt(version, 10)}.Seed().Salt()
 }
 
@@ -384,6 +385,7 @@
 		zap.String("server", x.server), zap.Int("status", x.status), zap.Int32("sends", x.sends.Load()), zap.Int("resumed", x.resumes), zap.String("prefix", x.Prompt.firstPart()),
 		zap.String("shared_part", sharedPart), zap.Int("shared_tokens", sharedTokens), zap.Int("prompt_tokens", x.Prompt.Tokens), zap.Int("cached_tokens", x.decision.CachedTokens),
 		zap.String("import_from", x.decision.ImportFrom), zap.String("save_to", x.decision.SaveTo), zap.String("weights", x.decision.Weights),
+		zap.String("cache_namespace", x.cacheSalt),
 		zap.Duration("sent_after", x.sentAfter), zap.Duration("first_event_after", x.firstEventAfter), zap.Duration("took", took), zap.Duration("config_age", g.Directory.Age()), zap.String("outcome", string(outcome)),
 	}
 	if x.helper != "" {
