--- a/internal/fleetview/client.go
+++ b/internal/fleetview/client.go
@@ -446,12 +446,8 @@
 	if next.Servers != nil && fleet.SameServers(next.Servers, servers) {
 		return
 	}
-	next.Servers = servers
+	next.setServers(servers)
 	next.InventoryRevision++
-	next.byKey = make(map[string]fleet.Server, len(servers))
-	for _, s := range servers {
-		next.byKey[s.Key()] = s
-	}
 	c.cfg.Log.Info("servers known", zap.Int("servers", len(servers)), zap.Int("out_of_use", next.outOfUse()), zap.Strings("model_servers_without_weights", next.modelServersWithoutWeights()), zap.String("from", from))
 }
 
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -40,6 +40,22 @@
 	byKey map[string]fleet.Server
 }
 
+// NewView returns a view of a configuration, which may be nil, and the given servers.
+func NewView(config *fleet.Config, servers ...fleet.Server) *View {
+	v := &View{Config: config}
+	v.setServers(servers)
+	return v
+}
+
+// setServers sets the servers and their index.
+func (v *View) setServers(servers []fleet.Server) {
+	v.Servers = servers
+	v.byKey = make(map[string]fleet.Server, len(servers))
+	for _, s := range servers {
+		v.byKey[s.Key()] = s
+	}
+}
+
 // Complete reports whether the view has had a configuration and a list of servers.
 func (v *View) Complete() bool { return v.Config != nil && v.Servers != nil }
 
