Each attempt has a cache namespace of what is known of its server and account

Callers saw: the KV cache of one client account used for another one, one of the two isolated, in the empty namespace. Cause: the namespace was an optional text of an attempt, built only where the view knew the server's weights. Where it did not (an entry without weights, a server that left the list, another model, version 0, a prompt without token counts), the attempt kept the zero value, which all such requests share, isolated or not.

Change: package cachespace. A Space comes from an owner (one account, or the pool of those that are not isolated, named after those that are), a model and a known version of the weights; with any of them missing it is one that no other request has, and so is the zero value. The gateway takes version, pool and isolation from one view at the time of the send. Only a shared namespace lets an attempt import or save, and only such attempts are remembered as cached. The namespace is sent with every attempt.

A change of who is isolated starts an empty pool: nothing tells which parts of the former one an account made.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/errkind"
 )
 
@@ -37,6 +38,7 @@
 	accountsByName map[string]*Account
 	accountsByKey  map[string]*Account
 	routesByHost   map[string][]*Route // longest prefix first
+	cachePool      cachespace.Owner    // of the accounts that are not isolated
 }
 
 // Route maps a host and a path prefix to services.
@@ -185,11 +187,15 @@
 
 func (c *Config) checkAccounts() error {
 	c.accountsByName, c.accountsByKey = map[string]*Account{}, map[string]*Account{}
+	var isolated []string
 	for _, a := range c.Accounts {
 		if a.Name == "" || c.accountsByName[a.Name] != nil {
 			return invalid("client account name %q is empty or used twice", a.Name)
 		}
 		c.accountsByName[a.Name] = a
+		if a.Isolated {
+			isolated = append(isolated, a.Name)
+		}
 		for _, key := range a.Keys {
 			if other := c.accountsByKey[key]; other != nil && other != a {
 				return invalid("client accounts %q and %q share a key", other.Name, a.Name)
@@ -197,6 +203,7 @@
 			c.accountsByKey[key] = a
 		}
 	}
+	c.cachePool = cachespace.Pool(isolated)
 	return nil
 }
 
@@ -219,6 +226,18 @@
 // AccountByName returns the client account with a name, or nil.
 func (c *Config) AccountByName(name string) *Account { return c.accountsByName[name] }
 
+// CacheOwner returns who shares the cached prompts of a client account; nil is a client without one. The account may
+// be of another version of the configuration: it shares nothing if it is isolated in either or no longer exists.
+func (c *Config) CacheOwner(a *Account) cachespace.Owner {
+	if a == nil {
+		return c.cachePool
+	}
+	if now := c.accountsByName[a.Name]; now == nil || now.Isolated || a.Isolated {
+		return cachespace.Account(a.Name)
+	}
+	return c.cachePool
+}
+
 // RequiresKey reports whether requests need a key, which is so if there are client accounts.
 func (c *Config) RequiresKey() bool { return len(c.Accounts) > 0 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -45,11 +45,11 @@
 	return s.ID + "/" + strconv.FormatInt(s.StartedAt, 10)
 }
 
-// WeightsVersion returns the version of a model's weights on the server; ok is false if the
+// WeightsVersion returns the version of a model's weights on the server, 1 or more; ok is false if the
 // server has not loaded the model.
 func (s Server) WeightsVersion(model string) (version int64, ok bool) {
 	for _, w := range s.Weights {
-		if w.Model == model {
+		if w.Model == model && w.Version > 0 {
 			return w.Version, true
 		}
 	}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/membership"
 	"eelgrasshollow/internal/releasetraffic"
@@ -104,25 +105,37 @@
 	return transfercost.Link{}
 }
 
-// WeightsVersion returns the weights version of a model on the server with a key; known is false
-// for servers and models that are not listed.
-func (v *View) WeightsVersion(key, model string) (version int64, known bool) {
-	return v.byKey[key].WeightsVersion(model)
+// CacheSpace returns the namespace in which the server with a key caches prompts of a client account (nil: of clients
+// without one), and the version of the model's weights there. If the weights are not known, the version is 0 and no
+// other request has the namespace.
+func (v *View) CacheSpace(key, model string, a *fleet.Account) (cachespace.Space, int64) {
+	version, known := v.byKey[key].WeightsVersion(model)
+	if v.Config == nil || !known {
+		return cachespace.Unique(), 0
+	}
+	return cachespace.New(v.Config.CacheOwner(a), model, version), version
 }
 
 // modelServersWithoutWeights returns the IDs of the servers of services with models whose entries name no weights.
 func (v *View) modelServersWithoutWeights() (ids []string) {
-	if v.Config == nil {
-		return nil
-	}
 	for _, s := range v.Servers {
-		if service := v.Config.Service(s.Service); service != nil && service.Engine != nil && len(s.Weights) == 0 {
+		if v.lacksWeights(s) {
 			ids = append(ids, s.ID)
 		}
 	}
 	return ids
 }
 
+// lacksWeights reports whether the entry of a server names no weights although the service's servers have models. Its
+// process is down, or the entry is not the platform's.
+func (v *View) lacksWeights(s fleet.Server) bool {
+	if len(s.Weights) > 0 || v.Config == nil {
+		return false
+	}
+	service := v.Config.Service(s.Service)
+	return service != nil && service.Engine != nil
+}
+
 // snapshot returns the servers and stores for routing.
 func (v *View) snapshot() routing.Snapshot {
 	snapshot := routing.Snapshot{Revision: v.InventoryRevision}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/routing"
@@ -38,7 +39,7 @@
 	defer func() { x.release.request.End() }()
 	for {
 		pickStart := time.Now()
-		request := x.routingRequest(exclude)
+		request := x.routingRequest(g.Directory.View().Config, exclude)
 		request.Tier = g.chooseArm(x)
 		ticket, err := g.Router.Pick(x.ctx, request)
 		g.Metrics.observeWait(x.route.Name, waitForSlot, pickStart)
@@ -191,7 +192,7 @@
 	var openedAt atomic.Pointer[time.Time]
 	attempt := Attempt{
 		Request: x.Request, Address: decision.Address, Server: serverID(decision.Endpoint, decision.Address), Account: x.accountName(),
-		Priority: x.priority(), TimeLeft: time.Until(x.deadline), LastEventID: x.LastEventID, Permitted: g.permitted(x, decision),
+		Priority: x.priority(), TimeLeft: time.Until(x.deadline), LastEventID: x.LastEventID, Permitted: g.permitted(x, decision), Cache: cachespace.Unique(),
 		OnSend: func() {
 			now := time.Now()
 			openedAt.Store(&now)
@@ -199,8 +200,11 @@
 			counted.Sent()
 		},
 	}
-	if version, known := g.Directory.View().WeightsVersion(decision.Endpoint, x.Prompt.Model); known && x.Prompt.Known {
-		attempt.Weights, attempt.CacheSalt = version, x.namespaceOf(version)
+	if x.Prompt.Known {
+		// The configuration may have changed since the request arrived.
+		attempt.Cache, attempt.Weights = g.Directory.View().CacheSpace(decision.Endpoint, x.Prompt.Model, x.keyHolder)
+	}
+	if attempt.Cache.Shared() {
 		attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
 	}
 	x.server, x.decision = attempt.Server, decision
@@ -228,14 +232,14 @@
 	if err == nil && reply.WrongWeights && !reply.Leaving && attempt.Weights > 0 && ticket.Resend() && g.mayRetry(x) {
 		// The server's weights have changed since the last status check, and it has not
 		// run the request. Its cache contents are unknown, so the request is sent again
-		// with a cache namespace of its own.
+		// in a namespace that no other request has.
 		_ = reply.Body.Close() // the text of the refusal is not used
-		attempt.Weights, attempt.ImportFrom, attempt.SaveTo, attempt.CacheSalt, attempt.TimeLeft = 0, "", "", x.ID, time.Until(x.deadline)
+		attempt.Weights, attempt.ImportFrom, attempt.SaveTo, attempt.Cache, attempt.TimeLeft = 0, "", "", cachespace.Unique(), time.Until(x.deadline)
 		x.sends.Add(-1)
 		g.observeNamespace(x, attempt)
 		reply, err = g.send(ctx, ticket, attempt)
 	}
-	result := routing.Result{Incarnation: decision.Incarnation, CacheUnknown: true, PromptTokens: x.Prompt.Tokens}
+	result := routing.Result{Incarnation: decision.Incarnation, CacheUnknown: true, NothingShared: !attempt.Cache.Shared(), PromptTokens: x.Prompt.Tokens}
 	defer func() { ticket.Done(result) }()
 	if err == nil {
 		defer func() { _ = reply.Body.Close() }() // the unread rest is not used
@@ -287,9 +291,9 @@
 
 // observeNamespace records the cache namespace of an attempt that is about to be sent.
 func (g *Gateway) observeNamespace(x *exchange, a Attempt) {
-	x.cacheSalt = a.CacheSalt
+	x.cacheSalt = a.Cache.Salt()
 	if x.Prompt.Known {
-		g.Metrics.cacheNamespaces.WithLabelValues(strconv.FormatBool(a.CacheSalt != "")).Inc()
+		g.Metrics.promptSends.WithLabelValues(strconv.FormatBool(a.Cache.Shared())).Inc()
 	}
 }
 
--- a/internal/gateway/dryrun.go
+++ b/internal/gateway/dryrun.go
@@ -123,9 +123,10 @@
 			e.Refused(x.finalError(err))
 		}
 	}
-	request := x.routingRequest(nil)
+	view := g.Directory.View()
+	request := x.routingRequest(view.Config, nil)
 	request.Tier = g.chooseArm(x) // counts nothing: x has no releasetraffic.Request
-	if rollout := g.Directory.View().Releases.Rollout(x.service); rollout != nil && rollout.Running() {
+	if rollout := view.Releases.Rollout(x.service); rollout != nil && rollout.Running() {
 		e.Release = "before " + rollout.Release
 		if x.release.arm.New {
 			e.Release = rollout.Release
@@ -139,7 +140,7 @@
 		}
 		e.Placement = &p
 		if p.Endpoint != "" {
-			if version, known := g.Directory.View().WeightsVersion(p.Endpoint, x.Prompt.Model); known && x.Prompt.Known {
+			if _, version := view.CacheSpace(p.Endpoint, x.Prompt.Model, x.keyHolder); version > 0 && x.Prompt.Known {
 				e.Version = strconv.FormatInt(version, 10)
 			}
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,7 @@
 	route       *fleet.Route
 	service     string
 	account     *fleet.Account
+	keyHolder   *fleet.Account // client account of the key, also on public routes, where account is nil; nil if none
 	traits      []quarantine.Trait
 	deadline    time.Time        // when the response must be complete
 	sends       atomic.Int32     // servers that received at least one byte
@@ -122,7 +123,7 @@
 	status      int              // HTTP status relayed from a server, or 0
 	server      string           // ID of the server of the last attempt
 	decision    routing.Decision // of the last attempt
-	cacheSalt   string           // cache namespace of the last attempt
+	cacheSalt   string           // of the last attempt
 	resumes     int
 	helper      string // peer address of the VM that the request was forwarded to, or ""
 	ranHere     bool   // a server may have run an attempt of this VM
@@ -265,19 +266,20 @@
 var errDeadline = errors.New("request deadline exceeded")
 
 func (x *exchange) authenticate(c *fleet.Config) error {
+	x.keyHolder = c.AccountByKey(x.APIKey)
+	if x.actAs != "" {
+		x.keyHolder = c.AccountByName(x.actAs)
+	}
 	if x.route.Public || !c.RequiresKey() {
 		return nil
 	}
-	if x.actAs != "" {
-		if x.account = c.AccountByName(x.actAs); x.account == nil {
-			return errkind.New(errkind.NotFound, "client account %q is not in the configuration", x.actAs)
-		}
+	if x.account = x.keyHolder; x.account != nil {
 		return nil
 	}
-	if x.account = c.AccountByKey(x.APIKey); x.account == nil {
-		return errkind.New(errkind.Unauthenticated, "unknown API key")
+	if x.actAs != "" {
+		return errkind.New(errkind.NotFound, "client account %q is not in the configuration", x.actAs)
 	}
-	return nil
+	return errkind.New(errkind.Unauthenticated, "unknown API key")
 }
 
 // tokenCost returns the tokens that the request takes from its account's grant.
@@ -303,23 +305,6 @@
 	return x.account.Name
 }
 
-// isolatedAccount returns the name of the client account if it does not share cached
-// prompts with other accounts, else "".
-func (x *exchange) isolatedAccount() string {
-	if x.account != nil && x.account.Isolated {
-		return x.account.Name
-	}
-	return ""
-}
-
-// namespaceOf returns the cache namespace of the request on a server that runs the given
-// weights version. The version in the namespace prevents servers with different weights from
-// copying cached prompts. A server refuses a version other than its own, so every cache
-// entry of a namespace was computed with that namespace's weights.
-func (x *exchange) namespaceOf(version int64) string {
-	return prefix.Namespace{Account: x.isolatedAccount(), Model: x.Prompt.Model, Version: strconv.FormatInt(version, 10)}.Seed().Salt()
-}
-
 // priority returns the request's priority; 0 is the most urgent.
 func (x *exchange) priority() int {
 	if x.account != nil && x.account.Priority != nil {
@@ -334,9 +319,9 @@
 	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
 }
 
-// routingRequest returns the request in the form that the router takes. The router must not
-// pick any of the endpoints in exclude.
-func (x *exchange) routingRequest(exclude []string) routing.Request {
+// routingRequest returns the request in the form that the router takes. c is the configuration in force. The router
+// must not pick any of the endpoints in exclude.
+func (x *exchange) routingRequest(c *fleet.Config, exclude []string) routing.Request {
 	r := routing.Request{
 		ID: x.ID, Account: x.accountName(), Service: x.service, Priority: -x.priority(),
 		Idempotent: x.route.Retryable(), Exclude: exclude, PromptTokens: x.Prompt.Tokens, MaxTokens: x.Prompt.MaxOutput,
@@ -345,7 +330,7 @@
 	if !x.Prompt.Known || len(x.Prompt.Parts) == 0 {
 		return r
 	}
-	r.Seed = prefix.Namespace{Account: x.isolatedAccount(), Model: x.Prompt.Model}.Seed()
+	r.Seed = c.CacheOwner(x.keyHolder).Seed(x.Prompt.Model)
 	names := make([]string, len(x.Prompt.Parts))
 	end := 0
 	for i, p := range x.Prompt.Parts {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,8 +16,8 @@
 	eventGap   *prometheus.HistogramVec
 	// slowReaders counts streams that were stopped because their clients did not read.
 	slowReaders prometheus.Counter
-	// cacheNamespaces counts the attempts of prompts by whether they had a cache namespace.
-	cacheNamespaces *prometheus.CounterVec
+	// promptSends counts the attempts of prompts by whether other requests may have their cache namespace.
+	promptSends *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds, from the response time of a plain application server to
@@ -58,10 +58,10 @@
 	m.slowReaders = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "eelgrass_gateway_slow_readers_total", Help: "Streams that were stopped because their clients did not read.",
 	})
-	m.cacheNamespaces = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "eelgrass_gateway_prompt_sends_total", Help: "Sends of prompts to servers by whether they had a cache namespace.",
-	}, []string{"namespace"})
-	r.MustRegister(m.cacheNamespaces, m.slowReaders, m.requests, m.latency, m.firstEvent, m.queueWait, m.eventGap, m.retries)
+	m.promptSends = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "eelgrass_gateway_prompt_sends_total", Help: "Sends of prompts to servers by whether other requests may have their cache namespace.",
+	}, []string{"shared"})
+	r.MustRegister(m.promptSends, m.slowReaders, m.requests, m.latency, m.firstEvent, m.queueWait, m.eventGap, m.retries)
 	return m
 }
 
--- a/internal/gateway/namespace_test.go
+++ b/internal/gateway/namespace_test.go
@@ -50,7 +50,7 @@
 }
 
 // saltOf returns the cache namespace that the server of an attempt gets.
-func saltOf(a Attempt) string { return a.CacheSalt }
+func saltOf(a Attempt) string { return a.Cache.Salt() }
 
 // An attempt whose server's weights are not known must not use the namespace that all requests without one share.
 func TestAttemptWithoutKnownWeightsSharesNoNamespace(t *testing.T) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"time"
 
+	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
 	"eelgrasshollow/internal/quarantine"
@@ -114,11 +115,12 @@
 
 // Attempt is one send of a request to one server.
 type Attempt struct {
-	Request   *Request
-	Address   string
-	Server    string // ID that the server must have, or "" for any
-	Account   string // client account, or ""
-	CacheSalt string // cache namespace, or "" for the namespace that all requests share
+	Request *Request
+	Address string
+	Server  string // ID that the server must have, or "" for any
+	Account string // client account, or ""
+	// Cache is the namespace in which the server caches the prompt.
+	Cache cachespace.Space
 	// Weights is the weights version that the server must run, or 0 for any.
 	Weights int64
 	// ImportFrom is the address from which the server copies cached parts of the prompt,
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -86,8 +86,11 @@
 	CachedTokens int
 	// CacheUnknown is set if the endpoint does not report CachedTokens.
 	CacheUnknown bool
-	OutputTokens int
-	FirstToken   time.Duration // time from sending to the first token
+	// NothingShared is set if no other request can use what the endpoint caches of this one, nor this one what is
+	// cached already.
+	NothingShared bool
+	OutputTokens  int
+	FirstToken    time.Duration // time from sending to the first token
 	// Steps is the number of events of a stream after the first, and Decoding the time from the first to the
 	// last. Both are 0 if the response is no stream.
 	Steps    int
--- a/internal/routing/decide.go
+++ b/internal/routing/decide.go
@@ -169,7 +169,7 @@
 		c.beginStart(now, s, startedFailures)
 	}
 	uncachedTokens := max(r.PromptTokens-r.CachedTokens, 0)
-	if r.CacheUnknown {
+	if r.CacheUnknown && !r.NothingShared {
 		uncachedTokens = p.uncachedTokens
 	}
 	work := p.tokensAhead - p.uncachedTokens + uncachedTokens
@@ -179,7 +179,7 @@
 	if perToken := s.observe(work, r.FirstToken, now.Sub(p.sentAt)); perToken > 0 {
 		c.shareTokenCost(s.Endpoint.Service, perToken)
 	}
-	if len(p.Request.Chain) == 0 || !current {
+	if len(p.Request.Chain) == 0 || !current || r.NothingShared {
 		return
 	}
 	if p.run == s.run && !r.CacheUnknown {
