Model servers that are listed without weights get no requests

Cause: the platform lists a server whose process is down as ready, without its models, until it learns of the end.

TestModelServerWithoutWeightsGetsNoRequests fails without the change.

--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -155,10 +155,10 @@
 	return snapshot
 }
 
-// unused reports whether a server gets no requests: it drains, loads other weights, or has
-// weights below the minimum version.
+// unused reports whether a server gets no requests: it drains, loads other weights, has weights below the minimum
+// version, or should have some and names none.
 func (v *View) unused(s fleet.Server) bool {
-	return s.Draining || s.Changing || slices.ContainsFunc(s.Weights, func(w fleet.Weights) bool {
+	return s.Draining || s.Changing || v.lacksWeights(s) || slices.ContainsFunc(s.Weights, func(w fleet.Weights) bool {
 		return w.Version < v.MinVersions[w.Model]
 	})
 }
