--- a/internal/onplatform/crashing_requests_test.go
+++ b/internal/onplatform/crashing_requests_test.go
@@ -81,7 +81,7 @@
 	defer s.mu.Unlock()
 	var entries []string
 	for address, id := range s.ids {
-		entries = append(entries, fmt.Sprintf(`{"id":"%s","service":"app","address":"%s","zone":"a","slots":6,"state":"ready"}`, id, address))
+		entries = append(entries, fmt.Sprintf(`{"id":"%s","service":"app","address":"%s","zone":"a","slots":6,"state":"ready","version":"v1","coldRemainingMs":0}`, id, address))
 	}
 	_, _ = fmt.Fprintf(w, `{"instances":[%s],"nextToken":null}`, strings.Join(entries, ","))
 }
--- a/internal/onplatform/isolation_test.go
+++ b/internal/onplatform/isolation_test.go
@@ -118,7 +118,7 @@
 	var seen sync.Map // IDs of requests
 	for i := range servers {
 		address := d.address(201+i, listPort)
-		entries = append(entries, fmt.Sprintf(`{"id":"i-%d","service":"app","address":"%s","zone":"a","slots":20,"state":"ready"}`, i, address))
+		entries = append(entries, fmt.Sprintf(`{"id":"i-%d","service":"app","address":"%s","zone":"a","slots":20,"state":"ready","version":"v1","coldRemainingMs":0}`, i, address))
 		listener, err := net.Listen("tcp", address)
 		assert.NilError(t, err)
 		server := &http.Server{ReadHeaderTimeout: waitTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/onplatform/process_test.go
+++ b/internal/onplatform/process_test.go
@@ -228,7 +228,7 @@
 func newDeployment(t testing.TB) *deployment {
 	d := newEmptyDeployment(t, 1000)
 	d.serveStub(d.address(200, listPort), func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprintf(w, `{"instances":[{"id":"i-1","service":"app","address":"%s","zone":"a","slots":6,"state":"ready"}],"nextToken":null}`, d.address(201, listPort))
+		_, _ = fmt.Fprintf(w, `{"instances":[{"id":"i-1","service":"app","address":"%s","zone":"a","slots":6,"state":"ready","version":"v1","coldRemainingMs":0}],"nextToken":null}`, d.address(201, listPort))
 	})
 	d.serveStub(d.address(201, listPort), func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
--- a/internal/onplatform/rollouts_test.go
+++ b/internal/onplatform/rollouts_test.go
@@ -132,7 +132,7 @@
 	defer s.mu.Unlock()
 	var entries []string
 	for address, release := range s.releases {
-		entries = append(entries, fmt.Sprintf(`{"id":%q,"service":"app","address":%q,"zone":"a","version":%q,"slots":16,"state":"ready"}`, s.id(address), address, release))
+		entries = append(entries, fmt.Sprintf(`{"id":%q,"service":"app","address":%q,"zone":"a","version":%q,"slots":16,"state":"ready","coldRemainingMs":0}`, s.id(address), address, release))
 	}
 	_, _ = fmt.Fprintf(w, `{"instances":[%s],"nextToken":null}`, strings.Join(entries, ","))
 }
--- a/internal/onplatform/slow_readers_test.go
+++ b/internal/onplatform/slow_readers_test.go
@@ -102,7 +102,7 @@
 	d.memoryMB = memoryMB
 	event := fmt.Appendf(nil, "data: %s\n\n", bytes.Repeat([]byte("x"), 1000))
 	d.serveStub(d.address(200, listPort), func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprintf(w, `{"instances":[{"id":"i-1","service":"app","address":"%s","zone":"a","slots":500,"state":"ready"}],"nextToken":null}`, d.address(201, listPort))
+		_, _ = fmt.Fprintf(w, `{"instances":[{"id":"i-1","service":"app","address":"%s","zone":"a","slots":500,"state":"ready","version":"v1","coldRemainingMs":0}],"nextToken":null}`, d.address(201, listPort))
 	})
 	d.serveStub(d.address(201, listPort), func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // unread bytes would reset the connection
--- a/internal/onplatform/soak_brittle_test.go
+++ b/internal/onplatform/soak_brittle_test.go
@@ -67,7 +67,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.endpoints {
-		entries = append(entries, fmt.Sprintf(`{"id":%q,"service":%q,"address":%q,"zone":"a","slots":%d,"state":"ready"}`,
+		entries = append(entries, fmt.Sprintf(`{"id":%q,"service":%q,"address":%q,"zone":"a","slots":%d,"state":"ready","version":"v1","coldRemainingMs":0}`,
 			s.endpoints[i].id(i), brittleService, s.run.address(brittleHost+i, listPort), brittleSlots))
 	}
 	return entries
--- a/internal/onplatform/soak_calls_test.go
+++ b/internal/onplatform/soak_calls_test.go
@@ -112,7 +112,7 @@
 func (r *soakRun) serveList(w http.ResponseWriter, _ *http.Request) {
 	var instances []string
 	for n := range soakServers {
-		instances = append(instances, fmt.Sprintf(`{"id":"%s","service":"app","address":"%s","zone":"a","slots":20,"state":"ready"}`, r.servers.notices.id(n), r.address(201+n, listPort)))
+		instances = append(instances, fmt.Sprintf(`{"id":"%s","service":"app","address":"%s","zone":"a","slots":20,"state":"ready","version":"v1","coldRemainingMs":0}`, r.servers.notices.id(n), r.address(201+n, listPort)))
 	}
 	instances = append(instances, r.releases.list()...)
 	instances = append(instances, r.brittle.list()...)
--- a/internal/onplatform/soak_rollouts_test.go
+++ b/internal/onplatform/soak_rollouts_test.go
@@ -89,7 +89,7 @@
 	defer s.mu.Unlock()
 	for i, o := range s.hosts {
 		if o.id != "" {
-			entries = append(entries, fmt.Sprintf(`{"id":%q,"service":%q,"address":%q,"zone":"a","version":%q,"slots":16,"state":"ready"}`,
+			entries = append(entries, fmt.Sprintf(`{"id":%q,"service":%q,"address":%q,"zone":"a","version":%q,"slots":16,"state":"ready","coldRemainingMs":0}`,
 				o.id, o.service, s.run.address(rolledHost+i, listPort), o.release))
 		}
 	}
--- a/internal/onplatform/soak_streams_test.go
+++ b/internal/onplatform/soak_streams_test.go
@@ -74,7 +74,7 @@
 // list returns the entries of the server list.
 func (*steadyEndpoints) list(r *soakRun) (entries []string) {
 	for i := range steadyServers {
-		entries = append(entries, fmt.Sprintf(`{"id":%q,"service":%q,"address":%q,"zone":"a","slots":30,"state":"ready"}`,
+		entries = append(entries, fmt.Sprintf(`{"id":%q,"service":%q,"address":%q,"zone":"a","slots":30,"state":"ready","version":"v1","coldRemainingMs":0}`,
 			steadyName(i), steadyService, r.address(steadyHost+i, listPort)))
 	}
 	return entries
