An order that is given up is not delivered later, and a new leader waits for it

Cause: an order could lie in its sender's socket for 3.5 s after its call had timed out or its process had ended, as the connection was closed in order, while a new leader waited for the order lease from its own begin.

Change: the connection of an order is aborted when it is closed or its process ends (SO_LINGER 0), and by the kernel when nothing is acknowledged for the lifetime of an order (1 s).

--- a/internal/fleetcontrol/reconciler.go
+++ b/internal/fleetcontrol/reconciler.go
@@ -32,9 +32,12 @@
 	// listInterval is the time between two reads of the list. Together with the list's own
 	// lag it leaves most of the time for which a draining server still accepts requests.
 	listInterval = 700 * time.Millisecond
-	// listTimeout limits one read of the list, orderTimeout one call to a server.
+	// listTimeout limits one read of the list, checkTimeout one read of a server's weights.
 	listTimeout  = time.Second
-	orderTimeout = time.Second
+	checkTimeout = time.Second
+	// OrderLifetime is the time after which an order can no longer reach its server: the sender gives it up, and its
+	// connection, after that time.
+	OrderLifetime = time.Second
 	// orderLeaseMargin is added to the order lease before a new leader sends its first order.
 	orderLeaseMargin = 500 * time.Millisecond
 )
@@ -112,8 +115,8 @@
 	if !r.hasList {
 		return
 	}
-	// The previous leader may still send orders under its lease.
-	if now.Sub(r.termStart) >= r.orderLease+orderLeaseMargin {
+	// The previous leader may have sent its last order just before this replica began to lead.
+	if now.Sub(r.termStart) >= OrderLifetime+r.orderLease+orderLeaseMargin {
 		for _, call := range r.planner.Step(now, r.listed, r.service.machine.State().TargetVersions) {
 			r.checkWeights(ctx, call)
 		}
@@ -177,7 +180,7 @@
 func (r *Reconciler) checkWeights(ctx context.Context, call rollout.Call) {
 	term := r.term
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, checkTimeout)
 		defer cancel()
 		report, err := r.client.CheckWeights(callCtx, call.Server)
 		r.deliver(ctx, term, func() {
@@ -206,7 +209,7 @@
 		return
 	}
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, OrderLifetime)
 		defer cancel()
 		accepted, err := r.client.LoadWeights(callCtx, call, term, func() bool { return r.mayOrder(term) })
 		r.deliver(ctx, term, func() {
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -36,6 +36,21 @@
 	return d
 }
 
+// AbortingDialer returns a dialer as Dialer does, whose connections are aborted when they are closed or their process
+// ends: bytes that the peer has not received by then never reach it.
+func AbortingDialer(connectTimeout, ackTimeout time.Duration) *net.Dialer {
+	d := Dialer(connectTimeout, ackTimeout)
+	setTimeout := d.Control
+	d.Control = func(network, address string, c syscall.RawConn) error {
+		var setErr error
+		err := c.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		})
+		return errors.CombineErrors(setTimeout(network, address, c), errors.CombineErrors(err, setErr))
+	}
+	return d
+}
+
 // Listen listens on address. Accepted connections are aborted when the peer
 // acknowledges nothing for ackTimeout, and buffer at most sendBuffer bytes (as the
 // operating system counts them) that the peer has not received. Without that limit the
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -5,17 +5,19 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/liveness"
 )
 
 const (
 	maxResponseBytes = 64 << 10
 	dialTimeout      = time.Second
+	// unackedTimeout is how long an endpoint may leave a call unacknowledged before its connection is aborted.
+	unackedTimeout = time.Second
 )
 
 // Client reads load reports of endpoints and sends orders to them.
@@ -33,24 +35,7 @@
 type httpClient struct{ http *http.Client }
 
 func newHTTPClient() *httpClient {
-	return &httpClient{&http.Client{Transport: &http.Transport{DialContext: dialAborting, DisableKeepAlives: true}}}
-}
-
-// dialAborting opens a connection that discards its unsent bytes when it is closed, so that
-// an abandoned order cannot arrive later.
-func dialAborting(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		if err := tcp.SetLinger(0); err != nil {
-			_ = conn.Close()
-			return nil, err
-		}
-	}
-	return conn, nil
+	return &httpClient{&http.Client{Transport: &http.Transport{DialContext: liveness.AbortingDialer(dialTimeout, unackedTimeout).DialContext, DisableKeepAlives: true}}}
 }
 
 // Load implements Client.
