--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -49,6 +49,31 @@
 	return mayUse(route, account)
 }
 
+// keyHolder returns the name of the client account that a request's key belongs to, whether or not its route needs a key,
+// or "" if the key is not valid. A dry run may name an account instead of a key.
+func (f *Front) keyHolder(view *state.View, x *exchange) string {
+	if x.actAs != "" {
+		if account, ok := view.Account(x.actAs); ok && !account.GetDisabled() {
+			return x.actAs
+		}
+		return ""
+	}
+	account, err := view.Authenticate(f.hasher, x.token)
+	if err != nil {
+		return ""
+	}
+	return account.GetName()
+}
+
+// checkAccount returns an error if a completion's key doesn't belong to the client account of its cache namespace any
+// more. The last configuration received decides, fresh or not: see recheckKeys.
+func (f *Front) checkAccount(x *exchange) error {
+	if x.cacheAccount == "" || f.keyHolder(f.directory.View(), x) == x.cacheAccount {
+		return nil
+	}
+	return errkind.New(errkind.Unauthenticated, "key is no longer valid for the client account of the request").WithOutcome(errkind.NotRun)
+}
+
 // mayUse returns the name of a client account that may use a route.
 func mayUse(route *pb.Route, account *pb.ClientAccount) (string, error) {
 	if allowed := route.GetClientAccounts(); len(allowed) > 0 && !slices.Contains(allowed, account.GetName()) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,6 +23,10 @@
 
 // attempt runs the job at the ticket's endpoint and reports the result to routing.
 func (f *Front) attempt(j *job, ticket routing.Ticket) error {
+	if err := f.checkAccount(j.exchange); err != nil {
+		ticket.Done(routing.Result{NothingShared: true, Err: errkind.New(errkind.Canceled, "not sent")})
+		return err
+	}
 	d := ticket.Decision()
 	start := time.Now()
 	a := &attempt{front: f, job: j, ticket: ticket, start: start}
@@ -67,13 +71,14 @@
 
 func (a *attempt) run(d routing.Decision) error {
 	j := a.job
-	extra := engineapi.Extra{
-		CacheSalt: j.seed.Salt(), Priority: j.request.Priority, WeightsVersion: j.request.Version, ImportFrom: d.ImportFrom,
+	extra := engineapi.Extra{Priority: j.request.Priority}
+	if j.space.shared() {
+		extra.ImportFrom = d.ImportFrom
 	}
 	if j.delivered > 0 {
 		extra.ResumeFrom = j.delivered + 1
 	}
-	body, tail, err := j.bodyFor(extra)
+	body, tail, err := j.bodyFor(j.space, extra)
 	if err != nil {
 		return err
 	}
