Completions on unknown weights share no cache namespace

What callers could see: a model may be configured without a version of its weights. Its requests then had the namespace of the empty version, and the engine was told no version to check. After the engine had loaded other weights, it found under that namespace what the former ones had computed.

Change: cacheSpace holds a namespace together with the version that it is for. Without a version, each attempt has a random namespace, of the documented form, and the prompt has no chain, so that routing expects it nowhere. The body for an engine is only built from a cacheSpace, which sets cache_salt and weights_version: a send without a namespace, or with one of another version than the engine checks, can't be written.

The seeds of FuzzDecodeCompletion check the same fields, now through the new parameter. Where load reports name a version, routing selects that one, as before; otherwise such a model has no prefix cache from now on.

--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -45,6 +45,7 @@
 type Extra struct {
 	// CacheSalt is the cache namespace: the hex form of prefix.Seed, a hash of client
 	// account, model, adapter and weights version. Blocks of another namespace never match.
+	// If the router doesn't know the version, it is a random number of the same form.
 	CacheSalt string `json:"cache_salt,omitempty"`
 	// Priority orders waiting requests; higher values are served first.
 	Priority int `json:"priority,omitempty"`
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -27,7 +27,7 @@
 	*completion
 	path        string
 	modelConfig *pb.Model // as configured when the request arrived
-	seed        prefix.Seed
+	space       cacheSpace
 	retryState
 	delivered       int  // ID of the last event that the client has received; 0 if none
 	finished        bool // a finish reason has been received
@@ -153,9 +153,11 @@
 
 // setVersion sets the weights version to run on, and the cache namespace, which depends on it.
 func (j *job) setVersion(version string) {
-	j.seed = prefix.Namespace{Account: j.account, Model: j.completion.model, Adapter: j.adapter, Version: version}.Seed()
-	j.request.Version, j.request.Seed = version, j.seed
-	j.request.Chain = prefix.Chain(j.seed, j.prompt)
+	j.space = newCacheSpace(prefix.Namespace{Account: j.account, Model: j.completion.model, Adapter: j.adapter, Version: version})
+	j.request.Version, j.request.Seed, j.request.Chain = version, j.space.seed, nil
+	if j.space.shared() {
+		j.request.Chain = prefix.Chain(j.space.seed, j.prompt)
+	}
 }
 
 // awaitRollout handles an attempt that failed because the engine runs a weights version other
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -248,8 +248,10 @@
 }
 
 // bodyFor returns the request body for an engine in two parts: the client's body without its
-// closing brace, which is not copied, and a tail with the validated and extra fields.
-func (c *completion) bodyFor(extra engineapi.Extra) (body, tail []byte, err error) {
+// closing brace, which is not copied, and a tail with the validated and extra fields. The
+// cache namespace and the weights version of the extra fields are those of space.
+func (c *completion) bodyFor(space cacheSpace, extra engineapi.Extra) (body, tail []byte, err error) {
+	extra.CacheSalt, extra.WeightsVersion = space.salt(), space.version
 	fields := checkedFields{Model: c.model, Stream: c.stream, MaxTokens: c.outputPerChoice, MaxCompletionTokens: c.outputPerChoice, Extra: extra}
 	if c.choices > 1 {
 		fields.N = c.choices
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -7,6 +7,7 @@
 
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/prefix"
 
 	"gotest.tools/v3/assert"
 )
@@ -25,7 +26,8 @@
 		f.Add([]byte(seed), false)
 	}
 	s := Settings{DefaultOutput: 16, MaxOutput: 1000}
-	extra := engineapi.Extra{CacheSalt: "salt", Priority: 7, WeightsVersion: "v1"}
+	space := newCacheSpace(prefix.Namespace{Account: "litoral", Model: "q", Version: "v1"})
+	extra := engineapi.Extra{CacheSalt: space.salt(), Priority: 7, WeightsVersion: "v1"}
 	f.Fuzz(func(t *testing.T, body []byte, chat bool) {
 		c, err := decodeCompletion(body, chat, s)
 		if err != nil {
@@ -33,7 +35,7 @@
 			return
 		}
 		assert.Equal(t, string(c.prompt), string(promptOf(t, body, chat)))
-		head, tail, err := c.bodyFor(extra)
+		head, tail, err := c.bodyFor(space, engineapi.Extra{Priority: 7})
 		assert.NilError(t, err)
 		sent := append(bytes.Clone(head), tail...)
 		var read struct {
--- /dev/null
+++ b/internal/entry/namespace.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"math/rand/v2"
+
+	"eelgrasshollow/internal/prefix"
+)
+
+// cacheSpace is the cache namespace of a completion together with the weights version that it is for. Without a known
+// version, as in the zero value, each attempt has a namespace that no other one has: an engine may load other weights
+// at any time, and what it computed before must not be found.
+type cacheSpace struct {
+	seed    prefix.Seed
+	version string
+}
+
+// newCacheSpace returns the namespace n, or one that nobody shares if n names no version.
+func newCacheSpace(n prefix.Namespace) cacheSpace {
+	if n.Version == "" {
+		return cacheSpace{}
+	}
+	return cacheSpace{n.Seed(), n.Version}
+}
+
+// shared reports whether other requests may have the same namespace.
+func (s cacheSpace) shared() bool { return s.version != "" }
+
+// salt returns the text by which engines tell namespaces apart. It is never empty, and differs at each call if nobody
+// shares the namespace.
+func (s cacheSpace) salt() string {
+	if !s.shared() {
+		return prefix.Seed(rand.Uint64()).Salt()
+	}
+	return s.seed.Salt()
+}
--- /dev/null
+++ b/internal/entry/namespace_test.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/standin"
+
+	"gotest.tools/v3/assert"
+)
+
+// sentExtras records the extra fields of the completions that engines get.
+type sentExtras struct {
+	mu   sync.Mutex
+	sent []engineapi.Extra
+}
+
+// addTo starts a stand-in engine whose completions are recorded. It runs a version of the test's model.
+func (s *sentExtras) addTo(b *testFront, version string) (*standin.Engine, *httptest.Server) {
+	config := engineConfig(0)
+	config.Models = map[string]string{"quote": version}
+	e := standin.NewEngine(config)
+	next := e.Handler()
+	return e, b.addHandler("engine", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, "/completions") {
+			body, err := io.ReadAll(r.Body)
+			assert.Check(b.t, err)
+			var extra engineapi.Extra
+			assert.Check(b.t, json.Unmarshal(body, &extra))
+			s.mu.Lock()
+			s.sent = append(s.sent, extra)
+			s.mu.Unlock()
+			r.Body = io.NopCloser(bytes.NewReader(body))
+		}
+		next.ServeHTTP(w, r)
+	}))
+}
+
+// all returns the recorded fields.
+func (s *sentExtras) all() []engineapi.Extra {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
+// longBody is a completion whose prompt has several pieces.
+var longBody = fmt.Sprintf(`{"model":"quote","max_tokens":4,"prompt":%q}`, strings.Repeat("word ", 4*prefix.PieceTokens))
+
+// Guards against one namespace for all weights of a model whose version the configuration does not name: an engine
+// would find, under new weights, what former ones had computed.
+func TestRequestsWithoutWeightsVersionShareNoNamespace(t *testing.T) {
+	b := newTestFront(t, nil)
+	b.change(func(c *pb.Configuration) { c.Models[0].WeightsVersion = "" })
+	extras := &sentExtras{}
+	former, _ := extras.addTo(b, "v1")
+	for range 2 {
+		response, text := b.do("POST", "/v1/completions", longBody)
+		assert.Equal(t, response.StatusCode, http.StatusOK, text)
+	}
+	b.router.mu.Lock()
+	b.router.endpoints = nil
+	b.router.mu.Unlock()
+	extras.addTo(b, "v2")
+	response, text := b.do("POST", "/v1/completions", longBody)
+	assert.Equal(t, response.StatusCode, http.StatusOK, text)
+	seen := map[string]bool{}
+	for _, e := range extras.all() {
+		assert.Equal(t, len(e.CacheSalt), len(prefix.Seed(0).Salt()), "a salt has the documented form")
+		assert.Assert(t, !seen[e.CacheSalt], "requests on unknown weights share the namespace %q", e.CacheSalt)
+		seen[e.CacheSalt] = true
+		assert.Equal(t, e.WeightsVersion+e.ImportFrom, "")
+	}
+	assert.Equal(t, len(seen), 3)
+	assert.Equal(t, former.Stats().CachedTokens, 0)
+	for _, r := range b.router.requests {
+		assert.Equal(t, len(r.Chain), 0, "routing must not expect a prefix that no other request finds")
+	}
+}
+
+// Guards against a repeated attempt that finds what an engine computed for an earlier one with other weights, where
+// their version is not known.
+func TestAttemptsWithoutWeightsVersionShareNoNamespace(t *testing.T) {
+	b := newTestFront(t, nil)
+	b.change(func(c *pb.Configuration) { c.Models[0].WeightsVersion = "" })
+	extras := &sentExtras{}
+	_, faulty := extras.addTo(b, "v1")
+	b.injectFault(faulty, standin.Fault{Kind: standin.FaultEmpty, Count: 1})
+	extras.addTo(b, "v1")
+	response, text := b.do("POST", "/v1/completions", longBody)
+	assert.Equal(t, response.StatusCode, http.StatusOK, text)
+	sent := extras.all()
+	assert.Equal(t, len(sent), 2)
+	assert.Assert(t, sent[0].CacheSalt != sent[1].CacheSalt)
+}
+
+// Guards against a send that names no namespace, or a namespace without the weights that it is for.
+func TestEachBodyNamesNamespaceAndWeights(t *testing.T) {
+	b := newTestFront(t, nil)
+	extras := &sentExtras{}
+	_, faulty := extras.addTo(b, "v1")
+	b.injectFault(faulty, standin.Fault{Kind: standin.FaultEmpty, Count: 1})
+	extras.addTo(b, "v1")
+	response, text := b.do("POST", "/v1/completions", longBody)
+	assert.Equal(t, response.StatusCode, http.StatusOK, text)
+	want := prefix.Namespace{Account: "litoral", Model: "quote", Version: "v1"}.Seed().Salt()
+	assert.Equal(t, len(extras.all()), 2)
+	for _, e := range extras.all() {
+		assert.Equal(t, e.CacheSalt, want)
+		assert.Equal(t, e.WeightsVersion, "v1")
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -67,13 +67,14 @@
 
 func (a *attempt) run(d routing.Decision) error {
 	j := a.job
-	extra := engineapi.Extra{
-		CacheSalt: j.seed.Salt(), Priority: j.request.Priority, WeightsVersion: j.request.Version, ImportFrom: d.ImportFrom,
+	extra := engineapi.Extra{Priority: j.request.Priority}
+	if j.space.shared() {
+		extra.ImportFrom = d.ImportFrom
 	}
 	if j.delivered > 0 {
 		extra.ResumeFrom = j.delivered + 1
 	}
-	body, tail, err := j.bodyFor(extra)
+	body, tail, err := j.bodyFor(j.space, extra)
 	if err != nil {
 		return err
 	}
