Routing expects nothing of a prompt sent in a namespace that nobody shares

What callers could see: a request for a prefix was sent to a server, or told to import from a server or store, that did not have the prefix, and waited for it to be computed again. Cause: routing records a prompt at its server when it sends it, tells the other VMs, and records it as saved at the store; only Result.NothingShared tells that the attempt used a namespace of its own and saved nothing, and that stopped only a second record.

Change: such a result removes from the index what the send recorded and was not cached before, for the server and the store, and withdraws the placements. Peers that have heard of them get evictions 2 s later, because an eviction within 1 s of a placement is ignored; one is not sent if a later request has cached the prefix by then. Evictions now apply to stores too.

TestPromptThatNobodySharesIsExpectedNowhere failed with forgetPlacement not called, as on the code before ("this VM expects it at [e3 store]"); so did TestPromptThatNobodySharesLeavesWhatOthersCached, which also checks that nothing else is forgotten. Both pass with -race, as do the tests of placements, digests, imports, stores and isolation of the package; the whole package was not run.

--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -59,6 +59,7 @@
 	peers            map[string]peerView
 	newPlacements    []digest.Placement         // for the next digest
 	evictions        []digest.Placement         // for the next digest
+	lateEvictions    []lateEviction             // see QueueDueEvictions
 	digestUrgent     bool                       // see DigestUrgent
 	relayUrgent      bool                       // an endpoint has crashed, or a rate limit has changed, since the last digest
 	newLimits        []digest.RateLimit         // for the next digest
@@ -440,6 +441,9 @@
 	c.observePace(now, p, r)
 	c.observeSpeed(now, p, r)
 	c.observeStart(now, p, r)
+	if r.NothingShared {
+		c.forgetPlacement(now, p)
+	}
 	c.recordResult(now, p, r)
 	if !s.removed {
 		c.dispatch(now, s)
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -191,6 +191,7 @@
 func (x *digestExchange) sendRound(ctx context.Context, peers []string, calls *sync.WaitGroup) {
 	m := x.module
 	m.mu.Lock()
+	m.core.QueueDueEvictions(m.now())
 	d := m.core.NextDigest(m.self(), m.settings.DigestBytes)
 	m.mu.Unlock()
 	args := DigestArgs{Body: d.Encode(), Speeds: d.EncodeSpeeds()}
--- a/internal/routing/isolation_test.go
+++ b/internal/routing/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"testing"
 	"time"
 
@@ -155,3 +156,67 @@
 	c.ApplyDigest(epoch.Add(time.Second), sender.NextDigest("peer", 4096))
 	assert.Equal(t, predictedCachedTokens(c, epoch.Add(time.Second), r), 0, "neither its response nor a peer's digest applies to the new endpoint")
 }
+
+// Guards against routing, and its peers, that expect a prefix where a request was sent in a namespace that nobody
+// shares: later requests would go there and wait for it to be computed again, or import it from a store without it.
+func TestPromptThatNobodySharesIsExpectedNowhere(t *testing.T) {
+	now := time.Unix(100, 0)
+	c, peer := peerCore(now), peerCore(now)
+	exchange := func(at time.Time) {
+		c.QueueDueEvictions(at)
+		d, err := digest.Decode(c.NextDigest("c", 1024).Encode())
+		assert.NilError(t, err)
+		peer.ApplyDigest(at, d)
+	}
+	request := func(own string) Request {
+		r := sharedPrefixRequest("p", own)
+		r.SharedPieces = 1
+		return r
+	}
+	first := submitRequest(c, now, request("1"))
+	assert.Equal(t, first.Decision.SaveTo, "store:1")
+	expected := func(c *Core) (held []string) {
+		chain := first.Request.Chain
+		for _, s := range c.endpoints {
+			if c.index.Find(chain, now, nil)[s.index].RecordedPieces > 0 {
+				held = append(held, s.Name)
+			}
+		}
+		for _, s := range c.stores {
+			if c.index.Find(chainForWeights(chain, first.Decision.Weights), now, nil)[s.index].RecordedPieces > 0 {
+				held = append(held, s.Name)
+			}
+		}
+		return held
+	}
+	exchange(now)
+	assert.Equal(t, len(expected(peer)), 2, "the peers hear of the placement before the attempt ends")
+	c.Finish(now.Add(100*time.Millisecond), first, Result{Incarnation: first.Decision.Endpoint, CacheUnknown: true, NothingShared: true})
+	late := now.Add(2 * startupImportWindow)
+	exchange(late)
+	assert.Equal(t, len(expected(c)), 0, "this VM expects it at %v", expected(c))
+	assert.Equal(t, len(expected(peer)), 0, "a peer expects it at %v", expected(peer))
+	second := submitRequest(c, late, request("2"))
+	assert.Equal(t, second.Decision.SaveTo, "store:1", "the prefix is not in the store yet")
+}
+
+// Guards against a request in a namespace of its own that makes routing forget what others cached before or after it.
+func TestPromptThatNobodySharesLeavesWhatOthersCached(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := peerCore(now)
+	request := func(own string) Request {
+		r := sharedPrefixRequest("p", own)
+		r.Exclude = []string{"e2", "e3"}
+		return r
+	}
+	before := submitRequest(c, now, request("1"))
+	c.Finish(now, before, Result{Incarnation: "e1", CacheUnknown: true})
+	own := submitRequest(c, now.Add(time.Second), request("2"))
+	submitRequest(c, now.Add(2*time.Second), request("3"))
+	c.Finish(now.Add(3*time.Second), own, Result{Incarnation: "e1", CacheUnknown: true, NothingShared: true})
+	for i, tokens := range []int{17_000, 13_000, 17_000} {
+		p := submitRequest(c, now.Add(4*time.Second), request(strconv.Itoa(i+1)))
+		assert.Equal(t, p.Decision.Endpoint, "e1")
+		assert.Equal(t, p.Decision.CachedTokens, tokens, "request %d", i+1)
+	}
+}
--- a/internal/routing/relay.go
+++ b/internal/routing/relay.go
@@ -131,6 +131,7 @@
 		m.core.removePeer(x.lastRelay)
 		x.lastRelay, x.relayEpoch, x.relayAfter, x.relayAfterAlert = address, 0, 0, 0
 	}
+	m.core.QueueDueEvictions(m.now())
 	sent := m.core.NextDigest(m.self(), m.settings.DigestBytes)
 	args := RelayArgs{Body: sent.Encode(), Speeds: sent.EncodeSpeeds(), Epoch: x.relayEpoch, After: x.relayAfter, AfterAlert: x.relayAfterAlert, Brittle: m.core.BrittleServices(m.now())}
 	m.mu.Unlock()
@@ -165,6 +166,7 @@
 	m.mu.Lock()
 	m.hub.Expire(m.now())
 	m.hub.SetRelays(m.now(), relays)
+	m.core.QueueDueEvictions(m.now())
 	m.hub.RecordOwn(m.now(), m.core.NextDigest(m.self(), m.settings.DigestBytes))
 	loads := m.core.cellLoads(m.hub.Members())
 	m.mu.Unlock()
--- a/internal/routing/share.go
+++ b/internal/routing/share.go
@@ -61,6 +61,66 @@
 	}
 }
 
+// forgetPlacement reverts what was recorded when a prompt was sent that no other request can use: neither this VM nor
+// its peers may expect the pieces that were not cached before at the endpoint, or at the store that it was to save to.
+// Holders that later requests recorded stay.
+func (c *Core) forgetPlacement(now time.Time, p *Pending) {
+	chain := p.Request.Chain
+	if len(chain) == 0 {
+		return
+	}
+	if s := p.state; !s.removed { // its number in the index may have been reassigned to another endpoint otherwise
+		uncached := chain[p.match.CachedPieces:]
+		c.index.Remove(s.index, uncached, p.sentAt)
+		c.withdrawPlacements(now, digest.EndpointRunOf(s.id, p.run), s.index, uncached)
+	}
+	for _, store := range c.stores {
+		if store.Address == p.Decision.SaveTo {
+			saved := chainForWeights(chain[:len(chain)-1], p.Decision.Weights)
+			c.index.Remove(store.index, saved, p.sentAt)
+			c.withdrawPlacements(now, store.endpointRun, store.index, saved)
+		}
+	}
+}
+
+// lateEviction is an eviction to be sent to the peers at a later time.
+type lateEviction struct {
+	due       time.Time
+	placement digest.Placement
+}
+
+// withdrawPlacements withdraws the placements of those prefixes that the endpoint or store with the index number is no
+// longer recorded to hold. Peers ignore an eviction within maxEventDelay of the placement, so those follow later.
+func (c *Core) withdrawPlacements(now time.Time, at digest.EndpointRun, index cacheindex.Endpoint, hashes []prefix.Hash) {
+	c.matches = c.index.Find(hashes, now, c.matches)
+	for _, h := range hashes[c.matches[index].RecordedPieces:] {
+		placement := digest.Placement{EndpointRun: at, Prefix: h}
+		c.newPlacements = slices.DeleteFunc(c.newPlacements, func(p digest.Placement) bool { return p == placement })
+		c.lateEvictions = append(c.lateEvictions, lateEviction{now.Add(2 * maxEventDelay), placement})
+	}
+	if excess := len(c.lateEvictions) - maxQueuedEvictions; excess > 0 {
+		c.lateEvictions = slices.Delete(c.lateEvictions, 0, excess)
+	}
+}
+
+// QueueDueEvictions adds the late evictions that are due to the next digest, except those of prefixes that the endpoint
+// or store is recorded to hold by now.
+func (c *Core) QueueDueEvictions(now time.Time) {
+	n := 0
+	for ; n < len(c.lateEvictions) && !now.Before(c.lateEvictions[n].due); n++ {
+		placement := c.lateEvictions[n].placement
+		index, ok := c.indexAt(placement.EndpointRun)
+		if !ok {
+			continue
+		}
+		c.matches = c.index.Find([]prefix.Hash{placement.Prefix}, now, c.matches)
+		if c.matches[index].RecordedPieces == 0 {
+			c.evictions = append(c.evictions, placement)
+		}
+	}
+	c.lateEvictions = slices.Delete(c.lateEvictions, 0, n)
+}
+
 func (c *Core) queuePlacement(p digest.Placement) {
 	if slices.Contains(c.newPlacements, p) {
 		return
@@ -162,8 +222,8 @@
 		s.setPeerWeights(weights, now)
 	}
 	for _, p := range d.Evicted {
-		if s := c.byRun[p.EndpointRun]; s != nil {
-			c.index.Remove(s.index, []prefix.Hash{p.Prefix}, now.Add(-maxEventDelay))
+		if index, ok := c.indexAt(p.EndpointRun); ok {
+			c.index.Remove(index, []prefix.Hash{p.Prefix}, now.Add(-maxEventDelay))
 		}
 	}
 	for _, p := range d.Placements {
