A key on an open route gives a completion the namespaces of its account

What callers could see: a completion on an open route had the cache namespace of requests without a client account, also when it came with a valid key. The account's prompts were cached where anybody's request finds them, and its requests used what others had made. On routes that ask for a key each account has namespaces of its own.

Change: the namespace is that of the key's account on every route; requests without a valid key share one, as before. Grants, metrics and the request's account for routing stay those of the route.

TestDryRunHasNamespaceOfSend held before and after: a dry run has the seed, version and chain of a send, also on an open route and for unknown weights.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -49,6 +49,22 @@
 	return mayUse(route, account)
 }
 
+// keyHolder returns the name of the client account that a request's key belongs to, whether or not its route needs a key,
+// or "" if the key is not valid. A dry run may name an account instead of a key.
+func (f *Front) keyHolder(view *state.View, x *exchange) string {
+	if x.actAs != "" {
+		if account, ok := view.Account(x.actAs); ok && !account.GetDisabled() {
+			return x.actAs
+		}
+		return ""
+	}
+	account, err := view.Authenticate(f.hasher, x.token)
+	if err != nil {
+		return ""
+	}
+	return account.GetName()
+}
+
 // mayUse returns the name of a client account that may use a route.
 func mayUse(route *pb.Route, account *pb.ClientAccount) (string, error) {
 	if allowed := route.GetClientAccounts(); len(allowed) > 0 && !slices.Contains(allowed, account.GetName()) {
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -153,7 +153,7 @@
 
 // setVersion sets the weights version to run on, and the cache namespace, which depends on it.
 func (j *job) setVersion(version string) {
-	j.space = newCacheSpace(prefix.Namespace{Account: j.account, Model: j.completion.model, Adapter: j.adapter, Version: version})
+	j.space = newCacheSpace(prefix.Namespace{Account: j.cacheAccount, Model: j.completion.model, Adapter: j.adapter, Version: version})
 	j.request.Version, j.request.Seed, j.request.Chain = version, j.space.seed, nil
 	if j.space.shared() {
 		j.request.Chain = prefix.Chain(j.space.seed, j.prompt)
@@ -206,7 +206,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	x.account, x.route = account, route.GetName()
+	x.account, x.route, x.cacheAccount = account, route.GetName(), f.keyHolder(view, x)
 	if c.adapter != "" && !slices.Contains(model.GetAdapters(), c.adapter) {
 		return nil, nil, errkind.New(errkind.NotFound, "no such adapter")
 	}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -111,17 +111,20 @@
 
 // exchange is one client request and its response.
 type exchange struct {
-	w           http.ResponseWriter
-	control     *http.ResponseController
-	r           *http.Request
-	ctx         context.Context // ends when the client disconnects or the request is canceled
-	id          string
-	token       string
-	account     string
-	route       string
-	start       time.Time
-	headWritten bool // the response header has been written
-	dryRun      bool // nothing may be changed; see Front.DryRun
+	w       http.ResponseWriter
+	control *http.ResponseController
+	r       *http.Request
+	ctx     context.Context // ends when the client disconnects or the request is canceled
+	id      string
+	token   string
+	account string // "" on an open route
+	// cacheAccount is the client account whose cache namespaces a completion has: that of its key, also on an open
+	// route; "" without a valid key.
+	cacheAccount string
+	route        string
+	start        time.Time
+	headWritten  bool // the response header has been written
+	dryRun       bool // nothing may be changed; see Front.DryRun
 	// actAs is the client account of a dry run without a key.
 	actAs string
 }
--- a/internal/entry/namespace_test.go
+++ b/internal/entry/namespace_test.go
@@ -12,8 +12,10 @@
 	"testing"
 
 	pb "eelgrasshollow/gen/eelgrass/v1"
+	"eelgrasshollow/internal/dryrun"
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/prefix"
+	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/standin"
 
 	"gotest.tools/v3/assert"
@@ -119,3 +121,78 @@
 		assert.Equal(t, e.WeightsVersion, "v1")
 	}
 }
+
+// Guards against a request on an open route that uses what requests without an account made, although its key names
+// one: on other routes each client account has namespaces of its own.
+func TestKeyOnOpenRouteHasNamespaceOfItsAccount(t *testing.T) {
+	b := newTestFront(t, nil)
+	extras := &sentExtras{}
+	extras.addTo(b, "v1")
+	salt := func(open bool, key string) string {
+		b.change(func(c *pb.Configuration) { c.Routes[0].Open = open })
+		own := b.token
+		defer func() { b.token = own }()
+		b.token = key
+		response, text := b.do("POST", "/v1/completions", longBody)
+		assert.Equal(t, response.StatusCode, http.StatusOK, text)
+		sent := extras.all()
+		return sent[len(sent)-1].CacheSalt
+	}
+	ofAccount, ofNobody := salt(false, b.token), salt(true, "")
+	assert.Assert(t, ofNobody != ofAccount)
+	assert.Equal(t, salt(true, b.token), ofAccount, "litoral's request uses what requests without a key made")
+	assert.Equal(t, salt(true, "unknown"), ofNobody, "a key that is not valid names no account")
+	assert.Equal(t, b.router.requests[len(b.router.requests)-2].Account, "", "an open route has no account")
+}
+
+// dryRunRecorder records the requests of dry runs.
+type dryRunRecorder struct {
+	*fakeRouter
+	asked []routing.Request
+}
+
+func (r *dryRunRecorder) SelectVersion(_, target string, _ uint64) string { return target }
+func (r *dryRunRecorder) DryRunVersion(_, target string, _ uint64) string { return target }
+
+func (r *dryRunRecorder) DryRun(q routing.Request) dryrun.Placement {
+	r.asked = append(r.asked, q)
+	return dryrun.Placement{}
+}
+
+// Guards against a dry run that explains a request in another cache namespace than the one in which it is sent.
+func TestDryRunHasNamespaceOfSend(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		change  func(*pb.Configuration)
+		keyless bool
+	}{
+		{name: "usual", change: func(*pb.Configuration) {}},
+		{name: "open route", change: func(c *pb.Configuration) { c.Routes[0].Open = true }},
+		{name: "open route, no key", change: func(c *pb.Configuration) { c.Routes[0].Open = true }, keyless: true},
+		{name: "unknown weights", change: func(c *pb.Configuration) { c.Models[0].WeightsVersion = "" }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestFront(t, nil)
+			recorder := &dryRunRecorder{fakeRouter: b.router}
+			b.front.router = recorder
+			b.addEngine(0)
+			b.change(c.change)
+			queries := []dryrun.Query{{Body: []byte(longBody), Path: completionPath, Key: b.token}, {Body: []byte(longBody), Path: completionPath, Account: "litoral"}}
+			if c.keyless {
+				b.token, queries = "", []dryrun.Query{{Body: []byte(longBody), Path: completionPath}}
+			}
+			response, text := b.do("POST", "/v1/completions", longBody)
+			assert.Equal(t, response.StatusCode, http.StatusOK, text)
+			sent := b.router.requests[0]
+			for i, q := range queries {
+				e, err := b.front.DryRun(q)
+				assert.NilError(t, err)
+				assert.Equal(t, len(recorder.asked), i+1, "%+v", e)
+				asked := recorder.asked[i]
+				assert.Equal(t, asked.Seed, sent.Seed)
+				assert.Equal(t, asked.Version, sent.Version)
+				assert.DeepEqual(t, asked.Chain, sent.Chain)
+			}
+		})
+	}
+}
