A completion isn't sent for an account that its key no longer names

What callers could see: a completion that waited for an endpoint, or for its next attempt, while its key was withdrawn or given to another client account was still sent, in the cache namespace of the account that the key had at arrival. Open requests are canceled when the configuration changes, but by another goroutine, and a key of another account passed that check at all times.

Change: each attempt begins with a check that the key belongs to the account of the namespace in the last configuration received, as calls of plain services have had. The endpoint that was picked isn't charged with it, and routing forgets that it expected the prompt there.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -65,6 +65,15 @@
 	return account.GetName()
 }
 
+// checkAccount returns an error if a completion's key doesn't belong to the client account of its cache namespace any
+// more. The last configuration received decides, fresh or not: see recheckKeys.
+func (f *Front) checkAccount(x *exchange) error {
+	if x.cacheAccount == "" || f.keyHolder(f.directory.View(), x) == x.cacheAccount {
+		return nil
+	}
+	return errkind.New(errkind.Unauthenticated, "key is no longer valid for the client account of the request").WithOutcome(errkind.NotRun)
+}
+
 // mayUse returns the name of a client account that may use a route.
 func mayUse(route *pb.Route, account *pb.ClientAccount) (string, error) {
 	if allowed := route.GetClientAccounts(); len(allowed) > 0 && !slices.Contains(allowed, account.GetName()) {
--- a/internal/entry/namespace_test.go
+++ b/internal/entry/namespace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,14 +11,19 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	pb "eelgrasshollow/gen/eelgrass/v1"
 	"eelgrasshollow/internal/dryrun"
+	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/engineapi"
+	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/prefix"
 	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/standin"
+	"eelgrasshollow/internal/state"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 )
 
@@ -196,3 +202,52 @@
 		})
 	}
 }
+
+// changingRouter changes the configuration between the choice of an endpoint and the send.
+type changingRouter struct {
+	*fakeRouter
+	afterPick func()
+}
+
+func (r *changingRouter) Pick(ctx context.Context, q routing.Request) (routing.Ticket, error) {
+	ticket, err := r.fakeRouter.Pick(ctx, q)
+	r.afterPick()
+	return ticket, err
+}
+
+// Guards against a completion that is sent in the namespace of an account that its key doesn't name any more: the
+// configuration may change while the request waits for an endpoint, and open requests are canceled only after that.
+func TestCompletionIsNotSentForFormerAccountOfKey(t *testing.T) {
+	for name, change := range map[string]func(*pb.Configuration){
+		"key of another account": func(c *pb.Configuration) {
+			c.ClientAccounts = append(c.ClientAccounts, &pb.ClientAccount{Name: "meseta", RateTokens: 1000, BurstTokens: 1000})
+			c.Keys[0].ClientAccount = "meseta"
+		},
+		"key withdrawn":    func(c *pb.Configuration) { c.Keys[0].Withdrawn = true },
+		"account disabled": func(c *pb.Configuration) { c.ClientAccounts[0].Disabled = true },
+		"account deleted":  func(c *pb.Configuration) { c.ClientAccounts = nil },
+	} {
+		for _, open := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", open ", open), func(t *testing.T) {
+				b := newTestFront(t, func(s *Settings, _ *engine.Settings) { s.KeyRecheckInterval = time.Hour })
+				extras := &sentExtras{}
+				extras.addTo(b, "v1")
+				b.change(func(c *pb.Configuration) { c.Routes[0].Open = open })
+				b.front.router = &changingRouter{b.router, func() {
+					c := proto.CloneOf(b.config)
+					change(c)
+					b.directory.mu.Lock() // without a notice of the change, so that nothing is canceled before the send
+					b.directory.view = state.NewView(c)
+					b.directory.mu.Unlock()
+				}}
+				response, text := b.do("POST", "/v1/completions", longBody)
+				assertRefused(t, response, text, errkind.Unauthenticated, errkind.NotRun)
+				assert.Equal(t, len(extras.all()), 0)
+				b.router.mu.Lock()
+				defer b.router.mu.Unlock()
+				assert.Equal(t, len(b.router.results), 1)
+				assert.Equal(t, b.router.results[0].Err.Kind, errkind.Canceled, "the endpoint has not failed")
+			})
+		}
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,6 +23,10 @@
 
 // attempt runs the job at the ticket's endpoint and reports the result to routing.
 func (f *Front) attempt(j *job, ticket routing.Ticket) error {
+	if err := f.checkAccount(j.exchange); err != nil {
+		ticket.Done(routing.Result{NothingShared: true, Err: errkind.New(errkind.Canceled, "not sent")})
+		return err
+	}
 	d := ticket.Decision()
 	start := time.Now()
 	a := &attempt{front: f, job: j, ticket: ticket, start: start}
