eelctl explain follows cache namespaces

Logs name the cache namespace of each request since, but no tool read it: a report that one client account's request used KV cache of another could only be followed with grep.

A namespace that begins with "once-" is one that no other request has, and is listed if two had it. Lines of VMs that only forwarded a request have none and are left out.

TestExplainTellsWhoHadTheCacheNamespace, TestExplainLeadsFromAccountsToNamespaceAndRequests.

--- a/internal/cachespace/cachespace.go
+++ b/internal/cachespace/cachespace.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 
 	"eelgrasshollow/internal/prefix"
 )
@@ -48,11 +49,17 @@
 	return Space{digest(o.id, model, strconv.FormatInt(version, 10)), true}
 }
 
+// uniquePrefix begins the salts of namespaces that no other request has.
+const uniquePrefix = "once-"
+
 // Unique returns a namespace that no other request has.
 func Unique() Space {
-	return Space{salt: fmt.Sprintf("once-%016x%016x", rand.Uint64(), rand.Uint64())}
+	return Space{salt: fmt.Sprintf("%s%016x%016x", uniquePrefix, rand.Uint64(), rand.Uint64())}
 }
 
+// IsUnique reports whether a salt is of a namespace that no other request has.
+func IsUnique(salt string) bool { return strings.HasPrefix(salt, uniquePrefix) }
+
 // Shared reports whether other requests may have the same namespace.
 func (s Space) Shared() bool { return s.shared }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -162,3 +162,48 @@
 	}
 	assert.DeepEqual(t, ids, []string{"lost", "old-view"})
 }
+
+// namespaceLog holds requests of the client accounts a and b, of which b becomes isolated before its last one.
+const namespaceLog = `{"level":"info","ts":"2026-06-15T08:00:01.000Z","msg":"request served","vm":"vm-1","request":"a1","server":"s1","sends":1,"client_account":"a","cache_namespace":"77aa","outcome":"completed","took":5}
+{"level":"info","ts":"2026-06-15T08:00:02.000Z","msg":"request served","vm":"vm-2","request":"b1","server":"s1","sends":1,"client_account":"b","cache_namespace":"77aa","outcome":"completed","took":5}
+{"level":"warn","ts":"2026-06-15T08:00:03.000Z","msg":"request failed","vm":"vm-1","request":"a2","server":"s2","sends":1,"client_account":"a","cache_namespace":"once-1","outcome":"outcome-unknown","kind":"endpoint-failed","took":5}
+{"level":"info","ts":"2026-06-15T08:00:04.000Z","msg":"request served","vm":"vm-2","request":"b2","server":"s1","sends":2,"client_account":"b","cache_namespace":"99bb","outcome":"completed","took":5}
+{"level":"warn","ts":"2026-06-15T08:00:05.000Z","msg":"request failed","vm":"vm-1","request":"unsent","server":"","sends":0,"client_account":"a","cache_namespace":"","outcome":"not-run","kind":"overloaded","took":5}
+{"level":"info","ts":"2026-06-15T08:00:06.000Z","msg":"request served","vm":"vm-1","request":"nobody","server":"s1","sends":1,"client_account":"","cache_namespace":"","outcome":"completed","took":5}
+{"level":"info","ts":"2026-06-15T08:00:07.000Z","msg":"request served","vm":"vm-1","request":"former","server":"s1","sends":1,"client_account":"a","outcome":"completed","took":5}
+{"level":"info","ts":"2026-06-15T08:00:08.000Z","msg":"request served","vm":"vm-2","request":"passed-on","forwarded":true,"server":"s2","sends":1,"client_account":"b","cache_namespace":"99bb","outcome":"completed","took":5}
+{"level":"info","ts":"2026-06-15T08:00:08.010Z","msg":"request served","vm":"vm-1","request":"passed-on","server":"","sends":1,"client_account":"b","cache_namespace":"","outcome":"completed","took":15}
+`
+
+// Guards against an explanation that hides which client accounts had a request's cache namespace, that names one that the
+// request was not sent in, or that takes a namespace of one request for a shared one.
+func TestExplainTellsWhoHadTheCacheNamespace(t *testing.T) {
+	lines := readLines(t, namespaceLog)
+	for id, want := range map[string]string{
+		"a1":        "77aa; requests in the logs: a 1, b 1",
+		"b1":        "77aa; requests in the logs: a 1, b 1",
+		"a2":        "once-1: no other request has it",
+		"b2":        "99bb; requests in the logs: b 2",
+		"passed-on": "99bb; requests in the logs: b 2",
+		"nobody":    "none, which all such requests share; requests in the logs: (no account) 1",
+		"unsent":    "", "former": "",
+	} {
+		s, err := Explain(lines, id)
+		assert.NilError(t, err)
+		var b strings.Builder
+		assert.NilError(t, s.Print(&b))
+		assert.Equal(t, s.Namespace != nil, want != "", id)
+		if want != "" {
+			assert.Equal(t, s.Namespace.String(), want)
+			assert.Assert(t, strings.Contains(b.String(), "\ncache namespace of its last attempt: "+want+"\n"), b.String())
+		}
+		assert.Equal(t, len(s.NamespaceOthers), map[string]int{"b1": 1}[id], id)
+	}
+	var shared []string
+	for _, use := range Namespaces(append(lines, readLines(t, strings.Replace(namespaceLog, `"a2"`, `"a3"`, 1))[2])) {
+		if use.Shared() {
+			shared = append(shared, use.String())
+		}
+	}
+	assert.DeepEqual(t, shared, []string{"77aa; requests in the logs: a 1, b 1", "once-1: only one request may have it, but 2 had: a 2"})
+}
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -24,7 +24,8 @@
 		events []Event
 	}{
 		{"process state at the time", r.ProcessState}, {"preceding warnings on its VM", r.PrecedingWarnings},
-		{"earlier requests of the same prefix", r.RelatedRequests}, {"log lines of the request", r.RequestLines},
+		{"earlier requests of the same prefix", r.RelatedRequests},
+		{"earlier requests of other client accounts in its cache namespace", r.NamespaceOthers}, {"log lines of the request", r.RequestLines},
 	} {
 		if len(section.events) == 0 {
 			continue
@@ -41,6 +42,9 @@
 	if r.Server != nil {
 		fmt.Fprintf(&b, "\nserver %s within %v of its end: %d other requests ended, %d of them failed\n", r.Server.Server, activityWindow, r.Server.Ended, r.Server.Failed)
 	}
+	if r.Namespace != nil {
+		fmt.Fprintf(&b, "\ncache namespace of its last attempt: %s\n", r.Namespace)
+	}
 	fmt.Fprintf(&b, "\noutcome: %s", orUnknown(r.Verdict.Outcome))
 	if r.Verdict.Kind != "" {
 		fmt.Fprintf(&b, ", %s", r.Verdict.Kind)
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -49,8 +49,14 @@
 	RelatedRequests []Event `json:"Kin"`
 	// Server counts the other requests of the request's server; nil if the request was
 	// sent to no server.
-	Server  *ServerActivity
-	Verdict Verdict
+	Server *ServerActivity
+	// Namespace is the use of the cache namespace of the request's last attempt; nil if the
+	// request was sent to no server, or the namespace was not logged.
+	Namespace *NamespaceUse
+	// NamespaceOthers are the last lines of earlier requests of other client accounts with
+	// the same cache namespace.
+	NamespaceOthers []Event
+	Verdict         Verdict
 }
 
 // ServerActivity counts the other requests of one server that ended within activityWindow
@@ -132,7 +138,8 @@
 	}
 	r.Server = serverActivity(events, last)
 	r.RelatedRequests = relatedRequests(events, last)
-	for _, group := range [][]Event{r.RequestLines, r.ProcessState, r.PrecedingWarnings, r.RelatedRequests} {
+	r.Namespace, r.NamespaceOthers = namespaceUse(lines, events, r.RequestLines)
+	for _, group := range [][]Event{r.RequestLines, r.ProcessState, r.PrecedingWarnings, r.RelatedRequests, r.NamespaceOthers} {
 		for _, e := range group {
 			r.Offsets[e.VM] = c.offset[e.VM]
 		}
