A forwarded request shares no KV cache under an older configuration

Its prompt is cached where requests of other accounts find it, and it uses what they made.

Change: a forwarded request carries the version of the configuration at the VM that forwards it (a new gob field, which earlier versions ignore).

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -84,6 +84,7 @@
 	}
 	m := message{Request: *a.Request, TimeLeft: a.TimeLeft}
 	m.Request.Forwarded, m.Request.PriorRuns, m.Request.LastEventID = true, a.PriorRuns, a.LastEventID
+	m.Request.ConfigVersion = a.ConfigVersion
 	var body bytes.Buffer
 	if err := encode(&body, c.version, &m); err != nil {
 		return nil, resultUnreachable, errkind.Wrap(err, errkind.Internal, "forward").WithOutcome(errkind.NotRun)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -248,3 +248,19 @@
 	_, err = decode(strings.NewReader("no gob"))
 	assert.Assert(t, err != nil)
 }
+
+// Guards against a helper VM that doesn't learn which configuration the forwarding VM has, and against a version that a
+// request of a client already carries.
+func TestConfigVersionArrives(t *testing.T) {
+	var got int64
+	_, peer := helper(t, func(_ context.Context, _ http.ResponseWriter, r *gateway.Request) bool {
+		got = r.ConfigVersion
+		return true
+	}, false, 1)
+	a := forwardAttempt()
+	a.ConfigVersion, a.Request.ConfigVersion = 7, 1
+	reply, err := NewClient().SendToPeer(t.Context(), peer, a)
+	assert.NilError(t, err)
+	assert.NilError(t, reply.Body.Close())
+	assert.Equal(t, got, int64(7))
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -201,8 +201,7 @@
 		},
 	}
 	if x.Prompt.Known {
-		// The configuration may have changed since the request arrived.
-		attempt.Cache, attempt.Weights = g.Directory.View().CacheSpace(decision.Endpoint, x.Prompt.Model, x.keyHolder)
+		attempt.Cache, attempt.Weights = g.cacheSpace(x, decision.Endpoint)
 	}
 	if attempt.Cache.Shared() {
 		attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
@@ -289,6 +288,18 @@
 	return err
 }
 
+// cacheSpace returns the cache namespace of an attempt at an endpoint, and the version of the weights there or 0. The
+// configuration may have changed since the request arrived, so the present one decides. Where it is older than that of the
+// VM that forwarded the request, accounts may be isolated that it doesn't isolate yet, and nothing is shared.
+func (g *Gateway) cacheSpace(x *exchange, endpoint string) (cachespace.Space, int64) {
+	view := g.Directory.View()
+	space, version := view.CacheSpace(endpoint, x.Prompt.Model, x.keyHolder)
+	if view.Config != nil && view.Config.Version < x.ConfigVersion {
+		space = cachespace.Unique()
+	}
+	return space, version
+}
+
 // observeNamespace records the cache namespace of an attempt that is about to be sent.
 func (g *Gateway) observeNamespace(x *exchange, a Attempt) {
 	x.cacheSalt = a.Cache.Salt()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -38,6 +38,8 @@
 	LastEventID string
 	// PriorRuns is the number of servers that may have run the request already.
 	PriorRuns int
+	// ConfigVersion is the version of this VM's configuration.
+	ConfigVersion int64
 	// OnSend is called immediately before the first byte is sent.
 	OnSend func()
 }
@@ -131,6 +133,9 @@
 	if x.mayHaveRun {
 		attempt.PriorRuns = x.possibleRuns()
 	}
+	if c := g.Directory.View().Config; c != nil {
+		attempt.ConfigVersion = c.Version
+	}
 	before := x.sendCount()
 	x.sentAfter = time.Since(x.Arrived)
 	reply, err := g.Forwarding.SendToPeer(x.ctx, address, attempt)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -47,9 +47,11 @@
 	// or "" for a new stream.
 	LastEventID string
 	// Forwarded is set if another VM forwarded the request; it must not be forwarded again.
-	// PriorRuns is the number of servers that may have run it before.
-	Forwarded bool
-	PriorRuns int
+	// PriorRuns is the number of servers that may have run it before, and ConfigVersion the version of
+	// the configuration at that VM; 0 if unknown.
+	Forwarded     bool
+	PriorRuns     int
+	ConfigVersion int64
 }
 
 // Prompt describes a request's prompt as announced by the client. Known is false for
