Stand-ins find a KV block under its own salt only

What this hid: an engine that keeps to engineapi never matches blocks of another namespace. The stand-ins told namespaces apart by the 64-bit hashes of blocks alone, which are seeded with the salt: /kv/export copied a block under any salt that the router named, the store served it for any, and two salts of the same number (00aa, 00AA) shared all blocks. A router that names a wrong namespace in an export, an import or a completion would have passed every test with these stand-ins. The seed of a namespace is a hash that clients can compute, and so are the hashes of the blocks, so equal hashes can also be made on purpose.

Change: the cache of the engine and the store identify a block by salt and hash. Engines have sent the salt as body of requests for blocks before; engineapi states it now.

TestBlocksAreFoundUnderTheirOwnSaltOnly failed before (2 blocks exported under another salt) and passes. TestUnusedBlocksExpire names the salt, as match asks for one now; it checks the same as before. All tests of the package pass with -race.

--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -12,7 +12,7 @@
 //	POST   /orders                                 Order -> OrderReply; 409 if fenced
 //	GET    /orders                                 the last accepted order, for read-back
 //	POST   /kv/export, /kv/import                  KVRequest -> KVReply
-//	GET    /blocks/{hash}, PUT /blocks/{hash}      blocks of the kept-cache store
+//	GET    /blocks/{hash}, PUT /blocks/{hash}      blocks of the kept-cache store; the body is the salt
 //	GET    /weights/{model}/{version}              weights of the weight store, rate limited
 //	GET    /vms                                    VMList
 //
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -11,34 +11,40 @@
 )
 
 // blockCache is an engine's prefix cache. It evicts the least recently used blocks beyond its
-// capacity, and blocks unused for longer than ttl. The hashes of a chain are seeded by the
-// namespace, so that blocks of one namespace never match prompts of another.
+// capacity, and blocks unused for longer than ttl. Blocks of one namespace never match prompts
+// of another: besides that the hashes of a chain are seeded by the namespace, which 64 bits
+// can't guarantee, a block is only found under its salt.
 type blockCache struct {
 	capacity int           // blocks
 	ttl      time.Duration // 0: blocks do not expire
 	recency  *list.List    // of *block, most recently used first
-	blocks   map[prefix.Hash]*list.Element
+	blocks   map[blockID]*list.Element
+}
+
+// blockID identifies a block of a namespace.
+type blockID struct {
+	salt string
+	hash prefix.Hash
 }
 
 type block struct {
-	hash     prefix.Hash
-	salt     string
+	blockID
 	lastUsed time.Time
 }
 
 func newBlockCache(capacity int, ttl time.Duration) *blockCache {
-	return &blockCache{capacity: capacity, ttl: ttl, recency: list.New(), blocks: map[prefix.Hash]*list.Element{}}
+	return &blockCache{capacity: capacity, ttl: ttl, recency: list.New(), blocks: map[blockID]*list.Element{}}
 }
 
-// match returns the number of leading blocks of chain that are cached, and marks them as used.
-// It marks the first block last, so that a chain loses its last blocks first.
-func (c *blockCache) match(chain []prefix.Hash, now time.Time) int {
+// match returns the number of leading blocks of chain that are cached in a namespace, and marks
+// them as used. It marks the first block last, so that a chain loses its last blocks first.
+func (c *blockCache) match(salt string, chain []prefix.Hash, now time.Time) int {
 	n := 0
-	for n < len(chain) && c.blocks[chain[n]] != nil {
+	for n < len(chain) && c.blocks[blockID{salt, chain[n]}] != nil {
 		n++
 	}
 	for i := n - 1; i >= 0; i-- {
-		e := c.blocks[chain[i]]
+		e := c.blocks[blockID{salt, chain[i]}]
 		e.Value.(*block).lastUsed = now
 		c.recency.MoveToFront(e)
 	}
@@ -49,12 +55,12 @@
 // blocks evicted beyond the capacity.
 func (c *blockCache) add(salt string, chain []prefix.Hash, now time.Time) (added []prefix.Hash, evicted []*block) {
 	for _, h := range chain {
-		if c.blocks[h] == nil {
-			c.blocks[h] = c.recency.PushFront(&block{h, salt, now})
+		if id := (blockID{salt, h}); c.blocks[id] == nil {
+			c.blocks[id] = c.recency.PushFront(&block{id, now})
 			added = append(added, h)
 		}
 	}
-	c.match(chain, now)
+	c.match(salt, chain, now)
 	for len(c.blocks) > c.capacity {
 		evicted = append(evicted, c.dropOldest())
 	}
@@ -71,7 +77,7 @@
 
 func (c *blockCache) dropOldest() *block {
 	b := c.recency.Remove(c.recency.Back()).(*block)
-	delete(c.blocks, b.hash)
+	delete(c.blocks, b.blockID)
 	return b
 }
 
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -148,7 +148,7 @@
 // imported, and false if ctx ended.
 func (e *Engine) computePrompt(ctx context.Context, c *call, tokens int) (cached int, ok bool) {
 	chain := chainOf(c.CacheSalt, c.prompt)
-	cachedCount := e.cachedBlocks(chain)
+	cachedCount := e.cachedBlocks(c.CacheSalt, chain)
 	if c.ImportFrom != "" && cachedCount < len(chain) {
 		cachedCount += e.importChain(ctx, c.ImportFrom, c.CacheSalt, chain[cachedCount:])
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -177,14 +177,14 @@
 	return s
 }
 
-// cachedBlocks returns the number of leading blocks of chain that are cached, after evicting
-// expired ones.
-func (e *Engine) cachedBlocks(chain []prefix.Hash) int {
+// cachedBlocks returns the number of leading blocks of chain that are cached in a namespace,
+// after evicting expired ones.
+func (e *Engine) cachedBlocks(salt string, chain []prefix.Hash) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.publishEvicted(e.cache.expire(now))
-	return e.cache.match(chain, now)
+	return e.cache.match(salt, chain, now)
 }
 
 // storeBlocks adds blocks to the cache and publishes events for added and evicted blocks.
--- a/internal/standin/kv.go
+++ b/internal/standin/kv.go
@@ -22,7 +22,7 @@
 	}
 	reply := engineapi.KVReply{}
 	for _, h := range hashes {
-		if e.cachedBlocks([]prefix.Hash{h}) == 1 && e.putBlock(r.Context(), request.Store, request.Salt, h) == nil {
+		if e.cachedBlocks(request.Salt, []prefix.Hash{h}) == 1 && e.putBlock(r.Context(), request.Store, request.Salt, h) == nil {
 			reply.Blocks++
 		}
 	}
@@ -84,7 +84,7 @@
 	return err
 }
 
-// blockCall sends a request for one block to a store and returns the response status.
+// blockCall sends a request for one block of a namespace to a store and returns the response status. The body is the salt.
 func (e *Engine) blockCall(ctx context.Context, method, store, salt string, h prefix.Hash) (int, error) {
 	url := fmt.Sprintf("http://%s/blocks/%s", store, hexHash(h))
 	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(salt)))
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -220,6 +220,44 @@
 	assert.Equal(t, got.usage.Details.CachedTokens, 2000)
 }
 
+// Guards against stand-ins that find the blocks of one namespace for another, and so hide that the router names a wrong
+// one: the two salts below stand for the same number, so that their blocks have the same hashes.
+func TestBlocksAreFoundUnderTheirOwnSaltOnly(t *testing.T) {
+	const own, other = "00000000000000aa", "00000000000000AA"
+	store := NewKeptCacheStore(10)
+	start := func(h http.Handler) (url, address string) {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		return s.URL, strings.TrimPrefix(s.URL, "http://")
+	}
+	_, storeAddress := start(store.Handler())
+	first, _ := start(NewEngine(fastEngineConfig()).Handler())
+	second, _ := start(NewEngine(fastEngineConfig()).Handler())
+	longPrompt := strings.Repeat("y", 8100)
+	cached := func(url, salt, extra string) int {
+		return post(t, url, "r", longPrompt, 1, `,"cache_salt":"`+salt+`"`+extra).usage.Details.CachedTokens
+	}
+	transfer := func(url, path, salt string) int {
+		hashes := hexHashes(chainOf(salt, chatPrompt(longPrompt)))
+		body, err := json.Marshal(engineapi.KVRequest{Salt: salt, Hashes: hashes, Store: storeAddress})
+		assert.NilError(t, err)
+		response, err := http.Post(url+path, "application/json", strings.NewReader(string(body)))
+		assert.NilError(t, err)
+		var reply engineapi.KVReply
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&reply))
+		assert.NilError(t, response.Body.Close())
+		return reply.Blocks
+	}
+	assert.Equal(t, cached(first, own, ""), 0)
+	assert.Equal(t, transfer(first, "/kv/export", other), 0, "the engine has no blocks of that namespace")
+	assert.Equal(t, cached(first, other, ""), 0, "the engine uses blocks of another namespace")
+	assert.Equal(t, transfer(first, "/kv/export", own), 2)
+	assert.Equal(t, transfer(second, "/kv/import", other), 0, "the store has no blocks of that namespace")
+	assert.Equal(t, cached(second, other, `,"import_from":"`+storeAddress+`"`), 0, "blocks of another namespace are imported")
+	assert.Equal(t, transfer(second, "/kv/import", own), 2)
+	assert.Equal(t, cached(second, own, ""), 2000)
+}
+
 func TestLostEventsLeaveGapsInSequence(t *testing.T) {
 	e := NewEngine(fastEngineConfig())
 	s := httptest.NewServer(e.Handler())
@@ -257,11 +295,11 @@
 	c := newBlockCache(10, time.Second)
 	now := time.Now()
 	c.add("s", []prefix.Hash{1, 2}, now)
-	c.match([]prefix.Hash{1}, now.Add(900*time.Millisecond))
+	c.match("s", []prefix.Hash{1}, now.Add(900*time.Millisecond))
 	evicted := c.expire(now.Add(1500 * time.Millisecond))
 	assert.Equal(t, len(evicted), 1)
 	assert.Equal(t, evicted[0].hash, prefix.Hash(2))
-	assert.Equal(t, c.match([]prefix.Hash{1, 2}, now), 1)
+	assert.Equal(t, c.match("s", []prefix.Hash{1, 2}, now), 1)
 }
 
 func TestVMListLags(t *testing.T) {
--- a/internal/standin/stores.go
+++ b/internal/standin/stores.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -10,17 +11,29 @@
 	"eelgrasshollow/internal/engineapi"
 )
 
-// KeptCacheStore emulates a kept-cache store. It holds block hashes up to its capacity and
-// evicts the least recently used first.
+// maxSaltBytes bounds the salt in the body of a request for a block.
+const maxSaltBytes = 1 << 10
+
+// KeptCacheStore emulates a kept-cache store. It holds the hashes and salts of blocks up to its
+// capacity and evicts the least recently used first. A block is only found under its salt.
 type KeptCacheStore struct {
 	capacity int
 	faults   *faults
 	mu       sync.Mutex
-	blocks   map[string]*list.Element
-	order    *list.List // of hashes, most recently used first
+	blocks   map[storedBlock]*list.Element
+	order    *list.List // of storedBlock, most recently used first
 	stats    KeptCacheStats
 }
 
+// storedBlock identifies a block in a store.
+type storedBlock struct{ salt, hash string }
+
+// requestedBlock returns the block that a request names: its hash in the path, its salt in the body.
+func requestedBlock(r *http.Request) (storedBlock, error) {
+	salt, err := io.ReadAll(io.LimitReader(r.Body, maxSaltBytes))
+	return storedBlock{string(salt), r.PathValue("hash")}, err
+}
+
 // KeptCacheStats holds the counts of a kept-cache store.
 type KeptCacheStats struct {
 	Blocks int `json:"blocks"`
@@ -31,7 +44,7 @@
 
 // NewKeptCacheStore returns an empty store with a capacity in blocks.
 func NewKeptCacheStore(capacity int) *KeptCacheStore {
-	return &KeptCacheStore{capacity: capacity, faults: newFaults(), blocks: map[string]*list.Element{}, order: list.New()}
+	return &KeptCacheStore{capacity: capacity, faults: newFaults(), blocks: map[storedBlock]*list.Element{}, order: list.New()}
 }
 
 // Handler serves the store and its admin paths.
@@ -48,7 +61,7 @@
 func (s *KeptCacheStore) Crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.blocks, s.order = map[string]*list.Element{}, list.New()
+	s.blocks, s.order = map[storedBlock]*list.Element{}, list.New()
 }
 
 // Stats returns a copy of the counts.
@@ -64,8 +77,13 @@
 	if !s.faults.delayResponse(r) {
 		return
 	}
+	id, err := requestedBlock(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
-	element := s.blocks[r.PathValue("hash")]
+	element := s.blocks[id]
 	if element != nil {
 		s.order.MoveToFront(element)
 		s.stats.Hits++
@@ -84,17 +102,21 @@
 	if !s.faults.delayResponse(r) {
 		return
 	}
+	id, err := requestedBlock(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stats.Puts++
-	hash := r.PathValue("hash")
-	if e := s.blocks[hash]; e != nil {
+	if e := s.blocks[id]; e != nil {
 		s.order.MoveToFront(e)
 	} else {
-		s.blocks[hash] = s.order.PushFront(hash)
+		s.blocks[id] = s.order.PushFront(id)
 	}
 	for len(s.blocks) > s.capacity {
-		delete(s.blocks, s.order.Remove(s.order.Back()).(string))
+		delete(s.blocks, s.order.Remove(s.order.Back()).(storedBlock))
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
