Lines of requests name the copies that were made

What operators saw: the line of a request whose last attempt shared no cache namespace named the import, the store and the cached tokens that routing had decided on, although the attempt imported and saved nothing and could find nothing. "eelctl losses" counted its prompt as imported, and whoever follows a report of shared KV cache looked at the wrong server.

Change: import_from, save_to and cached_tokens of the line are those of the last attempt. TestLineOfUnsharedAttemptNamesNoCopies failed before ("b:1store:1" in place of nothing) and passes.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -300,9 +300,14 @@
 	return space, version
 }
 
-// observeNamespace records the cache namespace of an attempt that is about to be sent.
+// observeNamespace records the cache namespace of an attempt that is about to be sent. Of the decision for the attempt it
+// keeps the copies that are made, and the expected cached tokens if there may be any.
 func (g *Gateway) observeNamespace(x *exchange, a Attempt) {
 	x.cacheSalt = a.Cache.Salt()
+	x.decision.ImportFrom, x.decision.SaveTo = a.ImportFrom, a.SaveTo
+	if !a.Cache.Shared() {
+		x.decision.CachedTokens = 0
+	}
 	if x.Prompt.Known {
 		g.Metrics.promptSends.WithLabelValues(strconv.FormatBool(a.Cache.Shared())).Inc()
 	}
