--- a/internal/routing/versions_test.go
+++ b/internal/routing/versions_test.go
@@ -80,3 +80,14 @@
 		assert.Equal(t, targetShare(peer, now, "v2"), 1.0, "after %v", now.Sub(epoch))
 	}
 }
+
+// Guards against requests on unknown weights, which share no cache namespace, for a model without a configured version
+// whose engines report one.
+func TestModelWithoutTargetVersionRunsOnReportedOne(t *testing.T) {
+	c := newCore(4, 8)
+	c.SetTargetVersions(map[string]string{"m": ""})
+	assert.Equal(t, c.SelectVersion(epoch, "m", "", 1), "", "nothing is known")
+	reportVersions(c, epoch, "v1", "v1", "v1", "v1")
+	assert.Equal(t, targetShare(c, epoch, ""), 0.0)
+	assert.Equal(t, c.SelectVersion(epoch, "m", "", 1), "v1")
+}
