Peers forget an export that failed

What callers could see: requests at other VMs were told to import a prefix from a store that doesn't hold it. The VM that exports announces the prefix when the export begins, and took it back at itself only when the export failed or copied a part.

Change: RevertExport withdraws the placement at the peers, as for prompts that nobody shares. TestPeersForgetFailedExport failed without the call ("the peer expects the prefix at the store") and passes.

--- a/internal/routing/keep.go
+++ b/internal/routing/keep.go
@@ -95,10 +95,11 @@
 	c.queuePlacement(digest.Placement{EndpointRun: s.endpointRun, Prefix: chain[len(chain)-1]})
 }
 
-// RevertExport reverts RecordExport for a chain or a part of it.
+// RevertExport reverts RecordExport for a chain or a part of it, at the peers too.
 func (c *Core) RevertExport(now time.Time, store string, chain []prefix.Hash) {
 	if s := c.store(store); s != nil {
 		c.index.Remove(s.index, chain, now)
+		c.withdrawPlacements(now, s.endpointRun, s.index, chain)
 	}
 }
 
--- a/internal/routing/keep_test.go
+++ b/internal/routing/keep_test.go
@@ -46,3 +46,32 @@
 	c.RevertExport(epoch, "store", []prefix.Hash{7, 8})
 	assert.Equal(t, submit(c, epoch, request("a", 7, 8)).Decision.ImportFrom, "")
 }
+
+// Guards against peers that import from a store to which an export has failed: they hear of the export when it begins.
+func TestPeersForgetFailedExport(t *testing.T) {
+	c, peer := newCore(3, 8), newCore(3, 8)
+	c.SetStores(keptStore)
+	peer.SetStores(keptStore)
+	c.RecordExport(epoch, "store", []prefix.Hash{7, 8})
+	exchange := func(now time.Time) {
+		c.QueueDueEvictions(now)
+		peer.ApplyDigest(now, c.NextDigest("c", 1024))
+	}
+	held := func(c *Core) int {
+		return c.index.Find([]prefix.Hash{7, 8}, epoch, nil)[c.store("store").index].RecordedPieces
+	}
+	exchange(epoch)
+	assert.Equal(t, held(peer), 2)
+	c.RevertExport(epoch.Add(100*time.Millisecond), "store", []prefix.Hash{7, 8})
+	late := epoch.Add(5 * time.Second)
+	exchange(late)
+	assert.Equal(t, held(c), 0)
+	assert.Equal(t, held(peer), 0, "the peer expects the prefix at the store")
+
+	c.RecordExport(late, "store", []prefix.Hash{7, 8})
+	c.RevertExport(late.Add(100*time.Millisecond), "store", []prefix.Hash{7, 8})
+	c.RecordExport(late.Add(time.Second), "store", []prefix.Hash{7, 8})
+	later := late.Add(5 * time.Second)
+	exchange(later)
+	assert.Equal(t, held(peer), 2, "a later export is not forgotten")
+}
