Lines of completions name the cache namespace of each attempt

A report of shared KV cache at the OpenAI interface could not be followed from the logs: its lines "routed" had no namespace, and none can be computed by hand where the weights version is not known. They have cache_namespace now, as the lines of requests on the platform's way in.

TestLineOfAttemptNamesItsNamespace: the lines name the salts that the engines got, for a known and an unknown version.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -121,6 +121,7 @@
 	// cacheAccount is the client account whose cache namespaces a completion has: that of its key, also on an open
 	// route; "" without a valid key.
 	cacheAccount string
+	cacheSalt    string // of a completion's last attempt; see cacheSpace
 	route        string
 	start        time.Time
 	headWritten  bool // the response header has been written
--- a/internal/entry/namespace.go
+++ b/internal/entry/namespace.go
@@ -25,11 +25,19 @@
 // shared reports whether other requests may have the same namespace.
 func (s cacheSpace) shared() bool { return s.version != "" }
 
-// salt returns the text by which engines tell namespaces apart. It is never empty, and differs at each call if nobody
-// shares the namespace.
-func (s cacheSpace) salt() string {
+// forAttempt returns the namespace of one attempt: one that no other attempt has, unless the namespace is shared.
+func (s cacheSpace) forAttempt() cacheSpace {
 	if !s.shared() {
-		return prefix.Seed(rand.Uint64()).Salt()
+		s.seed = prefix.Seed(rand.Uint64())
+	}
+	return s
+}
+
+// salt returns the text by which engines tell namespaces apart. It is never empty, and differs at each call for the zero
+// value.
+func (s cacheSpace) salt() string {
+	if s == (cacheSpace{}) {
+		s = s.forAttempt()
 	}
 	return s.seed.Salt()
 }
--- a/internal/entry/namespace_test.go
+++ b/internal/entry/namespace_test.go
@@ -251,3 +251,23 @@
 		}
 	}
 }
+
+// Guards against lines that don't tell in which cache namespace an attempt was sent: a report of shared KV cache can't be
+// followed without.
+func TestLineOfAttemptNamesItsNamespace(t *testing.T) {
+	for _, version := range []string{"v1", ""} {
+		b := newTestFront(t, nil)
+		b.change(func(c *pb.Configuration) { c.Models[0].WeightsVersion = version })
+		extras := &sentExtras{}
+		_, faulty := extras.addTo(b, "v1")
+		b.injectFault(faulty, standin.Fault{Kind: standin.FaultEmpty, Count: 1})
+		extras.addTo(b, "v1")
+		response, text := b.do("POST", "/v1/completions", longBody)
+		assert.Equal(t, response.StatusCode, http.StatusOK, text)
+		lines := b.logs.FilterMessage("routed").All()
+		assert.Equal(t, len(lines), 2)
+		for i, e := range extras.all() {
+			assert.Equal(t, lines[i].ContextMap()["cache_namespace"], e.CacheSalt)
+		}
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -52,7 +52,7 @@
 	}
 	f.log.Info("routed",
 		zap.String("request_id", x.id), zap.String("route", x.route), zap.String("account", x.account),
-		zap.String("endpoint", d.Endpoint), zap.Any("score_ms", d.Parts),
+		zap.String("endpoint", d.Endpoint), zap.String("cache_namespace", x.cacheSalt), zap.Any("score_ms", d.Parts),
 		zap.Int("predicted_cached_tokens", d.CachedTokens), zap.Int("cached_tokens", r.CachedTokens),
 		zap.Int("prompt_tokens", r.PromptTokens), zap.Duration("first_token", r.FirstToken), zap.String("result", outcome))
 }
@@ -78,7 +78,9 @@
 	if j.delivered > 0 {
 		extra.ResumeFrom = j.delivered + 1
 	}
-	body, tail, err := j.bodyFor(j.space, extra)
+	space := j.space.forAttempt()
+	j.cacheSalt = space.salt()
+	body, tail, err := j.bodyFor(space, extra)
 	if err != nil {
 		return err
 	}
