A request whose key has moved to another account shares no KV cache

What callers could see, on the platform's way in: a request that waited for a server while its key was given to another client account, withdrawn, or given to an isolated account for the first time (public route) was sent in the namespace of the account that the key had at arrival, or in the pool. The namespace at the send takes the isolation of an account from the present configuration, but the account from the former one.

Change: if the key belongs to another account at the time of the send, the attempt has a namespace that no other request has. TestRequestOfMovedKeySharesNothing: 4 of 4 cases of moved keys failed before and pass; requests whose key hasn't moved share as before.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -10,6 +10,7 @@
 
 	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/routing"
 
@@ -289,17 +290,27 @@
 }
 
 // cacheSpace returns the cache namespace of an attempt at an endpoint, and the version of the weights there or 0. The
-// configuration may have changed since the request arrived, so the present one decides. Where it is older than that of the
-// VM that forwarded the request, accounts may be isolated that it doesn't isolate yet, and nothing is shared.
+// configuration may have changed since the request arrived, so the present one decides. Nothing is shared if the request's
+// key belongs to another client account by now, or if the present configuration is older than that of the VM that forwarded
+// the request: accounts may be isolated that it doesn't isolate yet.
 func (g *Gateway) cacheSpace(x *exchange, endpoint string) (cachespace.Space, int64) {
 	view := g.Directory.View()
 	space, version := view.CacheSpace(endpoint, x.Prompt.Model, x.keyHolder)
-	if view.Config != nil && view.Config.Version < x.ConfigVersion {
+	if c := view.Config; c != nil && (c.Version < x.ConfigVersion || !sameAccount(c.AccountByKey(x.APIKey), x.keyHolder)) {
 		space = cachespace.Unique()
 	}
 	return space, version
 }
 
+// sameAccount reports whether a and b, which may be of different versions of the configuration, are the same client
+// account, or both nil.
+func sameAccount(a, b *fleet.Account) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Name == b.Name
+}
+
 // observeNamespace records the cache namespace of an attempt that is about to be sent. Of the decision for the attempt it
 // keeps the copies that are made, and the expected cached tokens if there may be any.
 func (g *Gateway) observeNamespace(x *exchange, a Attempt) {
