--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -10,6 +10,7 @@
 
 	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/routing"
 
@@ -201,8 +202,7 @@
 		},
 	}
 	if x.Prompt.Known {
-		// The configuration may have changed since the request arrived.
-		attempt.Cache, attempt.Weights = g.Directory.View().CacheSpace(decision.Endpoint, x.Prompt.Model, x.keyHolder)
+		attempt.Cache, attempt.Weights = g.cacheSpace(x, decision.Endpoint)
 	}
 	if attempt.Cache.Shared() {
 		attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
@@ -289,9 +289,36 @@
 	return err
 }
 
-// observeNamespace records the cache namespace of an attempt that is about to be sent.
+// cacheSpace returns the cache namespace of an attempt at an endpoint, and the version of the weights there or 0. The
+// configuration may have changed since the request arrived, so the present one decides. Nothing is shared if the request's
+// key belongs to another client account by now, or if the present configuration is older than that of the VM that forwarded
+// the request: accounts may be isolated that it doesn't isolate yet.
+func (g *Gateway) cacheSpace(x *exchange, endpoint string) (cachespace.Space, int64) {
+	view := g.Directory.View()
+	space, version := view.CacheSpace(endpoint, x.Prompt.Model, x.keyHolder)
+	if c := view.Config; c != nil && (c.Version < x.ConfigVersion || !sameAccount(c.AccountByKey(x.APIKey), x.keyHolder)) {
+		space = cachespace.Unique()
+	}
+	return space, version
+}
+
+// sameAccount reports whether a and b, which may be of different versions of the configuration, are the same client
+// account, or both nil.
+func sameAccount(a, b *fleet.Account) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Name == b.Name
+}
+
+// observeNamespace records the cache namespace of an attempt that is about to be sent. Of the decision for the attempt it
+// keeps the copies that are made, and the expected cached tokens if there may be any.
 func (g *Gateway) observeNamespace(x *exchange, a Attempt) {
 	x.cacheSalt = a.Cache.Salt()
+	x.decision.ImportFrom, x.decision.SaveTo = a.ImportFrom, a.SaveTo
+	if !a.Cache.Shared() {
+		x.decision.CachedTokens = 0
+	}
 	if x.Prompt.Known {
 		g.Metrics.promptSends.WithLabelValues(strconv.FormatBool(a.Cache.Shared())).Inc()
 	}
