The soak checks cache namespaces at model servers

soak_namespaces_test.go adds a service with model servers in the test's process, clients of four accounts (one isolated, one that becomes isolated and shared again with the versions of the configuration, two that never are), on public routes too, and faults of these servers: restarts under the same ID and address, entries without weights, entries that are missing or odd, new weights. It fails if a part is used across the wall or across weights, if a prompt's namespace is empty or chosen by a client, if accounts that are not isolated do not share, or if an odd entry gets a request.

TestForbiddenUseOfCachedPartIsSeen tests the check itself, also that of other weights, which the code before did not violate.

--- a/internal/onplatform/soak_calls_test.go
+++ b/internal/onplatform/soak_calls_test.go
@@ -117,6 +117,7 @@
 	instances = append(instances, r.releases.list()...)
 	instances = append(instances, r.brittle.list()...)
 	instances = append(instances, r.steady.list(r)...)
+	instances = append(instances, r.models.list()...)
 	_, _ = fmt.Fprintf(w, `{"instances":[%s],"nextToken":null}`, strings.Join(instances, ","))
 }
 
@@ -129,7 +130,7 @@
 }
 
 // configDocument returns a configuration with the given version.
-func configDocument(version int64) string {
+func (r *soakRun) configDocument(version int64) string {
 	route := func(name, service, kind string, attempts int, extraFields string) string {
 		timeout := deadlineOf(name).Milliseconds() + version%2
 		return fmt.Sprintf(`{"name":"%s","host":"h.example","pathPrefix":"/%s/","kind":"%s","timeoutMs":%d,"targetLatencyMs":300,"service":"%s","maxAttempts":%d,"public":false%s}`,
@@ -139,16 +140,19 @@
 		route("orders", "app", "non_idempotent", 1, ""), route("reads", "app", "idempotent", 2, ""), route("streams", "app", "streaming", 2, `,"resumable":true`),
 		route("payments", rolledService, "non_idempotent", 1, ""), route("lookups", rolledService, "idempotent", 2, ""),
 		route("quotes", brittleService, "idempotent", 2, ""), route("long", steadyService, "streaming", 2, `,"resumable":true`),
-		route("bulk", steadyService, "streaming", 1, ""),
+		route("bulk", steadyService, "streaming", 1, ""), route("prompts", modelService, "idempotent", 2, `,"sticky":true`),
+		route("chats", modelService, "streaming", 2, `,"sticky":true,"resumable":true`),
+		strings.Replace(route("notes", modelService, "idempotent", 2, `,"sticky":true`), `"public":false`, `"public":true`, 1),
 	}
 	var services []string
 	for _, name := range []string{"app", rolledService, reusingService, brittleService, steadyService} {
 		services = append(services, fmt.Sprintf(`{"name":"%s","healthPath":"/health","maxConns":300}`, name))
 	}
+	services = append(services, modelServiceDocuments(r.address(storeHost, listPort))...)
 	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"maxBodyBytes":1000},
 	 "tenants":[{"name":"wide","apiKeys":["wide-key"],"unit":"token_count","plainTokens":1,"ratePerS":100000,"burst":100000},
-	 {"name":"small","apiKeys":["small-key"],"unit":"token_count","plainTokens":1,"ratePerS":%d,"burst":%d}]}`,
-		version, strings.Join(routes, ","), strings.Join(services, ","), smallRate, smallBurst)
+	 {"name":"small","apiKeys":["small-key"],"unit":"token_count","plainTokens":1,"ratePerS":%d,"burst":%d},%s]}`,
+		version, strings.Join(routes, ","), strings.Join(services, ","), smallRate, smallBurst, strings.Join(promptAccountDocuments(version), ","))
 }
 
 // putNextVersion sends the next configuration version to a control VM and reports whether it was
@@ -158,9 +162,10 @@
 	if version == r.ackedVersion.Load() {
 		version = r.sentVersion.Add(1)
 	}
-	status, _ := sendRequest("POST", "http://"+r.address(n, operatorPort)+"/v1/config/put", "", configDocument(version), nil)
+	status, _ := sendRequest("POST", "http://"+r.address(n, operatorPort)+"/v1/config/put", "", r.configDocument(version), nil)
 	if status == http.StatusOK {
 		r.ackedVersion.Store(version)
+		r.models.acked(version)
 	}
 	return status == http.StatusOK
 }
--- a/internal/onplatform/soak_test.go
+++ b/internal/onplatform/soak_test.go
@@ -81,6 +81,7 @@
 	cuts      *endpointCuts
 	brittle   *brittleServers
 	steady    *steadyEndpoints
+	models    *modelServers
 	// links is keyed by the target of the link: "entry-1", "app-1", "list".
 	links map[string]*loopback.Link
 
@@ -112,9 +113,9 @@
 	r.startedAt = time.Now()
 	calls := newCallRecorder(r)
 	stopCalls := calls.startClients(soakClients, []string{"orders", "reads", "streams"}, []string{"wide", "small"}, clientPause)
-	stopServiceCalls, awaitRollouts := func() {}, func() {}
+	stopServiceCalls, stopPrompts, awaitRollouts := func() {}, func() {}, func() {}
 	if services {
-		stopServiceCalls = calls.startServiceClients()
+		stopServiceCalls, stopPrompts = calls.startServiceClients(), r.models.startClients(seed)
 		awaitRollouts = r.releases.startRollouts(seed, time.Now().Add(duration))
 	}
 	stopChanges := r.startChanges()
@@ -122,6 +123,7 @@
 	injections.Go(func() { r.injectFaults(r.random, faults, duration) })
 	if services {
 		injections.Go(func() { r.injectFaults(rand.New(rand.NewPCG(seed, 22)), serviceFaults, duration) })
+		injections.Go(func() { r.injectFaults(rand.New(rand.NewPCG(seed, 23)), namespaceFaults, duration) })
 	}
 	injections.Wait()
 	r.healLinks()
@@ -133,10 +135,12 @@
 		}
 		return true
 	})
+	stopPrompts()
 	stopChanges()
 	stopCalls()
 	for n := range soakEntryVMs {
 		r.checkRecovers("every VM serves the brittle service", func() bool { return r.serves(n+1, "quotes") })
+		r.checkRecovers("every VM serves the model servers", func() bool { return r.serves(n+1, "prompts") })
 	}
 	awaitRollouts()
 	stopServiceCalls()
@@ -152,7 +156,8 @@
 	slowReaders := r.checkMemory()
 	violations := calls.violations()
 	interrupted, silenced := r.steady.check(r, calls.records)
-	violations = append(violations, interrupted...)
+	violations = append(append(violations, interrupted...), r.models.check()...)
+	t.Logf("seed %d: %s", seed, r.models.summary())
 	t.Logf("seed %d: %d calls (%s), faults %v, version %d, rollouts %v, %d outages of brittle endpoints, %d streams in silences, %v slow readers stopped", seed, len(calls.records), calls.summary(), r.faults, r.ackedVersion.Load(), r.releases.outcomes, r.brittle.all, silenced, slowReaders)
 	for _, violation := range violations {
 		t.Errorf("seed %d: %s", seed, violation)
@@ -173,7 +178,7 @@
 	}
 	r.bounds = rolloutBounds
 	r.serveStub(r.address(210, listPort), r.serveList)
-	r.releases, r.brittle, r.steady = newSoakReleases(r), newBrittleServers(r), newSteadyEndpoints(r)
+	r.releases, r.brittle, r.steady, r.models = newSoakReleases(r), newBrittleServers(r), newSteadyEndpoints(r), newModelServers(r)
 	r.link("list", r.address(200, listPort), r.address(210, listPort))
 	for n := 1; n <= soakEntryVMs; n++ {
 		r.link(entryName(n), r.address(100+n, clientPort), r.address(entryHost(n), clientPort))
