--- a/internal/onplatform/soak_calls_test.go
+++ b/internal/onplatform/soak_calls_test.go
@@ -142,6 +142,7 @@
 		route("quotes", brittleService, "idempotent", 2, ""), route("long", steadyService, "streaming", 2, `,"resumable":true`),
 		route("bulk", steadyService, "streaming", 1, ""), route("prompts", modelService, "idempotent", 2, `,"sticky":true`),
 		route("chats", modelService, "streaming", 2, `,"sticky":true,"resumable":true`),
+		strings.Replace(route("notes", modelService, "idempotent", 2, `,"sticky":true`), `"public":false`, `"public":true`, 1),
 	}
 	var services []string
 	for _, name := range []string{"app", rolledService, reusingService, brittleService, steadyService} {
--- a/internal/onplatform/soak_namespaces_test.go
+++ b/internal/onplatform/soak_namespaces_test.go
@@ -40,6 +40,7 @@
 
 var (
 	modelNames     = []string{"m-1", "m-2"}
+	promptPaths    = []string{"prompts", "chats", "notes"} // the route of the last one is public
 	promptAccounts = []string{closedAccount, shiftingAccount, openAccount + "-1", openAccount + "-2"}
 )
 
@@ -282,7 +283,7 @@
 	if h.Get("X-Prompt-Prefix") == "" {
 		return
 	}
-	id, salt, account := h.Get("X-Request-Id"), h.Get("X-Cache-Salt"), h.Get("X-Tenant")
+	id, salt, account := h.Get("X-Request-Id"), h.Get("X-Cache-Salt"), h.Get("Soak-Account")
 	s.prompts++
 	if h.Get("X-Token-Usage") == "" {
 		s.plain++
@@ -403,7 +404,7 @@
 // the request ID, or announce no tokens.
 func (s *modelServers) send(client *http.Client, random *rand.Rand, i, k int) {
 	vm, account := 1+random.IntN(soakEntryVMs), promptAccounts[i%len(promptAccounts)]
-	model, path := modelNames[random.IntN(len(modelNames))], []string{"prompts", "chats"}[random.IntN(2)]
+	model, path := modelNames[random.IntN(len(modelNames))], promptPaths[random.IntN(len(promptPaths))]
 	request, err := http.NewRequest(http.MethodPost, "http://"+s.run.address(100+vm, clientPort)+"/"+path+"/x", strings.NewReader("prompt"))
 	if err != nil {
 		s.run.t.Error(err)
@@ -414,7 +415,7 @@
 	tokens := fmt.Sprint(commonTokens+sharedTokens+ownTokens, ",10")
 	parts := fmt.Sprintf("%x:%d,%x:%d,%x:%d", 0xa0+random.IntN(commonParts), commonTokens, 0xb0+random.IntN(sharedParts), sharedTokens, 0x100000*(i+1)+k, ownTokens)
 	h := http.Header{"X-Request-Id": {fmt.Sprintf("%d.prompt-%d-%d", vm, i, k)}, "X-Deadline-Ms": {strconv.FormatInt(callDeadline.Milliseconds(), 10)},
-		"Authorization": {"Bearer " + account + "-key"}, "X-Model": {model}, "X-Token-Usage": {tokens}, "X-Prompt-Prefix": {parts}, "Soak-Vm": {strconv.Itoa(vm)}}
+		"Authorization": {"Bearer " + account + "-key"}, "X-Model": {model}, "X-Token-Usage": {tokens}, "X-Prompt-Prefix": {parts}, "Soak-Vm": {strconv.Itoa(vm)}, "Soak-Account": {account}}
 	salt, chosen := "", random.IntN(8)
 	switch chosen {
 	case 0:
@@ -595,7 +596,7 @@
 func (s *modelServers) summary() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return fmt.Sprintf("%d prompts at model servers, %d without token counts, %d parts imported, %d orders, %d refused, %d of %d found the common part, %d uses looked at after a change",
+	return fmt.Sprintf("%d prompts at model servers, %d without token counts, %d parts imported, %d orders, %d refused, %d of %d found the common part, %d uses across a change of isolation, by VMs that had a fault too",
 		s.prompts, s.plain, s.imports, s.orders, s.refused, s.shared, s.open, len(s.walls))
 }
 
@@ -604,7 +605,7 @@
 func TestForbiddenUseOfCachedPartIsSeen(t *testing.T) {
 	now := time.Now()
 	ask := func(account, id, salt, parts, chosen string) http.Header {
-		return http.Header{"X-Request-Id": {id}, "X-Tenant": {account}, "X-Cache-Salt": {salt}, "X-Prompt-Prefix": {parts}, "Soak-Salt": {chosen},
+		return http.Header{"X-Request-Id": {id}, "Soak-Account": {account}, "X-Cache-Salt": {salt}, "X-Prompt-Prefix": {parts}, "Soak-Salt": {chosen},
 			"Soak-Vm": {"1"}, "Soak-Sent": {strconv.FormatInt(now.UnixNano(), 10)}}
 	}
 	for name, test := range map[string]struct {
