A key that has become another account's uses no pool of the former one

A request whose key became that of an isolated client account while it waited for a slot was sent in the pool of the accounts that are not isolated, and used or left cached prompt parts there. Three ways: the key was unknown before and the route public, the configuration had no accounts before, or the key was that of another account before.

Cause: the cache owner was taken from the account that the request had when it arrived, looked up again by its name only. No account, or a former account, stood for the pool of the present configuration.

Config.CacheOwner takes the request's key as well. If the key is now that of an account that shares with others than the first, nobody shares the namespace of the attempt.

The tests of namespaces and dry runs in internal/gateway pass with -race.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -226,9 +226,19 @@
 // AccountByName returns the client account with a name, or nil.
 func (c *Config) AccountByName(name string) *Account { return c.accountsByName[name] }
 
-// CacheOwner returns who shares the cached prompts of a client account; nil is a client without one. The account may
-// be of another version of the configuration: it shares nothing if it is isolated in either or no longer exists.
-func (c *Config) CacheOwner(a *Account) cachespace.Owner {
+// CacheOwner returns who shares the cached prompts of a request that was identified as one of a client account (nil: of
+// a client without one) and that bears the given key, or "". The account may be of another version of the configuration:
+// it shares nothing if it is isolated in either or no longer exists. Nobody shares the prompts if the key is now that of
+// another account, which shares with others than the first.
+func (c *Config) CacheOwner(a *Account, key string) cachespace.Owner {
+	owner := c.cacheOwnerOf(a)
+	if now := c.accountsByKey[key]; now != nil && c.cacheOwnerOf(now) != owner {
+		return cachespace.Owner{}
+	}
+	return owner
+}
+
+func (c *Config) cacheOwnerOf(a *Account) cachespace.Owner {
 	if a == nil {
 		return c.cachePool
 	}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -202,7 +202,7 @@
 	}
 	if x.Prompt.Known {
 		// The configuration may have changed since the request arrived.
-		attempt.Cache, attempt.Weights = g.Directory.View().CacheSpace(decision.Endpoint, x.Prompt.Model, x.keyHolder)
+		attempt.Cache, attempt.Weights = g.Directory.View().CacheSpace(decision.Endpoint, x.Prompt.Model, x.keyHolder, x.APIKey)
 	}
 	if attempt.Cache.Shared() {
 		attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
--- a/internal/gateway/dryrun.go
+++ b/internal/gateway/dryrun.go
@@ -140,7 +140,7 @@
 		}
 		e.Placement = &p
 		if p.Endpoint != "" {
-			if _, version := view.CacheSpace(p.Endpoint, x.Prompt.Model, x.keyHolder); version > 0 && x.Prompt.Known {
+			if _, version := view.CacheSpace(p.Endpoint, x.Prompt.Model, x.keyHolder, x.APIKey); version > 0 && x.Prompt.Known {
 				e.Version = strconv.FormatInt(version, 10)
 			}
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -330,7 +330,7 @@
 	if !x.Prompt.Known || len(x.Prompt.Parts) == 0 {
 		return r
 	}
-	r.Seed = c.CacheOwner(x.keyHolder).Seed(x.Prompt.Model)
+	r.Seed = c.CacheOwner(x.keyHolder, x.APIKey).Seed(x.Prompt.Model)
 	names := make([]string, len(x.Prompt.Parts))
 	end := 0
 	for i, p := range x.Prompt.Parts {
--- a/internal/gateway/namespace_test.go
+++ b/internal/gateway/namespace_test.go
@@ -170,3 +170,35 @@
 		assert.Equal(t, ofAlpha.Account, "", "the route has no account")
 	})
 }
+
+// A key may become that of an isolated account while its request waits. The request must not use the namespace of the
+// accounts that are not isolated.
+func TestKeyThatBecomesOneOfIsolatedAccountSharesNoNamespace(t *testing.T) {
+	for name, change := range map[string]func(before *fleet.Config){
+		"account unknown before, public route": func(c *fleet.Config) { c.Accounts, c.Routes[0].Public = c.Accounts[1:], true },
+		"no accounts before":                   func(c *fleet.Config) { c.Accounts = nil },
+		"key of another account before": func(c *fleet.Config) {
+			c.Accounts = []*fleet.Account{{Name: "beta", Keys: []string{"key-beta", "key-alpha"}}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				weights := fleet.Weights{Model: "m", Version: 1}
+				config := sharingConfig(t, 1, false)
+				change(config)
+				assert.NilError(t, config.Check())
+				after := fleetview.NewView(sharingConfig(t, 2, true), modelServer(weights))
+				g, up := newGateway(t, setup{servers: servers{"a": reply(http.StatusOK, "id: 1\ndata: x\n\n", true)}}, zap.NewNop())
+				directory := &lateDirectory{view: fleetview.NewView(config, modelServer(weights)), changed: make(chan struct{})}
+				g.Directory = directory
+				g.Router.(*fakeRouter).afterPick = func() { directory.set(after) }
+				r := newRequest()
+				r.APIKey = "key-alpha"
+				r.Prompt = Prompt{Known: true, Model: "m", Tokens: 2100, MaxOutput: 10, Parts: []Part{{"p", 2000}, {"own", 100}}}
+				g.Serve(t.Context(), httptest.NewRecorder(), r)
+				assert.Equal(t, len(up.sent), 1)
+				assert.Assert(t, saltOf(up.sent[0]) != saltOf(sendPrompt(t, after, "key-beta", nil)[0]), "the key's request shares a namespace with beta")
+			})
+		})
+	}
+}
