An attempt isn't sent in a namespace of a former configuration

A request whose account, or another one, became isolated while the connection to its server was opened was sent in the pool of before. Cause: the namespace is made before the connection is opened, which may take 400 ms and longer if the process is paused meanwhile; the attempt was sent without another look at the configuration.

Attempt.Permitted, which is called immediately before the first byte, now also compares the owner of the namespace under the present configuration. If it differs, nothing is sent, and the request is placed again, as for a withdrawn release.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -10,6 +10,7 @@
 
 	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/routing"
 
@@ -202,10 +203,12 @@
 	}
 	if x.Prompt.Known {
 		// The configuration may have changed since the request arrived.
-		attempt.Cache, attempt.Weights = g.Directory.View().CacheSpace(decision.Endpoint, x.Prompt.Model, x.keyHolder, x.APIKey)
-	}
-	if attempt.Cache.Shared() {
-		attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
+		view := g.Directory.View()
+		attempt.Cache, attempt.Weights = view.CacheSpace(decision.Endpoint, x.Prompt.Model, x.keyHolder, x.APIKey)
+		if attempt.Cache.Shared() {
+			attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
+			attempt.Permitted = g.permittedFor(x, view.Config, attempt.Permitted)
+		}
 	}
 	x.server, x.decision = attempt.Server, decision
 	g.observeNamespace(x, attempt)
@@ -289,6 +292,18 @@
 	return err
 }
 
+// permittedFor returns a function for Attempt.Permitted that returns false if the request's cached prompts have another
+// owner than under the configuration c, by which the attempt's namespace was made: connecting may take long enough for
+// the configuration to change. also is the function so far, or nil.
+func (g *Gateway) permittedFor(x *exchange, c *fleet.Config, also func() bool) func() bool {
+	return func() bool {
+		if now := g.Directory.View().Config; now != c && now.CacheOwner(x.keyHolder, x.APIKey) != c.CacheOwner(x.keyHolder, x.APIKey) {
+			return false
+		}
+		return also == nil || also()
+	}
+}
+
 // observeNamespace records the cache namespace of an attempt that is about to be sent.
 func (g *Gateway) observeNamespace(x *exchange, a Attempt) {
 	x.cacheSalt = a.Cache.Salt()
--- a/internal/gateway/namespace_test.go
+++ b/internal/gateway/namespace_test.go
@@ -202,3 +202,33 @@
 		})
 	}
 }
+
+// An account may become isolated while the connection to the server is opened. The request must not be sent with the
+// namespace of before, and must be served all the same.
+func TestAccountThatBecomesIsolatedWhileConnecting(t *testing.T) {
+	for _, key := range []string{"key-alpha", "key-beta"} {
+		synctest.Test(t, func(t *testing.T) {
+			weights := fleet.Weights{Model: "m", Version: 1}
+			after := fleetview.NewView(sharingConfig(t, 2, true), modelServer(weights))
+			directory := &lateDirectory{view: fleetview.NewView(sharingConfig(t, 1, false), modelServer(weights)), changed: make(chan struct{})}
+			var ran []string
+			g, up := newGateway(t, setup{servers: servers{"a": func(ctx context.Context, a Attempt) (*Reply, error) {
+				ran = append(ran, saltOf(a))
+				return reply(http.StatusOK, "id: 1\ndata: x\n\n", true)(ctx, a)
+			}}}, zap.NewNop())
+			g.Directory = directory
+			up.beforeSend = func() {
+				if directory.View() != after {
+					directory.set(after)
+				}
+			}
+			r := newRequest()
+			r.APIKey = key
+			r.Prompt = Prompt{Known: true, Model: "m", Tokens: 2100, MaxOutput: 10, Parts: []Part{{"p", 2000}, {"own", 100}}}
+			w := httptest.NewRecorder()
+			assert.Assert(t, g.Serve(t.Context(), w, r))
+			assert.Equal(t, w.Code, http.StatusOK)
+			assert.DeepEqual(t, ran, []string{saltOf(sendPrompt(t, after, key, nil)[0])})
+		})
+	}
+}
