A completion isn't sent for nobody once its key belongs to an account

What callers could see: a completion on an open route whose key was not valid when it arrived, and became valid while it waited for an endpoint, left its prompt in the namespaces of requests without a key. Cause: checkAccount looked at requests that had an account at arrival only.

Such a completion is refused as stale and not run (503), so that clients retry it; it then has the account's namespaces. Requests without a key are not looked at, as before.

TestCompletionIsNotSentForNobodyOnceItsKeyIsValid failed at ("sent in the namespace of requests without a key") and passes, with -race, as do the tests of keys, open routes and namespaces in internal/entry.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -66,11 +66,14 @@
 }
 
 // checkAccount returns an error if a completion's key doesn't belong to the client account of its cache namespace any
-// more. The last configuration received decides, fresh or not: see recheckKeys.
+// more, or belongs to one by now. The last configuration received decides, fresh or not: see recheckKeys.
 func (f *Front) checkAccount(x *exchange) error {
-	if x.cacheAccount == "" || f.keyHolder(f.directory.View(), x) == x.cacheAccount {
+	if x.cacheAccount == "" && x.token == "" && x.actAs == "" || f.keyHolder(f.directory.View(), x) == x.cacheAccount {
 		return nil
 	}
+	if x.cacheAccount == "" {
+		return errkind.New(errkind.Stale, "key has become valid since the request arrived").WithOutcome(errkind.NotRun)
+	}
 	return errkind.New(errkind.Unauthenticated, "key is no longer valid for the client account of the request").WithOutcome(errkind.NotRun)
 }
 
--- a/internal/entry/namespace_test.go
+++ b/internal/entry/namespace_test.go
@@ -251,3 +251,26 @@
 		}
 	}
 }
+
+// A key that becomes valid while its completion waits on an open route must not leave the account's prompt in the namespaces
+// of requests without a key.
+func TestCompletionIsNotSentForNobodyOnceItsKeyIsValid(t *testing.T) {
+	b := newTestFront(t, func(s *Settings, _ *engine.Settings) { s.KeyRecheckInterval = time.Hour })
+	extras := &sentExtras{}
+	extras.addTo(b, "v1")
+	b.change(func(c *pb.Configuration) { c.Routes[0].Open, c.Keys[0].Withdrawn = true, true })
+	b.front.router = &changingRouter{b.router, func() {
+		c := proto.CloneOf(b.config)
+		c.Keys[0].Withdrawn = false
+		b.directory.mu.Lock() // without a notice of the change, so that nothing is canceled before the send
+		b.directory.view = state.NewView(c)
+		b.directory.mu.Unlock()
+	}}
+	response, text := b.do("POST", "/v1/completions", longBody)
+	for _, sent := range extras.all() {
+		assert.Assert(t, sent.CacheSalt != newCacheSpace(prefix.Namespace{Model: "quote", Version: "v1"}).salt(), "sent in the namespace of requests without a key")
+	}
+	assertRefused(t, response, text, errkind.Stale, errkind.NotRun)
+	response, text = b.do("POST", "/v1/completions", longBody)
+	assert.Equal(t, response.StatusCode, http.StatusOK, text)
+}
