--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -79,6 +79,7 @@
 
 // Engine describes the model servers of a service.
 type Engine struct {
+	Models      []string
 	CacheTokens int // cache capacity of one server
 	TokenBytes  int // size of one cached token
 	// LinkBitsPerSecond is the rate at which a server sends or receives cached tokens; 0 if unknown.
@@ -226,9 +227,21 @@
 // AccountByName returns the client account with a name, or nil.
 func (c *Config) AccountByName(name string) *Account { return c.accountsByName[name] }
 
-// CacheOwner returns who shares the cached prompts of a client account; nil is a client without one. The account may
-// be of another version of the configuration: it shares nothing if it is isolated in either or no longer exists.
-func (c *Config) CacheOwner(a *Account) cachespace.Owner {
+// CacheOwner returns who shares the cached prompts of a request that was identified as one of a client account (nil: of
+// a client without one) and that bears the given key, or "". The account may be of another version of the configuration:
+// it shares nothing if it is isolated in either or no longer exists. Nobody shares the prompts if the key is no longer the
+// account's, or is now that of an account which shares with others.
+func (c *Config) CacheOwner(a *Account, key string) cachespace.Owner {
+	owner, now := c.cacheOwnerOf(a), c.accountsByKey[key]
+	switch {
+	case key == "":
+	case now == nil && a != nil, now != nil && c.cacheOwnerOf(now) != owner:
+		return cachespace.Owner{}
+	}
+	return owner
+}
+
+func (c *Config) cacheOwnerOf(a *Account) cachespace.Owner {
 	if a == nil {
 		return c.cachePool
 	}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -11,6 +11,7 @@
 	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/fleet"
+	"eelgrasshollow/internal/fleetview"
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/routing"
 
@@ -202,10 +203,12 @@
 		},
 	}
 	if x.Prompt.Known {
-		attempt.Cache, attempt.Weights = g.cacheSpace(x, decision.Endpoint)
-	}
-	if attempt.Cache.Shared() {
-		attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
+		view := g.Directory.View()
+		attempt.Cache, attempt.Weights = x.cacheSpace(view, decision.Endpoint)
+		if attempt.Cache.Shared() {
+			attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
+			attempt.Permitted = g.permittedFor(x, view.Config, attempt.Permitted)
+		}
 	}
 	x.server, x.decision = attempt.Server, decision
 	g.observeNamespace(x, attempt)
@@ -289,26 +292,27 @@
 	return err
 }
 
-// cacheSpace returns the cache namespace of an attempt at an endpoint, and the version of the weights there or 0. The
-// configuration may have changed since the request arrived, so the present one decides. Nothing is shared if the request's
-// key belongs to another client account by now, or if the present configuration is older than that of the VM that forwarded
-// the request: accounts may be isolated that it doesn't isolate yet.
-func (g *Gateway) cacheSpace(x *exchange, endpoint string) (cachespace.Space, int64) {
-	view := g.Directory.View()
-	space, version := view.CacheSpace(endpoint, x.Prompt.Model, x.keyHolder)
-	if c := view.Config; c != nil && (c.Version < x.ConfigVersion || !sameAccount(c.AccountByKey(x.APIKey), x.keyHolder)) {
+// cacheSpace returns the cache namespace of an attempt at an endpoint, and the version of the weights there or 0. The view
+// is the present one: the configuration may have changed since the request arrived. Nothing is shared if its configuration is
+// older than that of the VM that forwarded the request: accounts may be isolated that it doesn't isolate yet.
+func (x *exchange) cacheSpace(view *fleetview.View, endpoint string) (cachespace.Space, int64) {
+	space, version := view.CacheSpace(endpoint, x.Prompt.Model, x.keyHolder, x.APIKey)
+	if view.Config == nil || view.Config.Version < x.ConfigVersion {
 		space = cachespace.Unique()
 	}
 	return space, version
 }
 
-// sameAccount reports whether a and b, which may be of different versions of the configuration, are the same client
-// account, or both nil.
-func sameAccount(a, b *fleet.Account) bool {
-	if a == nil || b == nil {
-		return a == b
+// permittedFor returns a function for Attempt.Permitted that returns false if the request's cached prompts have another
+// owner than under the configuration c, by which the attempt's namespace was made: connecting may take long enough for
+// the configuration to change. also is the function so far, or nil.
+func (g *Gateway) permittedFor(x *exchange, c *fleet.Config, also func() bool) func() bool {
+	return func() bool {
+		if now := g.Directory.View().Config; now != c && now.CacheOwner(x.keyHolder, x.APIKey) != c.CacheOwner(x.keyHolder, x.APIKey) {
+			return false
+		}
+		return also == nil || also()
 	}
-	return a.Name == b.Name
 }
 
 // observeNamespace records the cache namespace of an attempt that is about to be sent. Of the decision for the attempt it
