A refusal counts as not run only with its request's ID

Cause: operators of a similar system saw a server write an earlier refusal once more. Here each client request has a connection of its own, so a copy can't wait on one that is kept. But a response without an ID was taken for the answer: a refusal that a server writes before it reads the request, or before its real response, was believed. Servers echo the ID in all responses, so nothing else shows whose a response is.

Change, at the platform's servers: - A response is an answer, and a refusal a statement, only if every request ID in it is that of the request. A request without an ID gets one without. Without the ID the outcome is unknown: 502, and no second run of what may run once. The log has "does not carry the request's ID". - A signed 408, 421, 429 or 503 that does not state "not run" is not passed on with that status, neither from a server nor from another VM: clients take the status for the statement. They get 502. - After a refusal because of other weights the request is sent again without weights, with the same ID to the same server.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -237,7 +237,10 @@
 		attempt.Weights, attempt.ImportFrom, attempt.SaveTo, attempt.Cache, attempt.TimeLeft = 0, "", "", cachespace.Unique(), time.Until(x.deadline)
 		x.sends.Add(-1)
 		g.observeNamespace(x, attempt)
-		reply, err = g.send(ctx, ticket, attempt)
+		if reply, err = g.send(ctx, ticket, attempt); err == nil && reply.WrongWeights {
+			// This send names no weights: the refusal is that of the first one, which has the same ID.
+			reply.NotRun = false
+		}
 	}
 	result := routing.Result{Incarnation: decision.Incarnation, CacheUnknown: true, NothingShared: !attempt.Cache.Shared(), PromptTokens: x.Prompt.Tokens}
 	defer func() { ticket.Done(result) }()
@@ -337,8 +340,12 @@
 		return errkind.New(errkind.NoEndpoint, "address belongs to another server").WithOutcome(errkind.NotRun)
 	case reply.NotRun:
 		return errkind.New(errkind.Overloaded, "server refused the request with status %d", reply.Status).WithOutcome(errkind.NotRun)
+	case reply.Unidentified:
+		return errkind.New(errkind.EndpointFailed, "response with status %d does not carry the request's ID", reply.Status)
 	case !reply.Signed:
 		return errkind.New(errkind.EndpointFailed, "response with status %d has no signature", reply.Status)
+	case promisesNotRun(reply.Status):
+		return errkind.New(errkind.EndpointFailed, "response with status %d does not state that the request has not run", reply.Status)
 	case reply.Status == http.StatusOK && reply.Stream:
 		return g.stream(ctx, x, reply, received, started)
 	case x.headWritten:
@@ -392,9 +399,12 @@
 // when the request may be repeated and the retry has already been spent.
 var errServerFailed = errkind.New(errkind.Internal, "server failed to serve the request")
 
+// copyHeader copies a server's header. HeaderNotRun is only for VMs to set.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
-		dst[name] = values
+		if name != HeaderNotRun {
+			dst[name] = values
+		}
 	}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -157,6 +157,8 @@
 		return errkind.New(errkind.Overloaded, "another VM refused the request with status %d", reply.Status).WithOutcome(errkind.NotRun)
 	case reply.Status == http.StatusOK && reply.Stream:
 		return g.stream(x.ctx, x, reply, func() {}, started)
+	case promisesNotRun(reply.Status) && !reply.NotRun:
+		return errkind.New(errkind.EndpointFailed, "another VM responded with status %d without stating that the request has not run", reply.Status)
 	case x.headWritten:
 		return errkind.New(errkind.StreamBroken, "another VM responded to the resumption of a stream with status %d", reply.Status)
 	}
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// helperRefusal is a refusal that every helper would give, which is for the client.
+func helperRefusal(ctx context.Context, a ForwardAttempt) (*Reply, error) {
+	reply, err := helperReplies(429, "x", false)(ctx, a)
+	reply.NotRun = true
+	return reply, err
+}
+
 func helperGone(context.Context, ForwardAttempt) (*Reply, error) {
 	return nil, errkind.New(errkind.EndpointFailed, "refused").WithOutcome(errkind.NotRun)
 }
@@ -113,7 +120,7 @@
 		truncated bool
 	}{
 		{"served", setup{kind: fleet.NonIdempotent}, peers{"p": helperReplies(201, "x", false)}, 201, 1, "x", false},
-		{"helper's refusal", setup{kind: fleet.NonIdempotent}, peers{"p": helperReplies(429, "x", false)}, 429, 1, "x", false},
+		{"helper's refusal", setup{kind: fleet.NonIdempotent}, peers{"p": helperRefusal}, 429, 1, "x", false},
 		{"no helper", setup{kind: fleet.NonIdempotent}, peers{}, 503, 0, "no-endpoint\n", false},
 		{"helpers gone or cut off, once only", setup{kind: fleet.NonIdempotent}, peers{"p": helperGone, "q": helperRefuses, "r": helperReplies(200, "x", false)}, 200, 3, "x", false},
 		{"two others at most", setup{kind: fleet.NonIdempotent}, peers{"p": helperGone, "q": helperRefuses, "r": helperGone, "s": helperReplies(200, "x", false)}, 503, 3, "no-endpoint\n", false},
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -145,6 +145,9 @@
 	// there is one. Signed reports whether there is a signature.
 	Header http.Header
 	Signed bool
+	// Unidentified reports that the response does not carry the request's ID. It is then neither
+	// Signed nor NotRun.
+	Unidentified bool
 	// NotRun reports that the server has not run the request.
 	NotRun bool
 	// WrongServer reports that the address belongs to a server other than Attempt.Server,
@@ -183,5 +186,14 @@
 // headerRetryAfter is the delay before a client should retry, in seconds.
 const headerRetryAfter = "Retry-After"
 
+// promisesNotRun reports whether clients take a status for the statement that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // notRun reports whether the outcome of err is that the request certainly has not run.
 func notRun(err error) bool { return errkind.Of(err).Outcome == errkind.NotRun }
--- a/internal/onplatform/crashing_requests_test.go
+++ b/internal/onplatform/crashing_requests_test.go
@@ -46,6 +46,7 @@
 
 func (s *crashingServers) handle(address, id string, w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance-Id", id)
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	if target := r.Header.Get("X-Target-Instance"); target != "" && target != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -58,7 +59,6 @@
 		s.crash(address)
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	w.Header().Set("X-Response-Stamp", "stamp")
 	_, _ = fmt.Fprint(w, "sound")
 }
--- a/internal/onplatform/soak_calls_test.go
+++ b/internal/onplatform/soak_calls_test.go
@@ -58,6 +58,7 @@
 	if r.Header.Get("X-Target-Instance") == self {
 		return false
 	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	w.Header().Set("X-Instance-Id", self)
 	w.WriteHeader(http.StatusMisdirectedRequest)
 	return true
