Nothing is sent on a connection on which the peer was first

A response that was on a connection before the request can't be its answer, also where the ID can't tell: a resend has the ID of the first send, and endpoints may be set to echo none. Users: requests and orders to the platform's servers, forwarded requests, calls that run at most once.

What arrives after the first byte isn't told apart by this: the ID does that.

--- a/internal/firstwrite/conn_test.go
+++ b/internal/firstwrite/conn_test.go
@@ -1,11 +1,11 @@
 package firstwrite
 
 import (
-	"errors"
 	"io"
 	"net"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -47,3 +47,73 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(text), 0)
 }
+
+// connect returns both ends of a TCP connection.
+func connect(t *testing.T) (near net.Conn, far *net.TCPConn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	near, err = net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	accepted, err := l.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = near.Close(); _ = accepted.Close() })
+	return near, accepted.(*net.TCPConn)
+}
+
+// Guards against a response that was on the connection before the request: it can't be the answer, so nothing is sent. The
+// same holds for a connection that has ended by then.
+func TestNothingIsWrittenAfterPeerSpokeFirst(t *testing.T) {
+	for name, first := range map[string]func(far *net.TCPConn) error{
+		"bytes": func(far *net.TCPConn) error { _, err := io.WriteString(far, "HTTP/1.1 503 Full\r\n\r\n"); return err },
+		"end":   func(far *net.TCPConn) error { return far.CloseWrite() },
+		"reset": func(far *net.TCPConn) error {
+			if err := far.SetLinger(0); err != nil {
+				return err
+			}
+			return far.Close()
+		},
+	} {
+		near, far := connect(t)
+		c := New(near, func() error { t.Errorf("%s: begun", name); return nil })
+		read := make(chan error, 1)
+		go func() { // as net/http does, whose reader waits before the request is written
+			_, err := c.Read(make([]byte, 1))
+			read <- err
+		}()
+		assert.NilError(t, first(far))
+		for range 2 {
+			_, err := io.WriteString(c, "GET")
+			assert.Assert(t, errors.Is(err, ErrPeerFirst), "%s: %v", name, err)
+		}
+		assert.Assert(t, !c.Begun() && c.Err() == nil, name)
+		assert.NilError(t, c.Close())
+		<-read
+	}
+}
+
+func TestReadWaitsForFirstWriteOrClose(t *testing.T) {
+	near, far := connect(t)
+	c := New(near, func() error { return nil })
+	read := make(chan string, 1)
+	go func() {
+		b := make([]byte, 1)
+		_, _ = c.Read(b)
+		read <- string(b)
+	}()
+	_, err := io.WriteString(c, "a")
+	assert.NilError(t, err)
+	_, err = io.WriteString(far, "b")
+	assert.NilError(t, err)
+	assert.Equal(t, <-read, "b")
+
+	near, _ = connect(t)
+	c = New(near, func() error { return nil })
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	}()
+	assert.NilError(t, c.Close())
+	assert.Assert(t, <-ended != nil)
+}
