An engine's earlier refusal is no answer to a later attempt

Cause: with idle above 0, requests to engines share kept connections. A second attempt at the same engine has the ID of the first, so the ID can't tell a copy of the first refusal that the engine writes once more: the caller got 503 "not-run" while the engine ran the request (TestEarlierRefusalOfEngineWrittenOnceMore). Errors without an ID were accepted from a kept connection, too, and taken for refusals of this request, also on a new connection: 503, 429 and 409 had the outcome not-run whatever followed (TestRefusalOfEngineWithoutIDPromisesNothing).

Change: - Further attempts, and GET of a stream, have a connection of their own. - An error without an ID counts only on a connection that carried no other request. Its status is passed on as before, the outcome is unknown, and the request is canceled at the engine. - Without require_echo only the connection tells whose a response is: each request gets one, whatever idle says. - A call that runs once skips informational responses: 102 with the call's ID was stored as its result (TestDoOnceSkipsInformationalResponses). - Reports, events and exports reject the ID of another request. - The stand-in engine echoes the ID in refusals, as engineapi says endpoints do.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -2,8 +2,9 @@
 // streamed responses, requests that must run at most once and cancellations, and reads
 // load reports and cache events.
 //
-// Invariants: a response whose request ID differs from the one sent is never returned;
-// every wait is bounded; this package never retries a request.
+// Invariants: a response whose request ID differs from the one sent is never returned, and one
+// without an ID only from a connection that carried no other request; every wait is bounded;
+// this package never retries a request.
 package engine
 
 import (
@@ -11,12 +12,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/firstwrite"
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/ratelimit"
 	"eelgrasshollow/internal/retryafter"
@@ -37,9 +41,13 @@
 	Header  http.Header // copied; never contains a client's key
 	Body    []byte
 	Tail    []byte // sent after Body
-	// AllowUnidentifiedErrors accepts a response with an error status and no request ID.
-	// Only the status of such a response may be passed on to a client.
+	// AllowUnidentifiedErrors accepts a response with an error status and no request ID, on a
+	// connection that carried no other request. Only the status of such a response may be passed
+	// on to a client.
 	AllowUnidentifiedErrors bool
+	// Repeated is set if a request with this ID may have been sent before. It gets a connection of
+	// its own: the ID does not tell a late response to the earlier one from its own.
+	Repeated bool
 }
 
 // Response is a response with its whole body.
@@ -49,6 +57,9 @@
 	Incarnation string
 	Body        []byte
 	Notice      Notice
+	// Unidentified reports that the response carries no request ID. It then does not state whether
+	// the request has run.
+	Unidentified bool
 }
 
 // Notice is what an endpoint states about itself in the header of a response.
@@ -82,6 +93,7 @@
 	settings Settings
 	dial     Dial
 	http     *http.Client
+	single   *http.Client // opens a connection for each request
 	// reports has its own connections, so that a request never reuses a connection that
 	// stayed open only because of load reports.
 	reports *http.Client
@@ -98,10 +110,27 @@
 	if dial == nil {
 		dial = liveness.Dialer(s.ConnectTimeout, s.AckTimeout).DialContext
 	}
-	return &Client{
-		settings: s, dial: dial, http: newHTTPClient(s, dial, s.IdleTimeout), reports: newHTTPClient(s, dial, reportsIdleTimeout),
+	single := newHTTPClient(s, singleUse(dial), 0)
+	c := &Client{
+		settings: s, dial: dial, http: single, single: single, reports: newHTTPClient(s, dial, reportsIdleTimeout),
 		headers: unknownheader.New(log, responseHeaders...),
 	}
+	if s.IdleTimeout > 0 && s.RequireEcho { // without an ID only the connection tells whose a response is
+		c.http = newHTTPClient(s, dial, s.IdleTimeout)
+	}
+	return c
+}
+
+// singleUse returns a function that opens connections for one request each, which must be silent
+// until the request is sent.
+func singleUse(dial Dial) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return firstwrite.New(conn, func() error { return nil }), nil
+	}
 }
 
 // Collectors returns the metrics of the client.
@@ -130,6 +159,7 @@
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
+	c.single.CloseIdleConnections()
 	c.reports.CloseIdleConnections()
 }
 
@@ -175,11 +205,17 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.http.Do(request)
+	client := c.http
+	if call.Repeated {
+		client = c.single
+	}
+	reused := false
+	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }}))
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
-	if err := c.checkEcho(call, response); err != nil {
+	if err := c.checkEcho(call, response, !reused); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
@@ -207,18 +243,24 @@
 		Incarnation: response.Header.Get(engineapi.HeaderIncarnation),
 		Body:        body,
 		Notice:      noticeOf(response),
+
+		Unidentified: c.settings.RequireEcho && response.Header.Get(engineapi.HeaderRequestID) == "",
 	}, nil
 }
 
 // checkEcho returns an error unless the response carries the request ID of the call, or
-// carries none where that is allowed.
-func (c *Client) checkEcho(call Call, response *http.Response) error {
-	echoed := response.Header.Get(engineapi.HeaderRequestID)
-	idOptional := !c.settings.RequireEcho || (call.AllowUnidentifiedErrors && response.StatusCode >= http.StatusBadRequest)
-	if echoed == call.ID || (echoed == "" && idOptional) {
-		return nil
+// carries none where that is allowed. only reports that the connection carried no other request.
+func (c *Client) checkEcho(call Call, response *http.Response, only bool) error {
+	idOptional := !c.settings.RequireEcho || only && call.AllowUnidentifiedErrors && response.StatusCode >= http.StatusBadRequest
+	if echoes := response.Header.Values(engineapi.HeaderRequestID); len(echoes) == 0 && !idOptional || hasOtherID(echoes, call.ID) {
+		return errkind.New(errkind.EndpointFailed, "response belongs to another request")
 	}
-	return errkind.New(errkind.EndpointFailed, "response belongs to another request")
+	return nil
+}
+
+// hasOtherID reports whether one of the request IDs of a response differs from that of the request.
+func hasOtherID(echoes []string, id string) bool {
+	return slices.ContainsFunc(echoes, func(echo string) bool { return echo != id })
 }
 
 // request builds the HTTP request of the call.
--- a/internal/engine/keep.go
+++ b/internal/engine/keep.go
@@ -23,14 +23,11 @@
 	if err != nil {
 		return reply, err
 	}
-	response, err := c.reports.Do(request)
+	response, err := c.ownCall(ctx, request)
 	if err != nil {
-		return reply, classify(ctx, err)
+		return reply, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return reply, errkind.New(errkind.EndpointFailed, "/kv/export returned status %d", response.StatusCode)
-	}
 	whole, err := c.readResponse(ctx, response)
 	if err != nil {
 		return reply, err
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -9,6 +9,8 @@
 
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/firstwrite"
+
+	"github.com/cockroachdb/errors"
 )
 
 // DoOnce sends a call that must run at most once, on a new connection. It calls begin
@@ -49,19 +51,34 @@
 		return nil, classify(ctx, err)
 	}
 	limited := &headerLimitConn{Conn: conn, remaining: int64(c.settings.MaxHeader)}
-	response, err := http.ReadResponse(bufio.NewReader(limited), request)
+	response, err := readFinal(bufio.NewReader(limited), request)
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
 	limited.remaining = -1 // no limit for the body
 	defer func() { _ = response.Body.Close() }()
-	if err := c.checkEcho(call, response); err != nil {
+	if err := c.checkEcho(call, response, true); err != nil {
 		return nil, err
 	}
 	c.headers.Check(call.Address, response.Header)
 	return c.readResponse(ctx, response)
 }
 
+// readFinal reads the head of the response to a request, after any informational ones.
+func readFinal(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(r, request)
+		switch {
+		case err != nil:
+			return nil, err
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.New("endpoint switched protocols instead of responding")
+		case response.StatusCode >= http.StatusOK:
+			return response, nil
+		}
+	}
+}
+
 // headerLimitConn limits the bytes read to remaining. A negative value means no limit.
 type headerLimitConn struct {
 	net.Conn
--- a/internal/engine/reports.go
+++ b/internal/engine/reports.go
@@ -64,21 +64,29 @@
 	}
 }
 
-// get sends a GET request that belongs to no client. Its response carries no request ID, so
-// that is not checked.
+// get sends a GET request that belongs to no client. Its response needs no request ID.
 func (c *Client) get(ctx context.Context, address, path, query string) (*http.Response, error) {
 	call := Call{Address: address, ID: uuid.NewString(), Method: http.MethodGet, Path: path, Query: query}
 	request, err := call.request(ctx)
 	if err != nil {
 		return nil, err
 	}
+	return c.ownCall(ctx, request)
+}
+
+// ownCall sends a request that belongs to no client on a kept connection.
+func (c *Client) ownCall(ctx context.Context, request *http.Request) (*http.Response, error) {
 	response, err := c.reports.Do(request)
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, classify(ctx, err)
+	case hasOtherID(response.Header.Values(engineapi.HeaderRequestID), request.Header.Get(engineapi.HeaderRequestID)):
+		err = errkind.New(errkind.EndpointFailed, "response belongs to another request")
+	case response.StatusCode != http.StatusOK:
+		err = errkind.New(errkind.EndpointFailed, "%s returned status %d", request.URL.Path, response.StatusCode)
+	default:
+		return response, nil
 	}
-	if response.StatusCode != http.StatusOK {
-		_ = response.Body.Close()
-		return nil, errkind.New(errkind.EndpointFailed, "%s returned status %d", path, response.StatusCode)
-	}
-	return response, nil
+	_ = response.Body.Close()
+	return nil, err
 }
--- a/internal/engine/settings.go
+++ b/internal/engine/settings.go
@@ -20,5 +20,5 @@
 	MaxAnswer          settings.Bytes `ini:"max_answer" default:"16 MiB" min:"1 KiB" max:"1 GiB" doc:"Greatest answer in one piece."`
 	MaxHeader          settings.Bytes `ini:"max_header" default:"64 KiB" min:"1 KiB" max:"1 MiB" doc:"Greatest header of an answer."`
 	IdleConnections    int            `ini:"idle_connections" default:"256" min:"1" max:"100000" doc:"Unused connections kept per endpoint."`
-	RequireEcho        bool           `ini:"require_echo" default:"true" doc:"Refuse an answer that does not carry its request's ID back."`
+	RequireEcho        bool           `ini:"require_echo" default:"true" doc:"Refuse an answer that does not carry its request's ID back; if not, each request has a connection of its own."`
 }
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -161,7 +161,8 @@
 // awaitRollout handles an attempt that failed because the engine runs a weights version other
 // than the one in its last report to routing, which happens during a rollout. It waits for
 // RetryPause, so that routing can receive newer reports, and reports whether another attempt
-// may be made. That is safe, because the engine has not run the request.
+// may be made. That is safe, because an engine that refuses the weights has not run the request,
+// and completions may run again if that refusal was not its own.
 func (f *Front) awaitRollout(j *job, err error) bool {
 	if !errors.Is(err, errWrongWeights) || j.delivered > 0 || time.Since(j.start) > f.settings.QueueTimeout {
 		return false
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -132,7 +132,7 @@
 func (f *Front) attemptPlain(p *plainCall, ticket routing.Ticket, do func(engine.Call) (*engine.Response, error)) (*engine.Response, error) {
 	d := ticket.Decision()
 	call := p.call
-	call.Address = d.Address
+	call.Address, call.Repeated = d.Address, p.failed
 	response, err := do(call)
 	if response != nil {
 		ticket.Notify(noticeFrom(response.Incarnation, response.Notice))
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -79,7 +79,7 @@
 	}
 	call := engine.Call{
 		Address: d.Address, ID: j.id, Method: http.MethodPost, Path: j.path, Body: body, Tail: tail,
-		Header: http.Header{"Content-Type": {"application/json"}}, AllowUnidentifiedErrors: true,
+		Header: http.Header{"Content-Type": {"application/json"}}, AllowUnidentifiedErrors: true, Repeated: j.failed,
 	}
 	if err := j.awaitCancel(d.Address); err != nil {
 		return err
@@ -136,7 +136,7 @@
 	a.incarnation = response.Incarnation
 	a.ticket.Notify(noticeFrom(response.Incarnation, response.Notice))
 	if response.Status != http.StatusOK {
-		return refusalError(response)
+		return a.refused(call, response)
 	}
 	if err := j.readWhole(response.Body); err != nil {
 		return err
@@ -164,7 +164,7 @@
 		if stream.Status == http.StatusOK {
 			return errkind.New(errkind.EndpointFailed, "engine response with status 200 is not an event stream")
 		}
-		return refusalError(stream.Response)
+		return a.refused(call, stream.Response)
 	}
 	err = a.relayEvents(stream, d)
 	if err != nil {
@@ -337,6 +337,17 @@
 // errWrongWeights reports that an engine runs a weights version other than the requested one.
 var errWrongWeights = errors.New("weights version mismatch")
 
+// refused returns the error for an engine's refusal. One without an ID need not belong to the
+// request, which may be running: its status is passed on, but it promises nothing.
+func (a *attempt) refused(call engine.Call, response *engine.Response) error {
+	err := refusalError(response)
+	if !response.Unidentified {
+		return err
+	}
+	a.cancel(call)
+	return errkind.Of(err).WithOutcome(errkind.Unknown)
+}
+
 // refusalError converts an engine's refusal into an error. The engine's own text is left out,
 // because it may contain content of another client.
 func refusalError(a *engine.Response) error {
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -11,12 +11,14 @@
 // retryState holds an idempotent request and the endpoints at which it has failed.
 type retryState struct {
 	request    routing.Request
+	failed     bool // at an endpoint, which may have received the request
 	mayHaveRun bool // an endpoint may have run the request
 }
 
 // recordFailure excludes the ticket's endpoint from further attempts and records whether it
 // may have run the request.
 func (t *retryState) recordFailure(ticket routing.Ticket, err error) {
+	t.failed = true
 	t.mayHaveRun = t.mayHaveRun || errkind.Of(err).Outcome != errkind.NotRun
 	t.request.Exclude = append(t.request.Exclude, ticket.Decision().Endpoint)
 }
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -20,6 +20,7 @@
 
 // complete serves a chat or text completion.
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	echoRequestID(w, r)
 	c, err := decodeCall(r)
 	if err != nil {
 		writeError(w, http.StatusBadRequest, "invalid_request_error", err.Error())
@@ -62,6 +63,7 @@
 
 // resume continues a stream after the position in the Last-Event-ID header.
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	echoRequestID(w, r)
 	e.mu.Lock()
 	s := e.streams[r.PathValue("id")]
 	if s != nil {
@@ -274,6 +276,13 @@
 // looksLikeKey reports whether a text contains the prefix of client keys.
 func looksLikeKey(text string) bool { return strings.Contains(text, "eg_") }
 
+// echoRequestID sets the ID of a request in its response, whatever that will be.
+func echoRequestID(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(engineapi.HeaderRequestID); id != "" {
+		w.Header().Set(engineapi.HeaderRequestID, id)
+	}
+}
+
 // writeError sends an error response in OpenAI's format.
 func writeError(w http.ResponseWriter, status int, kind, text string) {
 	type detail struct {
