A forwarded request's answer must come from a VM's handler

Every response of forward.Handler has a mark, but only 404 was checked for it: any process that has got a VM's address since could answer for that VM, and a 503 or 429 of a plain HTTP server became the client's. Without the mark the outcome is unknown; 404 still means a build that takes no forwarded requests.

TestResponseThatIsNotOfAHandler failed before. TestForwardedRequestsShareNoConnection passed before and keeps connections single-use: that is why a refusal written once more reaches no other request.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -112,8 +112,16 @@
 }
 
 // decode returns the response of another VM, or an error if that VM can't serve the request and
-// has not run it.
+// has not run it, or if another process has written the response.
 func (c *Client) decode(response *http.Response) (*gateway.Reply, string, error) {
+	if response.Header.Get(headerForwarded) == "" || response.StatusCode < http.StatusOK {
+		_ = response.Body.Close() // it is of no use
+		if response.StatusCode == http.StatusNotFound {
+			// A build that takes no forwarded requests.
+			return nil, resultUnreachable, errkind.New(errkind.NoEndpoint, "other VM takes no requests").WithOutcome(errkind.NotRun)
+		}
+		return nil, resultLost, errkind.New(errkind.EndpointFailed, "response with status %d is not that of a VM", response.StatusCode)
+	}
 	reason := response.Header.Get(gateway.HeaderNotRun)
 	kind, known := errkind.FromCode(reason)
 	retryAfter, _ := retryafter.Parse(response.Header, time.Now()) // 0 if it can't be decoded
@@ -135,15 +143,10 @@
 	if reason != "" {
 		result = reason
 	}
-	reply := &gateway.Reply{
+	return &gateway.Reply{
 		Status: response.StatusCode, Header: clientHeader(response.Header), NotRun: reason != "", Body: response.Body, Signed: true,
 		Stream: strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"),
-	}
-	if response.StatusCode == http.StatusNotFound && reason == "" && response.Header.Get(headerForwarded) == "" {
-		_ = response.Body.Close()
-		return nil, resultUnreachable, unusable.WithOutcome(errkind.NotRun) // a build that takes no forwarded requests
-	}
-	return reply, result, nil
+	}, result, nil
 }
 
 // discard reads the rest of a body, so that the sender of a refused request gets the refusal.
