A data directory forms a group at most once

Cause: a first member that was removed while unreachable is refused and gives its store up. RunControl then started the next replica in the same process, and group.Identify took the settings' word that this is the first start of the system: the new replica had the former ID and the initial membership of the three seeds. Only the witnesses of the other first members refused it; with the last of them silent, two such replicas are a quorum of the three seeds.

Change: RemoveStore writes and syncs a mark in the data directory before it removes a store; a running replica writes it in the background, so that directories of former versions get it too. Identify makes no first member in a marked directory. RunControl counts only its first replica that has run as a first start. So a removed member comes back as a new one. The delay between replicas that the group refuses in a row doubles from 0.3 s to 5 s; the first refusal waits 0.3 s as before. A replica that is no member for 10 s says so in the log.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -5,6 +5,8 @@
 // Invariants:
 //   - No two stores use the same replica ID. IDs after the first start are therefore
 //     random.
+//   - A data directory forms a group at most once: once it has held a store, a replica
+//     without a store must join, also if the settings still name the first start.
 //   - A store that the group refuses is removed, never repaired.
 //   - A member is removed only if that does not make a quorum harder to reach.
 package group
@@ -13,8 +15,10 @@
 	"context"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eelgrasshollow/internal/clock"
@@ -44,6 +48,9 @@
 	// voters, may be unreachable before the leader removes it. It is longer than a restart
 	// and the election after it.
 	removeAfter = 5 * time.Second
+	// notMemberLogInterval is the time between two log lines of a replica that is no member.
+	notMemberLogInterval = 10 * time.Second
+	usedFileMode         = 0o600
 )
 
 // ErrRefused reports that the group refused this replica as a member. The replica must
@@ -60,15 +67,20 @@
 
 // Identify returns the Identity to start with. If there is a store in dataDir, the replica
 // keeps its ID. Else it is one of the first members if firstStart, which means the first
-// start of the whole system, and self is a seed. Else it gets a random ID and must join.
+// start of the whole system, self is a seed, and dataDir has never held a store. Else it
+// gets a random ID and must join.
 func Identify(dataDir, self string, seeds []string, firstStart bool) (Identity, error) {
 	id, err := consensus.FindStore(dataDir)
 	if err != nil || id != 0 {
 		return Identity{ReplicaID: id}, err
 	}
+	used, err := isUsed(dataDir)
+	if err != nil {
+		return Identity{}, err
+	}
 	sorted := slices.Sorted(slices.Values(seeds))
 	position := slices.Index(sorted, self)
-	if !firstStart || position < 0 {
+	if !firstStart || used || position < 0 {
 		return Identity{ReplicaID: minRandomID + rand.Uint64N(1<<62)}, nil
 	}
 	identity := Identity{ReplicaID: uint64(position) + 1}
@@ -78,9 +90,51 @@
 	return identity, nil
 }
 
-// RemoveStore removes the store of a replica that the group refused.
+// RemoveStore removes the store of a replica that the group refused. It first marks the
+// data directory as used, so that no replica starts from it as a first member again.
 func RemoveStore(dataDir string, replica uint64) error {
-	return errors.Wrap(os.RemoveAll(consensus.StoreDir(dataDir, replica)), "remove the refused store")
+	if err := markUsed(dataDir); err != nil {
+		return err
+	}
+	if err := os.RemoveAll(consensus.StoreDir(dataDir, replica)); err != nil {
+		return errors.Wrap(err, "remove the refused store")
+	}
+	return errors.Wrap(syncPath(dataDir), "sync the data directory")
+}
+
+// usedFile is the name of an empty file that marks a data directory which has held a store.
+// Directories of former versions get it when their store is next opened or is removed.
+const usedFile = "store-created"
+
+func isUsed(dataDir string) (bool, error) {
+	_, err := os.Stat(filepath.Join(dataDir, usedFile))
+	if os.IsNotExist(err) {
+		return false, nil
+	}
+	return err == nil, errors.Wrap(err, "check whether the data directory was used")
+}
+
+// markUsed marks a data directory as used and returns once the mark is synced.
+func markUsed(dataDir string) error {
+	used, err := isUsed(dataDir)
+	if err != nil || used {
+		return err
+	}
+	path := filepath.Join(dataDir, usedFile)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY, usedFileMode)
+	if err != nil {
+		return errors.Wrap(err, "mark the data directory as used")
+	}
+	err = errors.CombineErrors(f.Sync(), f.Close())
+	return errors.Wrap(errors.CombineErrors(err, syncPath(dataDir)), "sync the mark of the data directory")
+}
+
+func syncPath(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(f.Sync(), f.Close())
 }
 
 // Replica is the part of consensus.Replica that this package uses.
@@ -103,8 +157,12 @@
 	now       clock.Clock
 	log       *zap.Logger
 	onRefused func(error)
+	dataDir   string
+	started   atomic.Bool
 
-	joining bool // the replica was no member at the last check
+	joining        bool // the replica was no member at the last check
+	dataDirMarked  bool
+	notMemberSince time.Time // last time that this replica was a member, or that the log said that it is none
 
 	mu                sync.Mutex
 	peerAddresses     map[string]bool // all addresses received so far
@@ -112,10 +170,11 @@
 	unreachableSince  map[uint64]time.Time
 }
 
-// NewModule returns a module for the replica at peer address self. It calls onRefused
-// with ErrRefused if the group refuses the replica.
-func NewModule(self string, id uint64, seeds []string, now clock.Clock, onRefused func(error)) *Module {
-	m := &Module{self: self, id: id, now: now, onRefused: onRefused, peerAddresses: map[string]bool{}, unreachableSince: map[uint64]time.Time{}}
+// NewModule returns a module for the replica at peer address self, whose store is in dataDir.
+// It calls onRefused with ErrRefused if the group refuses the replica.
+func NewModule(dataDir, self string, id uint64, seeds []string, now clock.Clock, onRefused func(error)) *Module {
+	m := &Module{dataDir: dataDir, self: self, id: id, now: now, onRefused: onRefused, notMemberSince: now(),
+		peerAddresses: map[string]bool{}, unreachableSince: map[uint64]time.Time{}}
 	m.AddPeers(seeds)
 	return m
 }
@@ -148,6 +207,16 @@
 	return server.Register(ServiceName, &Receiver{m})
 }
 
+// Start implements kernel.Module.
+func (m *Module) Start(ctx context.Context) error {
+	m.started.Store(true)
+	return m.Background.Start(ctx)
+}
+
+// Started reports whether the replica has run, so that its process is not the first start of the
+// system any more.
+func (m *Module) Started() bool { return m.started.Load() }
+
 func (m *Module) run(ctx context.Context) {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -158,10 +227,24 @@
 			return
 		case <-ticker.C:
 		}
+		m.markDataDir()
 		m.checkMembership(ctx)
 	}
 }
 
+// markDataDir marks the data directory as used, and tries again at the next check if the disk
+// fails. RemoveStore does not rely on it.
+func (m *Module) markDataDir() {
+	if m.dataDirMarked {
+		return
+	}
+	err := markUsed(m.dataDir)
+	m.dataDirMarked = err == nil
+	if err != nil {
+		m.log.Warn("data directory could not be marked as used", zap.Error(err))
+	}
+}
+
 func (m *Module) checkMembership(ctx context.Context) {
 	status := m.replica.Status()
 	var knownAddresses []string
@@ -178,6 +261,14 @@
 		m.log.Info("replica is a member", zap.Uint64("replica", m.id), zap.Uint64("leader", status.Leader))
 	}
 	m.joining = !member
+	switch {
+	case member:
+		m.notMemberSince = now
+	case now.Sub(m.notMemberSince) > notMemberLogInterval:
+		m.log.Warn("replica is not a member of a group and serves no calls; it goes on asking to join",
+			zap.Uint64("replica", m.id), zap.Int("peers", len(m.peerAddresses)))
+		m.notMemberSince = now
+	}
 	if _, leads := m.replica.Leading(); leads {
 		m.removeLostMembers(ctx, now, status)
 		return
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -80,7 +80,7 @@
 func newModule(r *fakeReplica, members ...consensus.Member) (*Module, *time.Time) {
 	now := time.Unix(100, 0)
 	r.status.Leader, r.status.Members = 1, consensus.Membership{Members: members}
-	m := NewModule("a:1", 1, seeds, func() time.Time { return now }, func(error) {})
+	m := NewModule("", "a:1", 1, seeds, func() time.Time { return now }, func(error) {})
 	m.replica, m.log = r, zap.NewNop()
 	return m, &now
 }
@@ -196,3 +196,17 @@
 	m.removeLostMembers(context.Background(), *now, &r.status)
 	assert.DeepEqual(t, r.removed, []uint64{minRandomID + 1})
 }
+
+// Guards against a VM that can't join and doesn't say so.
+func TestReplicaThatIsNoMemberSaysSo(t *testing.T) {
+	r := &fakeReplica{}
+	m, now := newModule(r, member(2, "b:1"))
+	m.pool = silentPool{}
+	core, logs := observer.New(zap.WarnLevel)
+	m.log = zap.New(core)
+	for range 3 * notMemberLogInterval / checkInterval {
+		*now = now.Add(checkInterval)
+		m.checkMembership(t.Context())
+	}
+	assert.Equal(t, logs.Len(), 2, "one line each interval: %v", logs.All())
+}
--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -36,6 +36,10 @@
 	retainedEntries    = 500
 	// restartPause is the wait before a failed replica is restarted.
 	restartPause = 300 * time.Millisecond
+	// maxRefusedPause is the longest wait before a replica is restarted that the group has refused
+	// several times in a row, each time within refusedResetTime of its start.
+	maxRefusedPause  = 5 * time.Second
+	refusedResetTime = 10 * time.Second
 	// grantLease is how long an entry VM may use a token slice without contact with the owner.
 	grantLease = 3 * time.Second
 	// controlStopTimeout is the part of the platform's grace period that a control VM uses to
@@ -59,27 +63,48 @@
 		return err
 	}
 	p.serveMetrics(ctx, metricsPort)
+	firstStart, refusals := p.settings.FirstStart, 0
 	for {
-		err = p.runReplica(ctx, operators)
+		start := clock.Boot()
+		started, err := p.runReplica(ctx, operators, firstStart)
 		if ctx.Err() != nil {
 			p.close(err)
 			return nil
 		}
+		// Only the first replica of a process can be a first member, whatever became of its store.
+		firstStart = firstStart && !started
+		if storeRefused(err) && clock.Boot().Sub(start) < refusedResetTime {
+			refusals++
+		} else {
+			refusals = 0
+		}
+		pause := restartDelay(refusals)
 		// A full or failing disk must not end the process: the replica is restarted until it works.
-		p.log.Error("replica failed; restarting it", zap.Error(err), zap.Duration("pause", restartPause))
+		p.log.Error("replica failed; restarting it", zap.Error(err), zap.Duration("pause", pause))
 		select {
 		case <-ctx.Done():
-		case <-time.After(restartPause):
+		case <-time.After(pause):
 		}
 	}
 }
 
-// runReplica opens the store and runs the replica until ctx ends or the replica fails.
-func (p *process) runReplica(ctx context.Context, operators *control.OperatorTokens) error {
+// restartDelay returns the wait before a failed replica is restarted. It doubles with each of the
+// refusals in a row after the first.
+func restartDelay(refusals int) time.Duration {
+	delay := restartPause
+	for range refusals - 1 {
+		delay = min(2*delay, maxRefusedPause)
+	}
+	return delay
+}
+
+// runReplica opens the store and runs the replica until ctx ends or the replica fails. started
+// reports whether the replica has run.
+func (p *process) runReplica(ctx context.Context, operators *control.OperatorTokens, firstStart bool) (started bool, err error) {
 	s := p.settings
-	identity, err := group.Identify(s.DataDir, s.PeerAddress, s.Seeds, s.FirstStart)
+	identity, err := group.Identify(s.DataDir, s.PeerAddress, s.Seeds, firstStart)
 	if err != nil {
-		return err
+		return false, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -98,7 +123,7 @@
 	}), peer.ServerName, peer.PoolName)
 	k.Register(grants.OwnerName, grants.NewOwnerModule(grants.OwnerOptions{Lease: grantLease, Tolerance: grantTolerance(s)}, grantMachine, machine, clock.Boot),
 		consensus.ModuleName, peer.ServerName)
-	groupModule := group.NewModule(s.PeerAddress, identity.ReplicaID, s.Seeds, clock.Boot, cancel)
+	groupModule := group.NewModule(s.DataDir, s.PeerAddress, identity.ReplicaID, s.Seeds, clock.Boot, cancel)
 	k.Register(group.ModuleName, groupModule, consensus.ModuleName)
 	serverClient := platform.NewClient(s.ListAddress, s.VM, membudget.LimitsFor(s.MemoryBytes).SocketBuffer, p.log.Named("servers"))
 	fleet := fleetcontrol.NewModule(fleetcontrol.ModuleConfig{
@@ -120,7 +145,7 @@
 	if cause != nil && !errors.Is(cause, context.Canceled) {
 		err = errors.CombineErrors(cause, err)
 	}
-	return err
+	return groupModule.Started(), err
 }
 
 // operatorHandler serves the platform's calls and, if operators have tokens, those of eelctl for rollouts and dry runs.
