A first member is refused only once its removal is committed

Cause: a leader refused a first member as soon as the entry that removes it was in the leader's own log. The member then gives its store up. If the leader fails before the entry is committed, the next leader may count the member as a voter whose disk is lost, beside the losses that the group tolerates.

Change: the status of a replica says whether its membership is pending; the leader refuses a first member only if it is not.

--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -24,7 +24,9 @@
 	Role                                  Role
 	CommitIndex, LastIndex, SnapshotIndex uint64
 	Members                               Membership
-	MatchIndex                            map[uint64]uint64
+	// MembersPending reports whether the entry of Members is not known to be committed.
+	MembersPending bool
+	MatchIndex     map[uint64]uint64
 	// Unreachable holds the members that sent the leader no reply for an election
 	// timeout. Only the leader sets it and MatchIndex.
 	Unreachable map[uint64]bool
@@ -42,7 +44,7 @@
 // Status returns the current state.
 func (c *Core) Status() Status {
 	status := Status{ID: c.id, Term: c.hardState.Term, Leader: c.leaderID, Role: c.role, CommitIndex: c.commitIndex,
-		LastIndex: c.log.lastIndex(), SnapshotIndex: c.log.snapshotIndex, Members: c.members, StoreVerified: c.isStoreVerified(),
+		LastIndex: c.log.lastIndex(), SnapshotIndex: c.log.snapshotIndex, Members: c.members, MembersPending: c.membersIndex > c.commitIndex, StoreVerified: c.isStoreVerified(),
 		AttestedAt: c.attestedAt, AttestedIndex: c.attestedIndex}
 	if c.role != Leader {
 		return status
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -343,7 +343,9 @@
 		return nil
 	}
 	if args.ID < minRandomID {
-		reply.Refused = true // a first member that was removed
+		// A first member that was removed. It gives its store up, which holds acknowledged entries, so the
+		// removal must not be undone by the next leader.
+		reply.Refused = !status.MembersPending
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -210,3 +210,16 @@
 	}
 	assert.Equal(t, logs.Len(), 2, "one line each interval: %v", logs.All())
 }
+
+// Guards against a member that gives up its store because of a removal that the next leader may not have.
+func TestFirstMemberIsRefusedOnlyOnceItsRemovalIsCommitted(t *testing.T) {
+	r := &fakeReplica{leads: true}
+	m, _ := newModule(r, member(1, "a:1"), member(2, "b:1"))
+	for _, pending := range []bool{true, false} {
+		r.status.MembersPending = pending
+		var reply JoinReply
+		assert.NilError(t, m.handleJoin(&JoinArgs{ID: 3, Address: "c:1"}, &reply))
+		assert.Equal(t, reply.Refused, !pending)
+		assert.Assert(t, !reply.Member)
+	}
+}
