Only a reachable voter replaces the member at its address

Cause: a member counted as replaced if another voter had its address, also if that voter was the lost store: with both unreachable for a moment, the one with the lower number was removed, and numbers are random.

Change: the other voter must be reachable.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -373,7 +373,7 @@
 }
 
 // lostMember returns the unreachable member to remove, if there is one. A member whose address
-// another voter has is replaced and is removed immediately. After removeAfter, a learner is
+// another, reachable voter has is replaced and is removed immediately. After removeAfter, a learner is
 // removed, and so is a voter if the number of voters is even and above 2, because the quorum
 // then gets smaller. A replaced member goes first: its successor has made the number even, and
 // removing a VM that is only away instead would leave two votes less.
@@ -385,7 +385,8 @@
 			continue
 		}
 		if slices.ContainsFunc(members, func(other consensus.Member) bool {
-			return other.Address == member.Address && other.ID != member.ID && !other.Learner
+			_, otherUnreachable := m.unreachableSince[other.ID]
+			return other.Address == member.Address && other.ID != member.ID && !other.Learner && !otherUnreachable
 		}) {
 			return member, true, true
 		}
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -223,3 +223,17 @@
 		assert.Assert(t, !reply.Member)
 	}
 }
+
+// Guards against the removal of a successor that is unreachable for a moment, in place of the store that it has replaced.
+func TestSuccessorIsNotRemovedForTheMemberThatItReplaced(t *testing.T) {
+	r := &fakeReplica{leads: true}
+	m, now := newModule(r, member(1, "a:1"), member(2, "b:1"), member(3, "c:1"), member(minRandomID, "c:1"))
+	for _, unreachable := range []map[uint64]bool{{3: true, minRandomID: true}, {minRandomID: true, 3: true, 2: true}} {
+		r.status.Unreachable = unreachable
+		removeLostFor(m, r, now, removeAfter/3)
+		assert.Equal(t, len(r.removed), 0)
+	}
+	r.status.Unreachable = map[uint64]bool{3: true}
+	m.removeLostMembers(context.Background(), *now, &r.status)
+	assert.DeepEqual(t, r.removed, []uint64{3})
+}
