--- a/spec/formation.pml
+++ b/spec/formation.pml
@@ -11,9 +11,9 @@
  * entries that were committed in older terms.
  *
  * Broken variants, in which the check must fail:
- *   BROKEN_RETURN     the settings' word on the first start counts as often as a process has no store
+ *   BROKEN_RETURN     a host without a store is a first member as long as its process has the settings of the first start
  *   BROKEN_MARK_LATE  the data directory is marked after the store is removed
- *   BROKEN_MEMORY     the word counts after a replica of the process has run; the data directory is
+ *   BROKEN_MEMORY     the settings of the first start count after a replica of the process has run; the directory is
  *                     lost while the process lives
  */
 #define HOSTS 4
@@ -24,14 +24,14 @@
 #define BIT(i) (1 << ((i) - 1))
 
 #ifdef BROKEN_RETURN
-#define FIRST(h) (h <= 3 && word[h])
+#define FIRST(h) (h <= 3 && firstStart[h])
 #else
-#define FIRST(h) (h <= 3 && word[h] && !mark[h])
+#define FIRST(h) (h <= 3 && firstStart[h] && !mark[h])
 #endif
 #if defined(BROKEN_RETURN) || defined(BROKEN_MEMORY)
-#define KEEPS_WORD true
+#define KEEPS_FIRST true
 #else
-#define KEEPS_WORD false
+#define KEEPS_FIRST false
 #endif
 
 /* entries: term, leader that made it, and membership as a bit set of replicas, or 0 */
@@ -47,7 +47,7 @@
 Replica r[6];
 byte cur[5];       /* replica of a host; 0 if it has no store */
 bool mark[5];      /* the data directory is marked as used */
-bool word[5];      /* the process takes its start for the first of the system */
+bool firstStart[5]; /* the process takes its start for the first of the system */
 bool settings[5];  /* the settings say so */
 bool markLater[5]; /* BROKEN_MARK_LATE: the mark is still to be written */
 byte nextID = 4;
@@ -213,7 +213,7 @@
 inline add(x, h) { /* the leader x adds the host h, which has no store, under a new number */
   r[x].leads && cur[h] == 0 && !FIRST(h) && !markLater[h] && nextID <= N && r[x].size < MAX_LOG && ALL_COMMITTED(x) ->
   membership(x);
-  cur[h] = nextID; r[nextID].alive = true; word[h] = KEEPS_WORD && word[h];
+  cur[h] = nextID; r[nextID].alive = true; firstStart[h] = KEEPS_FIRST && firstStart[h];
   append(x, members | BIT(nextID));
   nextID++; members = 0
 }
@@ -244,14 +244,14 @@
 #ifndef WITNESSES
   assert(false);
 #endif
-  cur[h] = h; r[h].alive = true; r[h].again = true; word[h] = KEEPS_WORD
+  cur[h] = h; r[h].alive = true; r[h].again = true; firstStart[h] = KEEPS_FIRST
 }
 
 /* a process ends and starts again; its disk stays */
 inline kill(h) {
   kills > 0 && (cur[h] == 0 || r[cur[h]].leads) ->
   kills--; markLater[h] = false;
-  word[h] = settings[h] && (cur[h] == 0 || KEEPS_WORD); /* a replica that runs from a store ends the word */
+  firstStart[h] = settings[h] && (cur[h] == 0 || KEEPS_FIRST); /* a replica that runs from a store ends the first start */
   if :: cur[h] != 0 -> r[cur[h]].leads = false :: else fi
 }
 
@@ -260,10 +260,10 @@
   wipes > 0 && cur[h] != 0 ->
   wipes--; forget(cur[h]); cur[h] = 0; mark[h] = false; settings[h] = false;
 #ifdef BROKEN_RETURN
-  word[h] = false
+  firstStart[h] = false
 #else
   if
-  :: word[h] = false
+  :: firstStart[h] = false
   :: true
   fi
 #endif
@@ -281,7 +281,7 @@
     :: x > 3 -> break
     :: else ->
        cur[x] = x; r[x].alive = true; r[x].term = 1; r[x].vote = 1; r[x].size = 1; r[x].log[1] = 1 + 4 * 1;
-       settings[x] = true; word[x] = KEEPS_WORD;
+       settings[x] = true; firstStart[x] = KEEPS_FIRST;
 #ifdef WITNESSES
        r[x].met = (x == 1 -> 6 : 1);
 #endif
