--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -80,7 +80,7 @@
 func newModule(r *fakeReplica, members ...consensus.Member) (*Module, *time.Time) {
 	now := time.Unix(100, 0)
 	r.status.Leader, r.status.Members = 1, consensus.Membership{Members: members}
-	m := NewModule("a:1", 1, seeds, func() time.Time { return now }, func(error) {})
+	m := NewModule("", "a:1", 1, seeds, func() time.Time { return now }, func(error) {})
 	m.replica, m.log = r, zap.NewNop()
 	return m, &now
 }
@@ -182,3 +182,58 @@
 	m.checkMembership(t.Context())
 	assert.Equal(t, logs.Len(), 0)
 }
+
+// Guards against the removal of a VM that is only away when the return of a lost disk makes the number of voters even
+// (review/1: two voters less).
+func TestReplacedMemberIsRemovedBeforeUnreachableOne(t *testing.T) {
+	r := &fakeReplica{leads: true}
+	m, now := newModule(r, member(1, "a:1"), member(2, "b:1"), member(3, "c:1"), member(minRandomID, "d:1"),
+		member(minRandomID+1, "e:1"))
+	r.status.Unreachable = map[uint64]bool{2: true, minRandomID + 1: true}
+	removeLostFor(m, r, now, 2*removeAfter)
+	assert.Equal(t, len(r.removed), 0)
+	r.status.Members.Members = append(r.status.Members.Members, member(minRandomID+2, "e:1"))
+	m.removeLostMembers(context.Background(), *now, &r.status)
+	assert.DeepEqual(t, r.removed, []uint64{minRandomID + 1})
+}
+
+// Guards against a VM that can't join and doesn't say so.
+func TestReplicaThatIsNoMemberSaysSo(t *testing.T) {
+	r := &fakeReplica{}
+	m, now := newModule(r, member(2, "b:1"))
+	m.pool = silentPool{}
+	core, logs := observer.New(zap.WarnLevel)
+	m.log = zap.New(core)
+	for range 3 * notMemberLogInterval / checkInterval {
+		*now = now.Add(checkInterval)
+		m.checkMembership(t.Context())
+	}
+	assert.Equal(t, logs.Len(), 2, "one line each interval: %v", logs.All())
+}
+
+// Guards against a member that gives up its store because of a removal that the next leader may not have.
+func TestFirstMemberIsRefusedOnlyOnceItsRemovalIsCommitted(t *testing.T) {
+	r := &fakeReplica{leads: true}
+	m, _ := newModule(r, member(1, "a:1"), member(2, "b:1"))
+	for _, pending := range []bool{true, false} {
+		r.status.MembersPending = pending
+		var reply JoinReply
+		assert.NilError(t, m.handleJoin(&JoinArgs{ID: 3, Address: "c:1"}, &reply))
+		assert.Equal(t, reply.Refused, !pending)
+		assert.Assert(t, !reply.Member)
+	}
+}
+
+// Guards against the removal of a successor that is unreachable for a moment, in place of the store that it has replaced.
+func TestSuccessorIsNotRemovedForTheMemberThatItReplaced(t *testing.T) {
+	r := &fakeReplica{leads: true}
+	m, now := newModule(r, member(1, "a:1"), member(2, "b:1"), member(3, "c:1"), member(minRandomID, "c:1"))
+	for _, unreachable := range []map[uint64]bool{{3: true, minRandomID: true}, {minRandomID: true, 3: true, 2: true}} {
+		r.status.Unreachable = unreachable
+		removeLostFor(m, r, now, removeAfter/3)
+		assert.Equal(t, len(r.removed), 0)
+	}
+	r.status.Unreachable = map[uint64]bool{3: true}
+	m.removeLostMembers(context.Background(), *now, &r.status)
+	assert.DeepEqual(t, r.removed, []uint64{3})
+}
