The log, its queues and the changes that wait are bounded in bytes

Older entries are read from the store when they are sent or applied, also right after a start; the formats of store and messages stay. Committed entries are delivered in parts, so that a long log is compacted while it is applied and the replica answers in between.

The simulated replicas of TestRandomFaultsKeepConsensus and the others evict data at random after each step and fail if the synced state lacks what was evicted; the store of the tests in internal/control gets the new method of Storage. Nothing in them is relaxed.

--- a/internal/consensus/calls.go
+++ b/internal/consensus/calls.go
@@ -24,11 +24,17 @@
 	}
 }
 
-// Deliver queues messages from other replicas. It drops them if the queue is full; the
-// protocol handles them like messages lost by the network.
+// Deliver queues messages from other replicas. It drops them if the queue is full or holds
+// Limits.Received; the protocol handles them like messages lost by the network.
 func (r *Replica) Deliver(messages []Message) {
+	size := dataBytes(messages)
+	if held := r.receivedBytes.Add(size); size > 0 && held > r.opt.Limits.Received && held > size {
+		r.receivedBytes.Add(-size)
+		return
+	}
 	select {
 	case r.inbox <- func() {
+		r.receivedBytes.Add(-size)
 		for _, m := range messages {
 			if m.ReplyTo != "" {
 				r.senderAddresses[m.From] = m.ReplyTo
@@ -37,32 +43,40 @@
 		}
 	}:
 	default:
+		r.receivedBytes.Add(-size)
 	}
 }
 
 // Propose appends a command to the log and returns its result once this replica has
-// applied it.
+// applied it. It refuses a command that can't be held within Limits.Proposals with the error
+// kind TooLarge, or Overloaded while other commands wait.
 func (r *Replica) Propose(ctx context.Context, namespace string, command []byte) (statemachine.Result, error) {
 	if r.draining.Load() {
 		return statemachine.Result{}, errkind.New(errkind.NotLeader, "replica %d is stopping", r.opt.Core.ID)
 	}
 	data := statemachine.EncodeCommand(namespace, command)
+	if err := r.acquireProposal(len(data)); err != nil {
+		return statemachine.Result{}, err
+	}
 	start := time.Now()
 	reply := make(chan proposalResult, 1)
 	err := r.runOnLoop(ctx, func() {
 		if !r.transferSince.IsZero() {
+			r.releaseProposal(len(data))
 			reply <- proposalResult{err: errkind.New(errkind.NotLeader, "replica %d is transferring leadership", r.opt.Core.ID)}
 			return
 		}
 		index, term, err := r.core.Propose(r.opt.Now(), data)
 		if err != nil {
+			r.releaseProposal(len(data))
 			reply <- proposalResult{err: err}
 			return
 		}
-		r.waiters[index] = waiter{term: term, reply: reply}
+		r.waiters[index] = waiter{term: term, size: len(data), reply: reply}
 		r.needsFlush = true
 	})
 	if err != nil {
+		r.releaseProposal(len(data))
 		return statemachine.Result{}, err
 	}
 	select {
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -12,6 +12,11 @@
 // fast or slow. Leases are safe only while every clock stays within this bound.
 const DriftBound = 0.05
 
+// maxCommittedBytes limits the data of the entries in one Ready.Committed, but at least one
+// entry is returned. A replica that applies a long log after a restart handles messages and
+// compacts the log in between.
+const maxCommittedBytes = 4 << 20
+
 // Config configures a Core.
 type Config struct {
 	ID uint64
@@ -262,8 +267,8 @@
 func (c *Core) Ready() Ready {
 	c.broadcastCommit()
 	if c.commitIndex > c.deliveredIndex {
-		c.ready.Committed = c.log.copyEntries(c.deliveredIndex, c.commitIndex, int(^uint(0)>>1))
-		c.deliveredIndex = c.commitIndex
+		c.ready.Committed = c.log.copyEntries(c.deliveredIndex, c.commitIndex, maxCommittedBytes)
+		c.deliveredIndex += uint64(len(c.ready.Committed))
 	}
 	if len(c.ready.Entries) > 0 || c.ready.InstallSnapshot != nil || c.hardStateDirty {
 		c.hardState.Writes++
@@ -301,6 +306,22 @@
 	}
 }
 
+// EvictData drops data of stored entries from memory, the oldest first, until maxBytes are left.
+func (c *Core) EvictData(maxBytes int) {
+	if c.durableIndex > c.log.snapshotIndex {
+		evictData(c.log.entries[:min(c.durableIndex-c.log.snapshotIndex, uint64(len(c.log.entries)))], maxBytes)
+	}
+}
+
+// RetainFrom returns the index up to which the log may be compacted so that it keeps at most
+// maxEntries entries with at most maxBytes of data before index.
+func (c *Core) RetainFrom(index, maxEntries uint64, maxBytes int) uint64 {
+	return c.log.retainFrom(index, maxEntries, maxBytes)
+}
+
+// hasCommitted reports whether the next Ready returns committed entries.
+func (c *Core) hasCommitted() bool { return c.commitIndex > c.deliveredIndex }
+
 // MembershipAt returns the membership as of the applied entry at index.
 func (c *Core) MembershipAt(index uint64) Membership {
 	membership := c.log.snapshotMembership
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -1,6 +1,7 @@
 package consensus
 
-// memoryLog holds the entries after the last snapshot.
+// memoryLog holds the entries after the last snapshot. The data of the oldest ones may be in
+// the store only; see evictData.
 type memoryLog struct {
 	snapshotIndex, snapshotTerm uint64
 	snapshotMembership          Membership
@@ -35,7 +36,7 @@
 	size := 0
 	for i := after + 1; i <= through; i++ {
 		e := l.entry(i)
-		size += len(e.Data)
+		size += e.dataBytes()
 		if len(out) > 0 && size > maxBytes {
 			break
 		}
@@ -51,6 +52,35 @@
 	l.entries = append(l.entries[:kept:kept], entries...)
 }
 
+// evictData drops the data of commands in entries, the oldest first, until maxBytes are left.
+// The caller must have stored the entries. Memberships are always kept. It returns the bytes
+// that are left.
+func evictData(entries []Entry, maxBytes int) int {
+	size := 0
+	for i := len(entries) - 1; i >= 0; i-- {
+		e := &entries[i]
+		if size += len(e.Data); size > maxBytes && e.Kind == EntryCommand && len(e.Data) > 0 {
+			size -= len(e.Data)
+			e.Data, e.storedBytes = nil, len(e.Data)
+		}
+	}
+	return size
+}
+
+// retainFrom returns the index up to which entries may be dropped so that at most maxEntries
+// entries with at most maxBytes of data are left before index.
+func (l *memoryLog) retainFrom(index, maxEntries uint64, maxBytes int) uint64 {
+	size := 0
+	for dropTo := index; ; dropTo-- {
+		if dropTo <= l.snapshotIndex || index-dropTo >= maxEntries {
+			return dropTo
+		}
+		if size += l.entry(dropTo).dataBytes(); size > maxBytes {
+			return dropTo
+		}
+	}
+}
+
 // compact discards the entries up to index, which a snapshot covers. membership is the
 // one in force at index.
 func (l *memoryLog) compact(index uint64, membership Membership) {
--- a/internal/consensus/module.go
+++ b/internal/consensus/module.go
@@ -31,6 +31,7 @@
 	TickInterval       time.Duration // 0 means DefaultTickInterval
 	EntriesPerSnapshot uint64
 	RetainedEntries    uint64
+	Limits             Limits // zero means LimitsFor(0)
 	MaxBatch           int
 	Machine            *statemachine.Mux
 	Logger             *zap.Logger
@@ -60,10 +61,15 @@
 	if err != nil {
 		return err
 	}
+	if m.cfg.Limits == (Limits{}) {
+		m.cfg.Limits = LimitsFor(0)
+	}
+	transport := NewPeerTransport(pool)
+	transport.maxBytes = m.cfg.Limits.Sent
 	m.Replica, err = NewReplica(Options{
 		Core: Config{ID: m.cfg.ReplicaID, ElectionTimeout: m.cfg.ElectionTimeout, HeartbeatInterval: m.cfg.HeartbeatInterval,
 			MaxAppendBytes: DefaultMaxAppendBytes, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
-		Storage: store, Stored: stored, Transport: NewPeerTransport(pool), Machine: m.cfg.Machine, Logger: m.cfg.Logger,
+		Storage: store, Stored: stored, Transport: transport, Limits: m.cfg.Limits, Machine: m.cfg.Machine, Logger: m.cfg.Logger,
 		EntriesPerSnapshot: m.cfg.EntriesPerSnapshot, RetainedEntries: m.cfg.RetainedEntries, MaxBatch: m.cfg.MaxBatch, OnFatal: m.cfg.OnFatal, Now: m.cfg.Now, TickInterval: m.cfg.TickInterval,
 	})
 	if err != nil {
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -49,6 +49,7 @@
 	TickInterval       time.Duration
 	EntriesPerSnapshot uint64 // applied entries between two snapshots
 	RetainedEntries    uint64 // entries kept before a snapshot, for slow replicas
+	Limits             Limits // zero means LimitsFor(0)
 	MaxBatch           int    // maximum number of calls and message batches that share one sync
 	// Now is the clock for leases and timeouts; nil means time.Now.
 	Now clock.Clock
@@ -77,21 +78,25 @@
 	snapshotIndex    uint64
 	snapshotBytes    int // size of the last snapshot
 	appliedBytes     int // data of the entries applied since the last snapshot
+	storedBytes      int // data of the entries stored since the last eviction
 	snapshotDuration time.Duration
 	transferSince    time.Time // start of a leadership transfer before a snapshot; zero if there is none
 	draining         atomic.Bool
 	commitDuration   prometheus.Histogram
 	status           atomic.Pointer[ReplicaStatus]
 	fatalError       atomic.Pointer[errkind.Error]
+	proposalBytes    atomic.Int64 // see Limits.Proposals
+	receivedBytes    atomic.Int64 // see Limits.Received
 
 	mu      sync.Mutex
 	changed chan struct{}
 }
 
 // waiter is a call that waits until an entry is applied. term is the term in which the
-// entry was proposed.
+// entry was proposed, size that of the command as acquired with acquireProposal.
 type waiter struct {
 	term  uint64
+	size  int
 	reply chan proposalResult
 }
 
@@ -118,6 +123,9 @@
 	if opt.EntriesPerSnapshot == 0 {
 		opt.EntriesPerSnapshot = DefaultEntriesPerSnapshot
 	}
+	if opt.Limits == (Limits{}) {
+		opt.Limits = LimitsFor(0)
+	}
 	if opt.MaxBatch == 0 {
 		opt.MaxBatch = DefaultMaxBatch
 	}
@@ -145,7 +153,10 @@
 // Start starts the replica's goroutine.
 func (r *Replica) Start() {
 	r.core = NewCore(r.opt.Core, r.opt.Stored, r.opt.Now())
-	r.opt.Stored.Entries = nil
+	for _, e := range r.opt.Stored.Entries {
+		r.storedBytes += len(e.Data)
+	}
+	r.opt.Stored.Entries, r.opt.Stored.Snapshot.Data = nil, nil
 	go r.run()
 }
 
@@ -153,12 +164,20 @@
 	defer close(r.done)
 	ticker := time.NewTicker(r.opt.TickInterval)
 	defer ticker.Stop()
+	ready := make(chan struct{})
+	close(ready)
 	for {
 		if err := r.process(); err != nil {
 			r.stopWithError(err)
 			return
 		}
+		var committed chan struct{}
+		if r.core.hasCommitted() {
+			committed = ready
+		}
 		select {
+		case <-committed:
+			r.drainInbox()
 		case <-r.stop:
 			return
 		case <-ticker.C:
@@ -202,11 +221,13 @@
 			return err
 		}
 	}
+	r.evictData()
 	r.publishStatus()
 	return nil
 }
 
-// handleAllReady handles the core's work until none is pending.
+// handleAllReady handles the core's work until none is pending, except for committed entries
+// beyond those of one Ready: applying a long log may take longer than an election timeout.
 func (r *Replica) handleAllReady() error {
 	for {
 		ready := r.core.Ready()
@@ -219,6 +240,9 @@
 		if err := r.handleReady(ready); err != nil {
 			return err
 		}
+		if len(ready.Committed) > 0 && r.core.hasCommitted() {
+			return nil
+		}
 	}
 }
 
@@ -229,6 +253,9 @@
 			return errkind.Wrap(err, errkind.Corrupt, "write to the store")
 		}
 		r.core.Persisted(r.opt.Now(), ready)
+		for _, e := range ready.Entries {
+			r.storedBytes += len(e.Data)
+		}
 	}
 	r.sendMessages(ready.SendAfterSync)
 	if ready.InstallSnapshot != nil {
@@ -236,8 +263,11 @@
 			return err
 		}
 	}
-	for _, e := range ready.Committed {
-		r.applyEntry(e)
+	for i := range ready.Committed {
+		if err := r.loadData(ready.Committed[i : i+1]); err != nil {
+			return err
+		}
+		r.applyEntry(ready.Committed[i])
 	}
 	for _, read := range ready.Reads {
 		if reply := r.pendingReads[read.ID]; reply != nil {
@@ -270,6 +300,7 @@
 		return
 	}
 	delete(r.waiters, e.Index)
+	r.releaseProposal(w.size)
 	if w.term != e.Term {
 		w.reply <- proposalResult{err: errkind.New(errkind.NotLeader, "the log entry was replaced by another leader's")}
 		return
@@ -277,7 +308,8 @@
 	w.reply <- proposalResult{result: statemachine.Result{Index: e.Index, Data: data}}
 }
 
-// sendMessages sends messages grouped by receiver and loads the snapshots to send.
+// sendMessages sends messages grouped by receiver and loads the snapshots and the data of the
+// entries to send.
 func (r *Replica) sendMessages(messages []Message) {
 	if len(messages) == 0 {
 		return
@@ -285,15 +317,23 @@
 	members := r.core.Status().Members
 	byReceiver := map[uint64][]Message{}
 	own, _ := members.Find(r.opt.Core.ID)
+	var snapshot *Snapshot // shared by the messages, as each copy has the size of the state
 	for _, m := range messages {
 		m.ReplyTo = own.Address
 		if m.Kind == MsgSnapshot {
-			snapshot, err := r.opt.Storage.Snapshot()
-			if err != nil {
-				r.opt.Logger.Error("failed to read the snapshot to send", zap.Error(err))
-				continue
+			if snapshot == nil {
+				stored, err := r.opt.Storage.Snapshot()
+				if err != nil {
+					r.opt.Logger.Error("failed to read the snapshot to send", zap.Error(err))
+					continue
+				}
+				snapshot = &stored
 			}
-			m.Snapshot = &snapshot
+			m.Snapshot = snapshot
+		}
+		if err := r.loadData(m.Entries); err != nil {
+			r.opt.Logger.Error("failed to read the log entries to send", zap.Error(err))
+			continue
 		}
 		byReceiver[m.To] = append(byReceiver[m.To], m)
 	}
@@ -339,6 +379,7 @@
 	for index, w := range r.waiters {
 		w.reply <- proposalResult{err: err}
 		delete(r.waiters, index)
+		r.releaseProposal(w.size)
 	}
 }
 
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -12,6 +12,9 @@
 	simStep      = 5 * time.Millisecond
 	simElection  = 500 * time.Millisecond
 	simHeartbeat = 50 * time.Millisecond
+	// simCachedBytes is the mean of the bytes of data that replicas keep in memory. Commands
+	// have one byte.
+	simCachedBytes = 4
 )
 
 // simDisk is the synced state of a simulated replica.
@@ -141,6 +144,9 @@
 		if ready.Empty() {
 			return
 		}
+		for _, m := range ready.SendBeforeSync {
+			s.loadData(n, m.Entries)
+		}
 		s.sendMessages(ready.SendBeforeSync)
 		if ready.HardState != nil {
 			if s.rng.Float64() < s.crashRate { // crash before the sync
@@ -155,7 +161,9 @@
 			n.core.Persisted(s.clock(n), ready)
 		}
 		s.sendMessages(ready.SendAfterSync)
+		s.loadData(n, ready.Committed)
 		s.recordCommitted(n, ready)
+		n.core.EvictData(s.rng.IntN(2 * simCachedBytes))
 		for _, read := range ready.Reads {
 			if !read.Aborted && read.Index < s.reads[read.ID] {
 				s.t.Fatalf("read %d has index %d although %d entries were committed", read.ID, read.Index, s.reads[read.ID])
@@ -164,6 +172,20 @@
 	}
 }
 
+// loadData reads the data that was evicted from memory from the synced state.
+func (s *sim) loadData(n *simNode, entries []Entry) {
+	for i := range entries {
+		if entries[i].storedBytes == 0 {
+			continue
+		}
+		at := slices.IndexFunc(n.disk.entries, func(e Entry) bool { return e.Index == entries[i].Index })
+		if at < 0 || n.disk.entries[at].Term != entries[i].Term {
+			s.t.Fatalf("replica %d: entry %d of term %d was evicted and is not in the store", n.id, entries[i].Index, entries[i].Term)
+		}
+		entries[i] = n.disk.entries[at]
+	}
+}
+
 func (s *sim) sendMessages(messages []Message) {
 	for _, m := range messages {
 		if s.blocked[[2]uint64{m.From, m.To}] || s.rng.Float64() < s.lossRate {
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -21,17 +21,19 @@
 	return time.Duration(sizeBytes) * time.Second / assumedSnapshotBytesPerSecond
 }
 
-// snapshotDue reports whether enough entries were applied since the last snapshot. The
-// count depends on the replica ID, so that replicas do not take snapshots at the same
-// time. The entries must also add up to the size of the last snapshot, so that a large
-// state is not rewritten too often.
+// snapshotDue reports whether enough entries, or entries with enough data, were applied since
+// the last snapshot. Both bounds depend on the replica ID, so that replicas do not take
+// snapshots at the same time. The entries must also add up to the size of the last snapshot,
+// so that a large state is not rewritten too often.
 func (r *Replica) snapshotDue() bool {
-	stagger := r.opt.EntriesPerSnapshot / staggerSteps * (r.opt.Core.ID % staggerSteps)
-	return r.appliedIndex >= r.snapshotIndex+r.opt.EntriesPerSnapshot+stagger && r.appliedBytes >= r.snapshotBytes
+	step := r.opt.Core.ID % staggerSteps
+	entries := r.opt.EntriesPerSnapshot + r.opt.EntriesPerSnapshot/staggerSteps*step
+	size := r.opt.Limits.SnapshotInterval + r.opt.Limits.SnapshotInterval/staggerSteps*int(step)
+	return (r.appliedIndex >= r.snapshotIndex+entries || r.appliedBytes >= size) && r.appliedBytes >= r.snapshotBytes
 }
 
 // takeSnapshot stores the applied state and discards the log before it, except for the
-// last Options.RetainedEntries entries. It does nothing while mustTransferFirst returns
+// last entries within Options.RetainedEntries and Limits.Retained. It does nothing while mustTransferFirst returns
 // true.
 func (r *Replica) takeSnapshot() error {
 	if r.mustTransferFirst() {
@@ -44,7 +46,7 @@
 		return errors.Wrap(err, "take snapshot")
 	}
 	snapshot := Snapshot{Index: r.appliedIndex, Term: r.appliedTerm, Membership: r.core.MembershipAt(r.appliedIndex), Data: data.Bytes()}
-	dropTo := r.appliedIndex - min(r.appliedIndex, r.opt.RetainedEntries)
+	dropTo := r.core.RetainFrom(r.appliedIndex, r.opt.RetainedEntries, r.opt.Limits.Retained)
 	if err := r.opt.Storage.SaveSnapshot(snapshot, dropTo); err != nil {
 		return errkind.Wrap(err, errkind.Corrupt, "write snapshot")
 	}
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -29,6 +29,8 @@
 	SaveSnapshot(s Snapshot, dropTo uint64) error
 	// Snapshot returns the newest snapshot.
 	Snapshot() (Snapshot, error)
+	// Entry returns the stored entry at index.
+	Entry(index uint64) (Entry, error)
 	Close() error
 }
 
@@ -38,10 +40,14 @@
 	storeIDBytes      = 16
 	lockTimeout       = time.Second
 	initialMmapBytes  = 64 << 20
-	recordHeaderBytes = 4 + 8 + 1 // checksum, term, kind
-	indexKeyBytes     = 8
-	storeFileMode     = 0o600
-	storeDirMode      = 0o700
+	checksumBytes     = 4
+	recordHeaderBytes = checksumBytes + 8 + 1 // checksum, term, kind
+	// loadedBytes limits the data of commands that OpenStore returns. A store of a program that
+	// did not bound its log in bytes may hold more than fits into memory.
+	loadedBytes   = 1 << 20
+	indexKeyBytes = 8
+	storeFileMode = 0o600
+	storeDirMode  = 0o700
 )
 
 var (
@@ -196,10 +202,11 @@
 func indexKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
 
 func encodeEntry(e Entry) []byte {
-	body := make([]byte, 0, recordHeaderBytes+len(e.Data))
-	body = binary.BigEndian.AppendUint64(body, e.Term)
-	body = append(body, byte(e.Kind))
-	return addChecksum(append(body, e.Data...), e.Index)
+	record := make([]byte, checksumBytes, recordHeaderBytes+len(e.Data))
+	record = binary.BigEndian.AppendUint64(record, e.Term)
+	record = append(append(record, byte(e.Kind)), e.Data...)
+	binary.BigEndian.PutUint32(record, checksum(record[checksumBytes:], e.Index))
+	return record
 }
 
 func decodeEntry(key, record []byte) (Entry, error) {
@@ -230,9 +237,11 @@
 	return stored, err
 }
 
-// loadLog reads the entries with an index above after and checks that none is missing.
+// loadLog reads the entries with an index above after and checks that none is missing or
+// damaged. The data of the oldest commands beyond loadedBytes stays in the store.
 func loadLog(tx *bbolt.Tx, after uint64) ([]Entry, error) {
 	var entries []Entry
+	size := 0 // bytes of data in entries
 	cursor := tx.Bucket(bucketLog).Cursor()
 	for k, v := cursor.Seek(indexKey(after + 1)); k != nil; k, v = cursor.Next() {
 		e, err := decodeEntry(k, v)
@@ -243,6 +252,9 @@
 			return nil, errkind.New(errkind.Corrupt, "log has entry %d where entry %d is expected", e.Index, want)
 		}
 		entries = append(entries, e)
+		if size += len(e.Data); size > loadedBytes {
+			size = evictData(entries, loadedBytes/2)
+		}
 	}
 	return entries, nil
 }
@@ -343,5 +355,17 @@
 	return snapshot, err
 }
 
+// Entry returns the stored entry at index.
+func (s *Store) Entry(index uint64) (Entry, error) {
+	var e Entry
+	err := s.db.View(func(tx *bbolt.Tx) error {
+		key := indexKey(index)
+		var err error
+		e, err = decodeEntry(key, tx.Bucket(bucketLog).Get(key))
+		return err
+	})
+	return e, err
+}
+
 // Close closes the store's file.
 func (s *Store) Close() error { return s.db.Close() }
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eelgrasshollow/internal/peer"
@@ -24,21 +25,30 @@
 }
 
 // PeerTransport is a Transport over net/rpc. It sends the messages for one receiver in
-// order and drops messages while the receiver's queue is full.
+// order and drops messages while the receiver's queue is full or holds Limits.Sent.
 type PeerTransport struct {
-	pool   Pool
-	ctx    context.Context
-	cancel context.CancelFunc
+	pool     Pool
+	maxBytes int64
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	mu     sync.Mutex
-	queues map[string]chan []Message
+	queues map[string]*sendQueue
 	wg     sync.WaitGroup
 }
 
-// NewPeerTransport returns a transport that calls peers through pool.
+// sendQueue holds the messages for one receiver. bytes is the data in them, until their call
+// has ended.
+type sendQueue struct {
+	batches chan []Message
+	bytes   atomic.Int64
+}
+
+// NewPeerTransport returns a transport that calls peers through pool, with the limit for a
+// process without a memory limit.
 func NewPeerTransport(pool Pool) *PeerTransport {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &PeerTransport{pool: pool, ctx: ctx, cancel: cancel, queues: map[string]chan []Message{}}
+	return &PeerTransport{pool: pool, ctx: ctx, cancel: cancel, queues: map[string]*sendQueue{}, maxBytes: LimitsFor(0).Sent}
 }
 
 // Send queues messages for the replica at address.
@@ -46,32 +56,50 @@
 	t.mu.Lock()
 	queue := t.queues[address]
 	if queue == nil && t.ctx.Err() == nil {
-		queue = make(chan []Message, sendQueueLength)
+		queue = &sendQueue{batches: make(chan []Message, sendQueueLength)}
 		t.queues[address] = queue
 		t.wg.Go(func() { t.sendLoop(address, queue) })
 	}
 	t.mu.Unlock()
+	if queue == nil {
+		return // closed
+	}
+	size := dataBytes(messages)
+	if held := queue.bytes.Add(size); size > 0 && held > t.maxBytes && held > size {
+		queue.bytes.Add(-size)
+		return
+	}
 	select {
-	case queue <- messages:
+	case queue.batches <- messages:
 	default:
+		queue.bytes.Add(-size)
+	}
+}
+
+func dataBytes(messages []Message) int64 {
+	var size int64
+	for _, m := range messages {
+		size += m.dataBytes()
 	}
+	return size
 }
 
-func (t *PeerTransport) sendLoop(address string, queue chan []Message) {
+func (t *PeerTransport) sendLoop(address string, queue *sendQueue) {
 	for {
 		var batch []Message
 		select {
 		case <-t.ctx.Done():
 			return
-		case batch = <-queue:
+		case batch = <-queue.batches:
 		}
-		for len(queue) > 0 {
-			batch = append(batch, <-queue...)
+		for len(queue.batches) > 0 {
+			batch = append(batch, <-queue.batches...)
 		}
 		ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
 		// A failed call loses messages, which the protocol tolerates.
 		_ = t.pool.Call(ctx, address, ServiceName+".Deliver", &Batch{Messages: batch}, &peer.Ping{})
 		cancel()
+		queue.bytes.Add(-dataBytes(batch))
 	}
 }
 
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -37,6 +37,23 @@
 	Term  uint64
 	Kind  EntryKind
 	Data  []byte
+	// storedBytes is the size of the data if it is only in the store; Data is nil then.
+	storedBytes int
+}
+
+// dataBytes returns the size of the entry's data, wherever the data is.
+func (e Entry) dataBytes() int { return len(e.Data) + e.storedBytes }
+
+// dataBytes returns the size of the entries and the snapshot in a message.
+func (m Message) dataBytes() int64 {
+	size := 0
+	for _, e := range m.Entries {
+		size += e.dataBytes()
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return int64(size)
 }
 
 // Member is one replica of the group.
@@ -170,6 +187,9 @@
 // Ready is the work that a Core hands to its caller. The caller sends SendBeforeSync,
 // stores InstallSnapshot, HardState and Entries in one synced write, calls
 // Core.Persisted, sends SendAfterSync and then applies Committed.
+//
+// Entries in messages and in Committed may lack their data, which is in the store then. The
+// caller reads it before it stores InstallSnapshot and Entries, or compacts the log.
 type Ready struct {
 	SendBeforeSync []Message
 	HardState      *HardState
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -80,6 +80,16 @@
 	return s.snapshot, nil
 }
 
+func (s *memStore) Entry(index uint64) (consensus.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := slices.IndexFunc(s.log, func(e consensus.Entry) bool { return e.Index == index })
+	if at < 0 {
+		return consensus.Entry{}, fmt.Errorf("no entry %d", index)
+	}
+	return s.log[at], nil
+}
+
 func (s *memStore) Close() error { return nil }
 
 func (s *memStore) load() consensus.StoredState {
--- a/internal/fleetcontrol/operators.go
+++ b/internal/fleetcontrol/operators.go
@@ -101,7 +101,7 @@
 
 // propose proposes a command on this replica or through the leader until it succeeds or
 // proposeTimeout has passed. Commands are idempotent, so one whose outcome is unknown is
-// proposed again.
+// proposed again. A command that can't be held is refused at once if no attempt may have run.
 func (o *OperatorAPI) propose(ctx context.Context, c command) ([]byte, error) {
 	data, err := c.encode()
 	if err != nil {
@@ -109,7 +109,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	for {
+	for mayHaveRun := false; ; {
 		result, err := o.proposeOnce(ctx, data)
 		if err == nil {
 			if bytes.Equal(result, refused) {
@@ -117,6 +117,10 @@
 			}
 			return result, nil
 		}
+		mayHaveRun = mayHaveRun || errkind.Of(err).Outcome != errkind.NotRun
+		if !mayHaveRun && (errkind.Is(err, errkind.TooLarge) || errkind.Is(err, errkind.Overloaded)) {
+			return nil, err
+		}
 		select {
 		case <-ctx.Done():
 			return nil, err
--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -31,7 +31,8 @@
 	// consensusTick is the interval of the consensus clock. A shorter one costs more wake-ups.
 	consensusTick = 50 * time.Millisecond
 	// entriesPerSnapshot and retainedEntries are numbers of log entries. A few entries are
-	// written per second: durable bounds of grants and configurations.
+	// written per second: durable bounds of grants and configurations. consensus.LimitsFor
+	// bounds their bytes.
 	entriesPerSnapshot = 2000
 	retainedEntries    = 500
 	// restartPause is the wait before a failed replica is restarted.
@@ -93,7 +94,7 @@
 	k.Register(consensus.ModuleName, consensus.NewModule(consensus.ModuleConfig{
 		ReplicaID: identity.ReplicaID, InitialMembership: identity.InitialMembership, DataDir: s.DataDir,
 		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, TickInterval: consensusTick,
-		EntriesPerSnapshot: entriesPerSnapshot, RetainedEntries: retainedEntries, Machine: mux,
+		EntriesPerSnapshot: entriesPerSnapshot, RetainedEntries: retainedEntries, Limits: consensus.LimitsFor(s.MemoryBytes), Machine: mux,
 		Logger: p.log.Named("consensus"), OnFatal: cancel, Now: clock.Boot,
 	}), peer.ServerName, peer.PoolName)
 	k.Register(grants.OwnerName, grants.NewOwnerModule(grants.OwnerOptions{Lease: grantLease, Tolerance: grantTolerance(s)}, grantMachine, machine, clock.Boot),
