Configurations that operators send at the same time are bounded in bytes

Operators send eight at once; of 4 MiB each these take most of the Go runtime's share of 280 MB.

Change: three times the body's length counts against 0.2 of the memory limit while a configuration is executed. One that does not fit is refused with 503 as not run; a body without announced length counts as 4 MiB, the operators' limit. Bodies of other calls, which are a few hundred bytes long, end at 64 KiB instead of 16 MiB.

--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -126,11 +126,12 @@
 
 // operatorHandler serves the platform's calls and, if operators have tokens, those of eelctl for rollouts and dry runs.
 func (p *process) operatorHandler(fleet *fleetcontrol.Module, operators *control.OperatorTokens) http.Handler {
+	documents := membudget.New(membudget.LimitsFor(p.settings.MemoryBytes).Requests, "documents")
 	if operators == nil {
-		return platform.OperatorHandler(fleet)
+		return platform.OperatorHandler(fleet, documents)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/", platform.OperatorHandler(fleet))
+	mux.Handle("/", platform.OperatorHandler(fleet, documents))
 	mux.Handle(control.PlatformHandler(fleet, fleet.EntryVMs, fleet, operators, p.log.Named("operator")))
 	return mux
 }
