--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -31,7 +31,8 @@
 	// consensusTick is the interval of the consensus clock. A shorter one costs more wake-ups.
 	consensusTick = 50 * time.Millisecond
 	// entriesPerSnapshot and retainedEntries are numbers of log entries. A few entries are
-	// written per second: durable bounds of grants and configurations.
+	// written per second: durable bounds of grants and configurations. consensus.LimitsFor
+	// bounds their bytes.
 	entriesPerSnapshot = 2000
 	retainedEntries    = 500
 	// restartPause is the wait before a failed replica is restarted.
@@ -118,7 +119,7 @@
 	k.Register(consensus.ModuleName, consensus.NewModule(consensus.ModuleConfig{
 		ReplicaID: identity.ReplicaID, InitialMembership: identity.InitialMembership, DataDir: s.DataDir,
 		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, TickInterval: consensusTick,
-		EntriesPerSnapshot: entriesPerSnapshot, RetainedEntries: retainedEntries, Machine: mux,
+		EntriesPerSnapshot: entriesPerSnapshot, RetainedEntries: retainedEntries, Limits: consensus.LimitsFor(s.MemoryBytes), Machine: mux,
 		Logger: p.log.Named("consensus"), OnFatal: cancel, Now: clock.Boot,
 	}), peer.ServerName, peer.PoolName)
 	k.Register(grants.OwnerName, grants.NewOwnerModule(grants.OwnerOptions{Lease: grantLease, Tolerance: grantTolerance(s)}, grantMachine, machine, clock.Boot),
@@ -150,11 +151,12 @@
 
 // operatorHandler serves the platform's calls and, if operators have tokens, those of eelctl for rollouts and dry runs.
 func (p *process) operatorHandler(fleet *fleetcontrol.Module, operators *control.OperatorTokens) http.Handler {
+	documents := membudget.New(membudget.LimitsFor(p.settings.MemoryBytes).Requests, "documents")
 	if operators == nil {
-		return platform.OperatorHandler(fleet)
+		return platform.OperatorHandler(fleet, documents)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/", platform.OperatorHandler(fleet))
+	mux.Handle("/", platform.OperatorHandler(fleet, documents))
 	mux.Handle(control.PlatformHandler(fleet, fleet.EntryVMs, fleet, operators, p.log.Named("operator")))
 	return mux
 }
