Only the rest of a broken stream follows it

Cause: operators of a similar system saw a next server's error text, at times its whole head, in the middle of a client's stream, or a stream that ended as complete. Here error statuses never did, but a signed 200 event stream did, whatever was in it: text, JSON, a whole head, an event without an ID or a comment was relayed, and its end became the end of the client's stream.

Change (gateway): - What continues a stream at another server must have an ID. Other text breaks the attempt; comments before the first event that continues are dropped. - The end of such an attempt is the end of the stream only if that server has sent the client's last event again or a later one. An empty 200 doesn't say that its server knows the stream: the signature and the end of its body say whose response it is and that it is whole, not that nothing is left. If a stream broke between its last event and its end, the client now sees a broken stream unless a server repeats that event; it may ask again itself, and gets the server's answer as it is. - A response with neither length nor chunks and without any event has no end that can be relied on, also if the client asked for the rest of a stream. - After events with IDs, lines that are no part of an event stream break the attempt at the first server, too: they are what follows a response without a length. - A stream of which the client has something without an ID after the last event with one is not resumed: it was sent again from its start.

--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -86,14 +86,16 @@
 // ends it.
 type RawEvent struct {
 	ID      int  // stream position from the id field, or 0 if there is none
-	HasData bool // there is a data field; without one it is a comment or an empty line
+	HasData bool // there is a data field
+	Blank   bool // there are only comments and the empty line
+	Foreign bool // there is a line that is neither a comment nor a field of an event
 	Bytes   []byte
 }
 
 // NextRaw returns the next lines up to and including an empty one, unchanged. The bytes are
 // valid until the next call. Errors at the end of the input are those of Next.
 func (e *EventReader) NextRaw() (RawEvent, error) {
-	var event RawEvent
+	event := RawEvent{Blank: true}
 	e.data = e.data[:0]
 	for {
 		raw, err := e.readRawLine()
@@ -113,7 +115,14 @@
 			return event, nil
 		}
 		field, _, _ := bytes.Cut(line, []byte(":"))
-		event.HasData = event.HasData || string(field) == "data"
+		event.Blank = event.Blank && len(field) == 0
+		switch string(field) {
+		case "data":
+			event.HasData = true
+		case "", "id", "event", "retry":
+		default:
+			event.Foreign = true
+		}
 		var parsed Event
 		if bytes.HasPrefix(line, []byte("id")) {
 			if err := e.parseField(&parsed, line); err != nil {
--- a/internal/forward/foreign_answers_test.go
+++ b/internal/forward/foreign_answers_test.go
@@ -15,8 +15,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// rawPeer is a process at another VM's address that writes the same bytes for each request, and keeps its connections.
-func rawPeer(t *testing.T, response string) (peerAddress string, connections *atomic.Int32) {
+// rawPeer is a process at another VM's address that writes the same bytes for each request, and keeps its connections or not.
+func rawPeer(t *testing.T, keeps bool, response string) (peerAddress string, connections *atomic.Int32) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -31,7 +31,7 @@
 			go func() {
 				defer func() { _ = conn.Close() }()
 				reader := bufio.NewReader(conn)
-				for {
+				for more := true; more; more = keeps {
 					request, err := http.ReadRequest(reader)
 					if err != nil {
 						return
@@ -57,7 +57,7 @@
 		"refusal":      "HTTP/1.1 503 Service Unavailable\r\n" + gateway.HeaderNotRun + ": draining\r\n",
 		"protocol":     "HTTP/1.1 101 Switching Protocols\r\n" + headerForwarded + ": 1\r\n" + gateway.HeaderNotRun + ": draining\r\n",
 	} {
-		peer, _ := rawPeer(t, head+"Content-Length: 0\r\n\r\n")
+		peer, _ := rawPeer(t, true, head+"Content-Length: 0\r\n\r\n")
 		reply, err := NewClient().SendToPeer(t.Context(), peer, forwardAttempt())
 		assert.Assert(t, reply == nil && errkind.Is(err, errkind.EndpointFailed) && errkind.Of(err).Outcome == errkind.Unknown, "%s: %+v, %v", name, reply, err)
 	}
@@ -66,7 +66,7 @@
 // A refusal that is written once more reaches nobody: each request has a connection of its own.
 func TestForwardedRequestsShareNoConnection(t *testing.T) {
 	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", headerForwarded, gateway.HeaderNotRun, reasonFull)
-	peer, connections := rawPeer(t, refusal+refusal)
+	peer, connections := rawPeer(t, true, refusal+refusal)
 	c := NewClient()
 	const requests = 4
 	for range requests {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -138,7 +138,7 @@
 
 // mayRepeat reports whether the request may be sent to another server after err.
 func (x *exchange) mayRepeat(err error) bool {
-	if errkind.Is(err, errkind.Canceled) {
+	if errkind.Is(err, errkind.Canceled) || x.headWritten && x.unnumbered {
 		return false
 	}
 	return notRun(err) && !x.mayHaveRun || x.route.Retryable()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,7 @@
 	refusals    int              // of these, those that were skipped because they have not run it
 	mayHaveRun  bool             // a server may have run the request
 	headWritten bool             // the response header has been written
+	unnumbered  bool             // the client has something of a stream after the last event with an ID, so the stream can't be resumed
 	status      int              // HTTP status relayed from a server, or 0
 	server      string           // ID of the server of the last attempt
 	decision    routing.Decision // of the last attempt
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,6 +25,7 @@
 // event at another server, if the route allows that.
 func (g *Gateway) stream(ctx context.Context, x *exchange, reply *Reply, received, started func()) error {
 	x.mayHaveRun = true
+	resumed := x.headWritten // by the server of an earlier attempt
 	body := g.readAheadOf(x, reply)
 	defer body.end()
 	events := engine.NewEventReader(body, maxEventBytes)
@@ -36,22 +37,32 @@
 	gap := g.Metrics.eventGap.WithLabelValues(x.route.Name)
 	lastEventAt := time.Now()
 	begun, idleBytes := false, 0
+	reached := false // the server has sent the last event that the client has, or a later one
 	begunAt := lastEventAt
 	x.steps, x.decoding = 0, 0
 	for {
 		event, err := events.NextRaw()
 		if err == io.EOF {
-			if reply.Unframed && !begun && x.LastEventID == "" {
+			switch {
+			case reply.Unframed && !begun && !reached:
 				err = io.ErrUnexpectedEOF // nothing says that this is its end
-			} else if err = g.checkEnd(ctx, x, reply); err == nil {
-				x.writeHead(reply) // a stream may have no events
-				return nil
+			case resumed && !begun && !reached:
+				// The end of a stream that the server may not know is not that of the client's.
+				return errkind.New(errkind.StreamBroken, "resumed stream ended without event %d or a later one", lastID)
+			default:
+				if err = g.checkEnd(ctx, x, reply); err == nil {
+					x.writeHead(reply) // a stream may have no events
+					return nil
+				}
 			}
 		}
 		if err != nil {
 			return brokenResponse(ctx, err)
 		}
 		received()
+		if err := checkForeign(event, resumed, lastID); err != nil {
+			return err
+		}
 		if continues := event.HasData && (event.ID > lastID || lastID == 0); !continues {
 			limit := maxIdleBytes
 			if event.HasData && event.ID > 0 {
@@ -73,8 +84,12 @@
 			x.decoding = lastEventAt.Sub(begunAt)
 		}
 		if event.ID > 0 && event.ID <= lastID {
+			reached = reached || event.ID == lastID
 			continue
 		}
+		if event.Blank && resumed && !begun {
+			continue // nothing has shown yet that this is the rest of the stream
+		}
 		if event.ID > lastID+1 && lastID > 0 && x.resumes > 0 {
 			return errkind.New(errkind.StreamBroken, "stream resumed at event %d after event %d", event.ID, lastID)
 		}
@@ -87,13 +102,28 @@
 		}); err != nil {
 			return errkind.Wrap(err, errkind.Canceled, "client disconnected")
 		}
-		if event.ID > 0 {
+		switch {
+		case event.ID > 0:
 			lastID = event.ID
-			x.LastEventID = strconv.Itoa(lastID)
+			x.LastEventID, x.unnumbered = strconv.Itoa(lastID), false
+		case event.HasData || event.Foreign:
+			x.unnumbered = true
 		}
 	}
 }
 
+// checkForeign returns an error for text without an ID that does not belong into the stream, such as that of an error
+// response: after events with IDs only parts of an event stream may follow, and at another server only events with IDs.
+func checkForeign(event engine.RawEvent, resumed bool, lastID int) error {
+	if event.ID > 0 || event.Blank || !resumed && lastID == 0 {
+		return nil
+	}
+	if event.Foreign || resumed && lastID > 0 {
+		return errkind.New(errkind.StreamBroken, "server sent text that is no part of the stream after event %d", lastID)
+	}
+	return nil
+}
+
 // writeHead writes the response header of a stream, unless it has been written: a resumed
 // stream keeps the header of its first server.
 func (x *exchange) writeHead(reply *Reply) {
