A broken stream of the OpenAI interface has no end at the level of HTTP

Nothing of an engine's error reached callers here, with 29 answers of a next engine byte for byte: events are parsed, checked and written anew, and a stream is whole only with a finish reason and [DONE]. But after the error event, which callers.md promises, the body ended in order, so a client that looks for neither that event nor [DONE] took half a stream for a whole one.

Change: after the error event the connection is aborted (a stream error in HTTP/2). The event stays: it is part of the interface, in this system's words, and OpenAI's clients report it.

TestNothingOfNextEngineFollowsBrokenStream failed for all 29 answers before, by the last chunk alone; TestErrorEventArrivesBeforeStreamBreaksOff shows that the event still arrives. The tests' client checks in all cases now that a stream without [DONE] doesn't look complete.

--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -343,7 +343,8 @@
 	}
 }
 
-// do sends a request with the test's key and reads the complete response.
+// do sends a request with the test's key and reads the response. The body must be complete, unless it is a stream without
+// its last event, whose body must not look complete.
 func (b *testFront) do(method, path, body string, header ...string) (*http.Response, string) {
 	b.t.Helper()
 	r, err := http.NewRequestWithContext(b.t.Context(), method, b.server.URL+path, strings.NewReader(body))
@@ -357,7 +358,11 @@
 	assert.NilError(b.t, err)
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	assert.NilError(b.t, err)
+	if response.Header.Get("Content-Type") == "text/event-stream" && !strings.HasSuffix(string(data), "\ndata: [DONE]\n\n") {
+		assert.Assert(b.t, err != nil, "a stream without its last event looks complete: %q", data)
+	} else {
+		assert.NilError(b.t, err)
+	}
 	return response, string(data)
 }
 
--- a/internal/entry/foreign_answers_test.go
+++ b/internal/entry/foreign_answers_test.go
@@ -69,10 +69,17 @@
 		n := e.n
 		e.mu.Unlock()
 		copied = e.answer(n, request.Header.Get(engineapi.HeaderRequestID), copied)
-		_, _ = io.WriteString(conn, copied)
+		text, ends := strings.CutSuffix(copied, hangUp)
+		_, _ = io.WriteString(conn, text)
+		if ends {
+			return
+		}
 	}
 }
 
+// hangUp at the end of an answer stands for the end of the connection.
+const hangUp = "\x00hang up"
+
 // startRawEngine adds an engine of one function.
 func (b *testFront) startRawEngine(answer func(n int, id, copied string) string) *rawEngine {
 	e := &rawEngine{answer: answer}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -5,7 +5,7 @@
 //   - A request runs only for the client account of its API key, or on an open route.
 //   - A refusal has the outcome not-run only if no byte of the request can have reached an
 //     endpoint that would run it.
-//   - A stream ends with a [DONE] event or with an error event.
+//   - A stream ends with a [DONE] event, or with an error event and a connection that breaks off.
 package entry
 
 import (
@@ -167,7 +167,8 @@
 }
 
 // fail ends an exchange with an error: as an error response, or as the last event of a stream
-// that has begun.
+// that has begun. It then aborts the connection: an end of the body would look like that of the
+// whole stream to clients that look for no last event.
 func (f *Front) fail(x *exchange, err error) {
 	e := withCause(x.ctx, err)
 	f.metrics.refusals.WithLabelValues(x.account, x.route, e.Kind.String()).Inc()
@@ -179,7 +180,7 @@
 		body, _ := marshalError(e)
 		_, _ = x.w.Write(append(append([]byte("data: "), body...), "\n\n"...))
 		_ = x.control.Flush() // the client may have disconnected
-		return
+		panic(http.ErrAbortHandler)
 	}
 	refuse(x.w, e)
 }
