A server that has gone on with a stream may send parts without IDs

The first server's stream is relayed as it is, with data or types that have no ID. A server that has gone on with the stream by an event with an ID is treated in the same way; before that, and for lines that are no part of an event stream, nothing changes. A mark of the end without an ID would otherwise have broken each resumed stream.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -60,7 +60,7 @@
 			return brokenResponse(ctx, err)
 		}
 		received()
-		if err := checkForeign(event, resumed, lastID); err != nil {
+		if err := checkForeign(event, resumed && !begun, lastID); err != nil {
 			return err
 		}
 		if continues := event.HasData && (event.ID > lastID || lastID == 0); !continues {
@@ -113,12 +113,13 @@
 }
 
 // checkForeign returns an error for text without an ID that does not belong into the stream, such as that of an error
-// response: after events with IDs only parts of an event stream may follow, and at another server only events with IDs.
-func checkForeign(event engine.RawEvent, resumed bool, lastID int) error {
-	if event.ID > 0 || event.Blank || !resumed && lastID == 0 {
+// response. After events with IDs only parts of an event stream may follow. untried is set until another server has gone on
+// with the stream of the one before: it must do so with an ID.
+func checkForeign(event engine.RawEvent, untried bool, lastID int) error {
+	if event.ID > 0 || event.Blank || lastID == 0 && !untried {
 		return nil
 	}
-	if event.Foreign || resumed && lastID > 0 {
+	if event.Foreign || untried && lastID > 0 {
 		return errkind.New(errkind.StreamBroken, "server sent text that is no part of the stream after event %d", lastID)
 	}
 	return nil
