One function syncs a directory

Cause: internal/group had written consensus.syncDir again as syncPath. Change: it is exported and called from there; the copy is gone. No change of behaviour. internal/group passes whole with -race, and the tests of stores, restarts and identity of internal/consensus pass.

--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return nil, StoredState{}, errors.Wrap(err, "open store")
 	}
-	if err := errors.CombineErrors(syncDir(dir), syncDir(filepath.Dir(dir))); err != nil {
+	if err := errors.CombineErrors(SyncDir(dir), SyncDir(filepath.Dir(dir))); err != nil {
 		return nil, StoredState{}, errors.CombineErrors(errors.Wrap(err, "sync data directory"), db.Close())
 	}
 	s := &Store{db: db}
@@ -94,9 +94,9 @@
 	return s, stored, nil
 }
 
-// syncDir syncs a directory, which makes the names in it durable. Without it, a power
+// SyncDir syncs a directory, which makes the names in it durable. Without it, a power
 // loss can remove the name of a file whose content is synced.
-func syncDir(dir string) error {
+func SyncDir(dir string) error {
 	f, err := os.Open(dir)
 	if err != nil {
 		return err
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -99,7 +99,7 @@
 	if err := os.RemoveAll(consensus.StoreDir(dataDir, replica)); err != nil {
 		return errors.Wrap(err, "remove the refused store")
 	}
-	return errors.Wrap(syncPath(dataDir), "sync the data directory")
+	return errors.Wrap(consensus.SyncDir(dataDir), "sync the data directory")
 }
 
 // usedFile is the name of an empty file that marks a data directory which has held a store.
@@ -126,15 +126,7 @@
 		return errors.Wrap(err, "mark the data directory as used")
 	}
 	err = errors.CombineErrors(f.Sync(), f.Close())
-	return errors.Wrap(errors.CombineErrors(err, syncPath(dataDir)), "sync the mark of the data directory")
-}
-
-func syncPath(path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.CombineErrors(f.Sync(), f.Close())
+	return errors.Wrap(errors.CombineErrors(err, consensus.SyncDir(dataDir)), "sync the mark of the data directory")
 }
 
 // Replica is the part of consensus.Replica that this package uses.
