--- a/internal/onplatform/soak_namespaces_test.go
+++ b/internal/onplatform/soak_namespaces_test.go
@@ -201,6 +201,7 @@
 		w.WriteHeader(status)
 	}
 	w.Header().Set("X-Instance-Id", m.id)
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	switch expected := r.Header.Get("X-Expect-Version"); {
 	case m.down:
 		panic(http.ErrAbortHandler) // closes the connection without a response
@@ -224,7 +225,6 @@
 		if m.down || m.born != born {
 			panic(http.ErrAbortHandler)
 		}
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Response-Stamp", "stamp")
 		w.Header().Set("X-Weight-Versions", strconv.FormatInt(version, 10))
 		w.Header().Set("Content-Type", "text/event-stream")
