A new leader waits for unanswered orders of former leaders, and only for these

Callers see a server that two leaders order at once, and weights that go back.

Cause: a new leader waited for the order lease and a second more, on the assumption that nothing of an order arrives once its connection is reset.

Change: each order is committed to the replicated log before it is sent and settled there once it is answered; one without an answer stays on record for 7 s. A new leader waits that much longer for the servers with such an order and no longer waits the general second for the others. A leader that is asked to stop sends nothing more, waits for the answers (1 s at most) and commits them before it hands leadership over. rollout.Outcome tells an order that was not sent from one without an answer.

TestNewLeaderWaitsForLateOrdersOfFormer asserted the general second for a server without any order on its way. TestNewLeaderWaitsForUnansweredOrderOfFormer replaces it: it delivers orders 0.1 to 7 s late and checks the gap at the server itself, also that no order of a former leader arrives after one of the next, and that other servers wait for the lease and margin only.

--- a/internal/fleetcontrol/machine.go
+++ b/internal/fleetcontrol/machine.go
@@ -33,13 +33,16 @@
 // Decode decodes and checks a document. Errors are errkind InvalidRequest.
 type Decode func([]byte) (*fleet.Config, error)
 
-// command is one entry of the log: a document, or a new target weights version of a model.
+// command is one entry of the log: a document, a new target weights version of a model, a step of a rollout of a
+// release, or a change of the record of orders.
 type command struct {
 	Document []byte
 	Model    string
 	Version  int64 // of the weights
 	// Rollout is set alone. Builds without it take such a command for one that has been superseded.
 	Rollout *rolloutCommand
+	// Orders is set alone. Builds without it take such a command for one that has been superseded.
+	Orders *ordersCommand
 }
 
 func (c command) encode() ([]byte, error) {
@@ -95,11 +98,14 @@
 	mu      sync.RWMutex
 	state   *State
 	changed chan struct{} // closed when the state changes
+	// orders holds the server's address of each order that may be on its way. Entry VMs don't need it, so it is no
+	// part of the state that they follow.
+	orders map[orderID]string
 }
 
 // NewMachine returns an empty machine.
 func NewMachine(decode Decode, now clock.Clock) *Machine {
-	return &Machine{decode: decode, now: now, startedAt: now(), state: &State{}, changed: make(chan struct{})}
+	return &Machine{decode: decode, now: now, startedAt: now(), state: &State{}, changed: make(chan struct{}), orders: map[orderID]string{}}
 }
 
 // State returns the current state.
@@ -122,6 +128,10 @@
 	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&c); err != nil {
 		return refused
 	}
+	if c.Orders != nil {
+		m.applyOrders(c.Orders)
+		return inForce
+	}
 	old := m.State()
 	next := *old
 	next.Revision = index
@@ -172,12 +182,13 @@
 	Document []byte
 	Weights  map[string]int64
 	Rollouts map[string][]Rollout
+	Orders   []orderRecord
 }
 
 // Snapshot writes the state.
 func (m *Machine) Snapshot(w io.Writer) error {
 	s := m.State()
-	return errors.Wrap(gob.NewEncoder(w).Encode(image{Revision: s.Revision, Document: s.Document, Weights: s.TargetVersions, Rollouts: s.Rollouts}), "encode fleet snapshot")
+	return errors.Wrap(gob.NewEncoder(w).Encode(image{Revision: s.Revision, Document: s.Document, Weights: s.TargetVersions, Rollouts: s.Rollouts, Orders: m.orderRecords()}), "encode fleet snapshot")
 }
 
 // Restore replaces the state.
@@ -197,6 +208,7 @@
 		}
 		s.Config = config
 	}
+	m.restoreOrders(i.Orders)
 	m.setState(s)
 	return nil
 }
--- a/internal/fleetcontrol/module.go
+++ b/internal/fleetcontrol/module.go
@@ -101,6 +101,14 @@
 	return nil
 }
 
+// Drain implements kernel.Drainer: it settles the orders before leadership is handed over.
+func (m *Module) Drain(ctx context.Context) error {
+	if m.cancel == nil {
+		return nil
+	}
+	return m.reconciler.Drain(ctx)
+}
+
 // Stop stops both and waits for them.
 func (m *Module) Stop(context.Context) error {
 	if m.cancel != nil {
--- a/internal/fleetcontrol/reconciler.go
+++ b/internal/fleetcontrol/reconciler.go
@@ -1,14 +1,19 @@
 package fleetcontrol
 
 import (
+	"bytes"
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"eelgrasshollow/internal/clock"
+	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/rollout"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -21,10 +26,10 @@
 type ServerClient interface {
 	// CheckWeights reads the weights that a server has loaded and the state of its orders.
 	CheckWeights(ctx context.Context, s fleet.Server) (rollout.Report, error)
-	// LoadWeights orders a server to load other weights; accepted is false if the server
-	// refused for now. After an error the order may still be executed. permitted is called
-	// immediately before the first byte is sent; if it returns false, nothing is sent.
-	LoadWeights(ctx context.Context, c rollout.Call, fence uint64, permitted func() bool) (accepted bool, err error)
+	// LoadWeights orders a server to load other weights. permitted is called immediately before the first byte is
+	// sent; if it returns false, nothing is sent. err is the reason of an outcome other than rollout.Accepted, or nil if
+	// the server refused for now.
+	LoadWeights(ctx context.Context, c rollout.Call, fence uint64, permitted func() bool) (outcome rollout.Outcome, err error)
 }
 
 const (
@@ -35,11 +40,6 @@
 	// listTimeout limits one read of the list, checkTimeout one read of a server's weights.
 	listTimeout  = time.Second
 	checkTimeout = time.Second
-	// OrderLifetime is the time after which an order can no longer reach its server: the sender gives it up, and its
-	// connection, after that time.
-	OrderLifetime = time.Second
-	// orderLeaseMargin is added to the order lease before a new leader sends its first order.
-	orderLeaseMargin = 500 * time.Millisecond
 )
 
 // Reconciler reads the list of servers, publishes it to entry VMs, and orders servers to load
@@ -60,8 +60,11 @@
 	listed      []fleet.Server // as of the last read, sorted
 	hasList     bool           // listed was read in this term
 	nextList    time.Time
-	results     chan func() // handlers of the results of calls, executed by Run
-	listPending bool        // a read of the list is under way
+	results     chan func()   // handlers of the results of calls, executed by Run
+	listPending bool          // a read of the list is under way
+	orders      orderBook     // of this term
+	draining    atomic.Bool   // no more orders are sent
+	idle        chan struct{} // closed by Run when the outcome of all orders is known, after the begin of Drain
 	// lastListRead is the time of the last read of the list in Unix nanoseconds; 0 before the
 	// first read.
 	lastListRead atomic.Int64
@@ -77,14 +80,14 @@
 // NewReconciler returns a reconciler; orderLease is the minimum time between the orders of two
 // different senders.
 func NewReconciler(s *Service, lister ServerLister, client ServerClient, orderLease time.Duration, now clock.Clock, log *zap.Logger) *Reconciler {
-	return &Reconciler{service: s, lister: lister, client: client, orderLease: orderLease, now: now, log: log, results: make(chan func(), 64)}
+	return &Reconciler{service: s, lister: lister, client: client, orderLease: orderLease, now: now, log: log, results: make(chan func(), 64), idle: make(chan struct{})}
 }
 
 // Run reconciles until ctx ends.
 func (r *Reconciler) Run(ctx context.Context) {
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
-	for {
+	for drained := false; ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -93,6 +96,24 @@
 		case <-ticker.C:
 		}
 		r.step(ctx)
+		if !drained && r.draining.Load() && (r.term == 0 || r.orders.idle()) {
+			drained = true
+			close(r.idle)
+		}
+	}
+}
+
+// Drain stops sending orders and returns once the outcome of all orders that were sent is known and recorded, or they
+// have been given up, so that the next leader waits for as few of them as possible.
+func (r *Reconciler) Drain(ctx context.Context) error {
+	r.draining.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, OrderLifetime+proposeTimeout)
+	defer cancel()
+	select {
+	case <-r.idle:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "orders not settled")
 	}
 }
 
@@ -107,7 +128,9 @@
 	if term != r.term {
 		r.term, r.termStart, r.hasList = term, now, false
 		r.planner = rollout.NewPlanner(rollout.DefaultConfig())
-		r.log.Info("reconciling servers", zap.Uint64("term", term))
+		r.orders = orderBook{term: term}
+		r.log.Info("reconciling servers", zap.Uint64("term", term),
+			zap.Strings("unanswered_orders", slices.Sorted(maps.Keys(r.service.machine.unansweredBefore(term)))))
 	}
 	if !r.listPending && !now.Before(r.nextList) {
 		r.readList(ctx)
@@ -115,15 +138,74 @@
 	if !r.hasList {
 		return
 	}
-	// The previous leader may have sent its last order just before this replica began to lead.
-	if now.Sub(r.termStart) >= OrderLifetime+r.orderLease+orderLeaseMargin {
-		for _, call := range r.planner.Step(now, r.listed, r.service.machine.State().TargetVersions) {
+	if !r.draining.Load() {
+		for _, call := range r.planner.Step(now, r.orderable(now), r.service.machine.State().TargetVersions) {
 			r.checkWeights(ctx, call)
 		}
 	}
+	r.recordOrders(ctx, now)
 	r.publish()
 }
 
+// orderable returns the servers that this leader may send orders. A former leader's last order may have arrived just
+// before this replica began to lead, and one without an answer can arrive later.
+func (r *Reconciler) orderable(now time.Time) []fleet.Server {
+	led := now.Sub(r.termStart)
+	if led < r.orderLease+orderLeaseMargin {
+		return nil
+	}
+	unanswered := r.service.machine.unansweredBefore(r.term)
+	if len(unanswered) == 0 || led >= unansweredOrderLifetime+r.orderLease+orderLeaseMargin {
+		return r.listed
+	}
+	return slices.DeleteFunc(slices.Clone(r.listed), func(s fleet.Server) bool { return unanswered[s.Address] })
+}
+
+// recordOrders commits which orders are about to be sent and which can't arrive any more, and then sends the former.
+func (r *Reconciler) recordOrders(ctx context.Context, now time.Time) {
+	if r.draining.Load() {
+		r.orders.due = nil
+	}
+	former := now.Sub(r.termStart) >= unansweredOrderLifetime+r.orderLease+orderLeaseMargin && len(r.service.machine.unansweredBefore(r.term)) > 0
+	change, orders := r.orders.next(now, former)
+	if change.empty() {
+		return
+	}
+	term := r.term
+	go func() {
+		err := r.propose(ctx, change)
+		r.deliver(ctx, term, func() {
+			if err != nil {
+				r.log.Warn("orders not recorded and not sent", zap.Int("orders", len(orders)), zap.Int("settled", len(change.Settled)), zap.Error(err))
+				r.orders.notRecorded(change)
+				for _, o := range orders {
+					r.planner.HandleOrderResult(r.now(), o.call, false)
+				}
+				return
+			}
+			r.orders.recording = false
+			for _, o := range orders {
+				r.sendOrder(ctx, o)
+			}
+		})
+	}()
+}
+
+// propose commits a change of the record of orders.
+func (r *Reconciler) propose(ctx context.Context, change ordersCommand) error {
+	data, err := command{Orders: &change}.encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := r.service.replica.Propose(ctx, Namespace, data)
+	if err == nil && !bytes.Equal(result.Data, inForce) {
+		err = errkind.New(errkind.Internal, "the replicated state machine could not decode the command")
+	}
+	return err
+}
+
 // publish sends the servers to entry VMs, with the ones that load other weights marked.
 func (r *Reconciler) publish() {
 	servers := make([]fleet.Server, len(r.listed))
@@ -176,7 +258,7 @@
 	r.listed, r.hasList = servers, true
 }
 
-// checkWeights reads the weights of a server and sends it the order that is due, if any.
+// checkWeights reads the weights of a server and prepares the order that is due, if any.
 func (r *Reconciler) checkWeights(ctx context.Context, call rollout.Call) {
 	term := r.term
 	go func() {
@@ -189,7 +271,7 @@
 				zap.Bool("busy", report.Busy), zap.Int64("sequence", report.Sequence), zap.Bool("order", due),
 				zap.Int("failed_loads", r.planner.FailedLoads(fleet.Weights{Model: call.Model, Version: call.Version})), zap.Error(err))
 			if due {
-				r.sendOrder(ctx, order)
+				r.orders.due = append(r.orders.due, order)
 			}
 		})
 	}()
@@ -202,20 +284,20 @@
 	return leads && current == term
 }
 
-// sendOrder sends an order if this replica still leads in its term.
-func (r *Reconciler) sendOrder(ctx context.Context, call rollout.Call) {
+// sendOrder sends an order, which has been recorded, if this replica still leads in its term.
+func (r *Reconciler) sendOrder(ctx context.Context, o recordedOrder) {
 	term := r.term
-	if !r.mayOrder(term) {
-		return
-	}
+	r.orders.sent++
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, OrderLifetime)
 		defer cancel()
-		accepted, err := r.client.LoadWeights(callCtx, call, term, func() bool { return r.mayOrder(term) })
+		outcome, err := r.client.LoadWeights(callCtx, o.call, term, func() bool { return r.mayOrder(term) })
 		r.deliver(ctx, term, func() {
-			r.log.Info("weights ordered", zap.String("server", call.Server.ID), zap.String("model", call.Model),
-				zap.Int64("version", call.Version), zap.Uint64("fence", term), zap.Bool("accepted", accepted), zap.Error(err))
-			r.planner.HandleOrderResult(r.now(), call, accepted)
+			accepted := outcome == rollout.Accepted
+			r.log.Info("weights ordered", zap.String("server", o.call.Server.ID), zap.String("model", o.call.Model), zap.Int64("version", o.call.Version),
+				zap.Uint64("fence", term), zap.Bool("accepted", accepted), zap.Stringer("outcome", outcome), zap.Error(err))
+			r.orders.finish(r.now(), o.id, outcome)
+			r.planner.HandleOrderResult(r.now(), o.call, accepted)
 		})
 	}()
 }
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -69,6 +69,22 @@
 	Sequence int64 // number of orders accepted so far
 }
 
+// Outcome is what became of an order.
+type Outcome uint8
+
+// Outcomes of an order. One without an answer may still arrive and be executed.
+const (
+	Unanswered Outcome = iota
+	NotSent
+	Refused
+	Accepted
+)
+
+// String returns the outcome for log lines.
+func (o Outcome) String() string {
+	return [...]string{"unanswered", "not sent", "refused", "accepted"}[o]
+}
+
 // change is the state of a server under change.
 type change struct {
 	model          string
