A request that is given up without a response is not delivered later

What could be seen: a request whose client has left, or whose time is over, reached its server or another VM seconds later, when the path to it was back, and worked for nobody, or after its permit had ended.

Cause: the connection of a request that was given up was closed in order, so the kernel still delivered what the peer had not received. Orders were aborted, requests under a permit and forwarded requests were not.

Change: firstwrite.Conn, which each of these connections has, resets the connection when it is closed after a byte may have left and before any byte of a response was read.

Evidence: TestRequestGivenUpIsNotDeliveredLater fails without the call of abortOnClose (the peer reads an end in order, not a reset) and passes with it; engine, forward and platform pass under the race detector.

--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -29,10 +29,10 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.EndpointFailed, "endpoint is unreachable").WithOutcome(errkind.NotRun)
 	}
-	defer func() { _ = conn.Close() }()
+	once := firstwrite.New(conn, begin)
+	defer func() { _ = once.Close() }()
 	// When ctx ends, the deadline in the past ends every read and write.
 	defer context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })()
-	once := firstwrite.New(conn, begin)
 	response, err := c.exchange(ctx, once, call, request)
 	switch {
 	case err == nil:
--- a/internal/firstwrite/conn.go
+++ b/internal/firstwrite/conn.go
@@ -1,11 +1,13 @@
 // Package firstwrite tells when the first byte of a request is about to leave on a connection,
-// and can keep it from leaving. Until then the request has certainly not run.
+// and can keep it from leaving. Until then the request has certainly not run. A request that is given up
+// before the peer has sent anything is not delivered any more.
 package firstwrite
 
 import (
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +28,9 @@
 	err   error // error of begin
 	early error // marked with ErrPeerFirst, if the peer was first
 
+	written  atomic.Bool // a byte may have left
+	answered atomic.Bool // the peer has sent something after that
+
 	opened sync.Once
 	open   chan struct{} // closed when Read may read
 }
@@ -49,6 +54,7 @@
 			return 0, err
 		}
 	}
+	c.written.Store(true)
 	return c.Conn.Write(p)
 }
 
@@ -71,15 +77,34 @@
 // Read implements net.Conn. Without the wait it might take bytes of a peer that spoke first.
 func (c *Conn) Read(p []byte) (int, error) {
 	<-c.open
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.answered.Store(true)
+	}
+	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It aborts the connection of a request that was given up without any response: closed in order, a
+// path that comes back would deliver the request when nobody waits for it.
 func (c *Conn) Close() error {
 	c.allowReads()
+	if c.written.Load() && !c.answered.Load() {
+		abortOnClose(c.Conn)
+	}
 	return c.Conn.Close()
 }
 
+// abortOnClose makes Close reset a connection and drop what the peer has not received. It does nothing on a
+// connection that is no TCP socket.
+func abortOnClose(conn net.Conn) {
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok { // TLS
+		conn = wrapped.NetConn()
+	}
+	if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // fails only if the connection is closed already
+	}
+}
+
 func (c *Conn) allowReads() { c.opened.Do(func() { close(c.open) }) }
 
 // checkSilent returns an error if there is something to read on a connection. Connections that are
--- a/internal/firstwrite/conn_test.go
+++ b/internal/firstwrite/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -117,3 +118,36 @@
 	assert.NilError(t, c.Close())
 	assert.Assert(t, <-ended != nil)
 }
+
+// A request is given up while the path to its peer is cut. When the path is back, the peer must not get the request: nobody
+// waits for it, and its permission to run may have ended. Once the peer has responded, the end of the connection is in order.
+func TestRequestGivenUpIsNotDeliveredLater(t *testing.T) {
+	for _, responds := range []bool{false, true} {
+		near, far := connect(t)
+		c := New(near, func() error { return nil })
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\n")
+		assert.NilError(t, err)
+		if responds {
+			_, err := io.WriteString(far, "HTTP/1.1 200 OK\r\n")
+			assert.NilError(t, err)
+			_, err = c.Read(make([]byte, 100))
+			assert.NilError(t, err)
+		}
+		assert.NilError(t, c.Close())
+		_, err = io.Copy(io.Discard, far)
+		if responds {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+}
+
+// A connection on which nothing was sent is closed in order.
+func TestUnusedConnectionIsClosedInOrder(t *testing.T) {
+	near, far := connect(t)
+	assert.NilError(t, New(near, func() error { return nil }).Close())
+	n, err := io.Copy(io.Discard, far)
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(0))
+}
