Accounts share no cached prompts by a configuration that may be out of date

What was possible: an account becomes isolated while an entry VM is cut off from control, or suspended.

Cause: who shares a cache namespace was taken from the last configuration, whatever its age.

Change: once a configuration has not been confirmed for the platform's configApplyMs, each account is its own owner, and requests without an account share nothing where there are accounts. The check is repeated when the first byte of an attempt is due.

Evidence: with the check switched off, TestVMThatLearnsLateOfIsolationSharesNothing, TestOldConfigurationOfRequestsWithoutAccount and TestConfigurationGrowsOldWhileConnecting fail.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -241,6 +241,19 @@
 	return owner
 }
 
+// CacheOwnerApart is CacheOwner for a configuration that may lack the isolation of an account: each account shares with
+// nobody else, and requests without an account share nothing where there are accounts.
+func (c *Config) CacheOwnerApart(a *Account, key string) cachespace.Owner {
+	owner := c.CacheOwner(a, key)
+	switch {
+	case owner != c.cachePool || len(c.Accounts) == 0:
+		return owner
+	case a == nil:
+		return cachespace.Owner{}
+	}
+	return cachespace.Account(a.Name)
+}
+
 func (c *Config) cacheOwnerOf(a *Account) cachespace.Owner {
 	if a == nil {
 		return c.cachePool
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -105,15 +105,14 @@
 	return transfercost.Link{}
 }
 
-// CacheSpace returns the namespace in which the server with a key caches prompts of a client account and API key (see
-// fleet.Config.CacheOwner), and the version of the model's weights there. If the weights are not known, the version is 0
-// and no other request has the namespace.
-func (v *View) CacheSpace(key, model string, a *fleet.Account, apiKey string) (cachespace.Space, int64) {
+// CacheSpace returns the namespace in which the server with a key caches an owner's prompts, and the version of the model's
+// weights there. If the weights are not known, the version is 0 and no other request has the namespace.
+func (v *View) CacheSpace(key, model string, owner cachespace.Owner) (cachespace.Space, int64) {
 	version, known := v.byKey[key].WeightsVersion(model)
 	if v.Config == nil || !known {
 		return cachespace.Unique(), 0
 	}
-	return cachespace.New(v.Config.CacheOwner(a, apiKey), model, version), version
+	return cachespace.New(owner, model, version), version
 }
 
 // modelServersWithoutWeights returns the IDs of the servers of services with models whose entries name no weights.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -10,7 +10,6 @@
 
 	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/errkind"
-	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/fleetview"
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/routing"
@@ -41,7 +40,8 @@
 	defer func() { x.release.request.End() }()
 	for {
 		pickStart := time.Now()
-		request := x.routingRequest(g.Directory.View().Config, exclude)
+		owner, _ := g.cacheOwner(x)
+		request := x.routingRequest(owner, exclude)
 		request.Tier = g.chooseArm(x)
 		ticket, err := g.Router.Pick(x.ctx, request)
 		g.Metrics.observeWait(x.route.Name, waitForSlot, pickStart)
@@ -203,11 +203,11 @@
 		},
 	}
 	if x.Prompt.Known {
-		view := g.Directory.View()
-		attempt.Cache, attempt.Weights = x.cacheSpace(view, decision.Endpoint)
+		owner, view := g.cacheOwner(x)
+		attempt.Cache, attempt.Weights = view.CacheSpace(decision.Endpoint, x.Prompt.Model, owner)
 		if attempt.Cache.Shared() {
 			attempt.ImportFrom, attempt.SaveTo = decision.ImportFrom, decision.SaveTo
-			attempt.Permitted = g.permittedFor(x, view.Config, attempt.Permitted)
+			attempt.Permitted = g.permittedFor(x, owner, attempt.Permitted)
 		}
 	}
 	x.server, x.decision = attempt.Server, decision
@@ -295,23 +295,27 @@
 	return err
 }
 
-// cacheSpace returns the cache namespace of an attempt at an endpoint, and the version of the weights there or 0. The view
-// is the present one: the configuration may have changed since the request arrived. Nothing is shared if its configuration is
-// older than that of the VM that forwarded the request: accounts may be isolated that it doesn't isolate yet.
-func (x *exchange) cacheSpace(view *fleetview.View, endpoint string) (cachespace.Space, int64) {
-	space, version := view.CacheSpace(endpoint, x.Prompt.Model, x.keyHolder, x.APIKey)
-	if view.Config == nil || view.Config.Version < x.ConfigVersion {
-		space = cachespace.Unique()
-	}
-	return space, version
+// cacheOwner returns who shares the cached prompts of a request now, and the view that says so: the configuration may have
+// changed since the request arrived. Nobody does if the configuration is older than that of the VM that forwarded the request,
+// and only the request's own account if it has not been confirmed for MaxSharingAge: accounts may be isolated that it doesn't
+// isolate yet.
+func (g *Gateway) cacheOwner(x *exchange) (cachespace.Owner, *fleetview.View) {
+	view, age := g.Directory.ViewWithAge()
+	switch {
+	case view.Config == nil || view.Config.Version < x.ConfigVersion:
+		return cachespace.Owner{}, view
+	case g.MaxSharingAge > 0 && age >= g.MaxSharingAge:
+		return view.Config.CacheOwnerApart(x.keyHolder, x.APIKey), view
+	}
+	return view.Config.CacheOwner(x.keyHolder, x.APIKey), view
 }
 
-// permittedFor returns a function for Attempt.Permitted that returns false if the request's cached prompts have another
-// owner than under the configuration c, by which the attempt's namespace was made: connecting may take long enough for
-// the configuration to change. also is the function so far, or nil.
-func (g *Gateway) permittedFor(x *exchange, c *fleet.Config, also func() bool) func() bool {
+// permittedFor returns a function for Attempt.Permitted that returns false if the request's cached prompts no longer have the
+// owner for whom the attempt's namespace was made: connecting may take long enough for the configuration to change. also is
+// the function so far, or nil.
+func (g *Gateway) permittedFor(x *exchange, owner cachespace.Owner, also func() bool) func() bool {
 	return func() bool {
-		if now := g.Directory.View().Config; now != c && now.CacheOwner(x.keyHolder, x.APIKey) != c.CacheOwner(x.keyHolder, x.APIKey) {
+		if now, _ := g.cacheOwner(x); now != owner {
 			return false
 		}
 		return also == nil || also()
--- a/internal/gateway/dryrun.go
+++ b/internal/gateway/dryrun.go
@@ -123,8 +123,8 @@
 			e.Refused(x.finalError(err))
 		}
 	}
-	view := g.Directory.View()
-	request := x.routingRequest(view.Config, nil)
+	owner, view := g.cacheOwner(x)
+	request := x.routingRequest(owner, nil)
 	request.Tier = g.chooseArm(x) // counts nothing: x has no releasetraffic.Request
 	if rollout := view.Releases.Rollout(x.service); rollout != nil && rollout.Running() {
 		e.Release = "before " + rollout.Release
@@ -140,7 +140,7 @@
 		}
 		e.Placement = &p
 		if p.Endpoint != "" {
-			if _, version := view.CacheSpace(p.Endpoint, x.Prompt.Model, x.keyHolder, x.APIKey); version > 0 && x.Prompt.Known {
+			if _, version := view.CacheSpace(p.Endpoint, x.Prompt.Model, owner); version > 0 && x.Prompt.Known {
 				e.Version = strconv.FormatInt(version, 10)
 			}
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/fleetview"
@@ -48,6 +49,9 @@
 	Closing func() bool
 	// MaxViewAge is the age at which a view is too old to serve requests; 0 disables the check.
 	MaxViewAge time.Duration
+	// MaxSharingAge is the age from which on a view may lack the isolation of an account, so that accounts share no
+	// cached prompts; 0 disables the check.
+	MaxSharingAge time.Duration
 	// Forwarding serves requests through other VMs while this one reaches no server; nil if there
 	// is none.
 	Forwarding *Forwarding
@@ -320,9 +324,9 @@
 	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
 }
 
-// routingRequest returns the request in the form that the router takes. c is the configuration in force. The router
-// must not pick any of the endpoints in exclude.
-func (x *exchange) routingRequest(c *fleet.Config, exclude []string) routing.Request {
+// routingRequest returns the request in the form that the router takes. owner is that of its cached prompts. The
+// router must not pick any of the endpoints in exclude.
+func (x *exchange) routingRequest(owner cachespace.Owner, exclude []string) routing.Request {
 	r := routing.Request{
 		ID: x.ID, Account: x.accountName(), Service: x.service, Priority: -x.priority(),
 		Idempotent: x.route.Retryable(), Exclude: exclude, PromptTokens: x.Prompt.Tokens, MaxTokens: x.Prompt.MaxOutput,
@@ -331,7 +335,7 @@
 	if !x.Prompt.Known || len(x.Prompt.Parts) == 0 {
 		return r
 	}
-	r.Seed = c.CacheOwner(x.keyHolder, x.APIKey).Seed(x.Prompt.Model)
+	r.Seed = owner.Seed(x.Prompt.Model)
 	names := make([]string, len(x.Prompt.Parts))
 	end := 0
 	for i, p := range x.Prompt.Parts {
--- a/internal/gateway/namespace_test.go
+++ b/internal/gateway/namespace_test.go
@@ -232,3 +232,75 @@
 		})
 	}
 }
+
+// A VM that is cut off from control may not know that an account has become isolated. Once its configuration has not been
+// confirmed for the bound, it must use nothing that the accounts share: other VMs isolate the account by then.
+func TestVMThatLearnsLateOfIsolationSharesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound = 2 * time.Second
+		view := fleetview.NewView(sharingConfig(t, 1, false), modelServer(fleet.Weights{Model: "m", Version: 1}))
+		salt := func(key string, age time.Duration) string {
+			g, up := newGateway(t, setup{servers: servers{"a": reply(http.StatusOK, "id: 1\ndata: x\n\n", true)}}, zap.NewNop())
+			g.Directory, g.MaxSharingAge = fakeDirectory{view, age}, bound
+			r := newRequest()
+			r.APIKey = key
+			r.Prompt = Prompt{Known: true, Model: "m", Tokens: 2100, MaxOutput: 10, Parts: []Part{{"p", 2000}, {"own", 100}}}
+			w := httptest.NewRecorder()
+			assert.Assert(t, g.Serve(t.Context(), w, r), "%d %s", w.Code, w.Body)
+			return saltOf(up.sent[0])
+		}
+		pool := salt("key-beta", bound-time.Millisecond)
+		assert.Equal(t, salt("key-alpha", 0), pool, "a recent configuration: the accounts share")
+		alpha, beta := salt("key-alpha", bound), salt("key-beta", bound)
+		assert.Assert(t, alpha != beta && alpha != pool && beta != pool, "pool %q, alpha %q, beta %q", pool, alpha, beta)
+		assert.Equal(t, salt("key-beta", time.Minute), beta, "an account finds its own prompts")
+		view = fleetview.NewView(sharingConfig(t, 2, true), modelServer(fleet.Weights{Model: "m", Version: 1}))
+		assert.Equal(t, salt("key-alpha", 0), alpha, "an isolated account keeps its own namespace")
+		assert.Assert(t, salt("key-beta", 0) != beta && salt("key-beta", 0) != pool)
+	})
+}
+
+// Requests without an account share a pool with accounts that may be isolated meanwhile, but only where there are accounts.
+func TestOldConfigurationOfRequestsWithoutAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		salt := func(config *fleet.Config) string {
+			g, up := newGateway(t, setup{servers: servers{"a": reply(http.StatusOK, "id: 1\ndata: x\n\n", true)}}, zap.NewNop())
+			g.Directory, g.MaxSharingAge = fakeDirectory{fleetview.NewView(config, modelServer(fleet.Weights{Model: "m", Version: 1})), time.Minute}, time.Second
+			r := newRequest()
+			r.APIKey = ""
+			r.Prompt = Prompt{Known: true, Model: "m", Tokens: 2100, MaxOutput: 10, Parts: []Part{{"p", 2000}, {"own", 100}}}
+			assert.Assert(t, g.Serve(t.Context(), httptest.NewRecorder(), r))
+			return saltOf(up.sent[0])
+		}
+		config := sharingConfig(t, 1, false)
+		config.Routes[0].Public = true
+		assert.Assert(t, salt(config) != salt(config))
+		config = sharingConfig(t, 1, false)
+		config.Accounts = nil
+		assert.NilError(t, config.Check())
+		assert.Equal(t, salt(config), salt(config))
+	})
+}
+
+// The configuration may become too old while the connection to the server is opened.
+func TestConfigurationGrowsOldWhileConnecting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := fleetview.NewView(sharingConfig(t, 1, false), modelServer(fleet.Weights{Model: "m", Version: 1}))
+		var ran []string
+		g, up := newGateway(t, setup{servers: servers{"a": func(ctx context.Context, a Attempt) (*Reply, error) {
+			ran = append(ran, saltOf(a))
+			return reply(http.StatusOK, "id: 1\ndata: x\n\n", true)(ctx, a)
+		}}}, zap.NewNop())
+		g.Directory, g.MaxSharingAge = fakeDirectory{view, 0}, time.Second
+		up.beforeSend = func() { g.Directory = fakeDirectory{view, time.Second} }
+		r := newRequest()
+		r.APIKey = "key-beta"
+		r.Prompt = Prompt{Known: true, Model: "m", Tokens: 2100, MaxOutput: 10, Parts: []Part{{"p", 2000}, {"own", 100}}}
+		w := httptest.NewRecorder()
+		assert.Assert(t, g.Serve(t.Context(), w, r))
+		assert.Equal(t, w.Code, http.StatusOK)
+		owner := view.Config.CacheOwnerApart(view.Config.AccountByName("beta"), "key-beta")
+		space, _ := view.CacheSpace("a@a", "m", owner)
+		assert.DeepEqual(t, ran, []string{space.Salt()})
+	})
+}
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -140,7 +140,7 @@
 	k.Register(reach.ModuleName, e.reach, peer.ServerName, peer.PoolName, fleetview.ModuleName)
 	core := gateway.New(gateway.Deps{
 		Directory: e.view, Router: router, Upstream: client, Log: e.log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
-		Closing: e.closing.Load, MaxViewAge: e.maxViewAge(),
+		Closing: e.closing.Load, MaxViewAge: e.maxViewAge(), MaxSharingAge: e.settings.Bounds.ConfigApply,
 		Limiter: limiter,
 		Retries: retries, Forwarding: forwarding, Releases: releases, Memory: responseMemory,
 	})
