A stopping VM responds to all requests that it has taken

Cause: at the end of the grace period the listener was closed with the requests that it still served. On the OpenAI interface open requests were answered, but calls that run once went on with a context that nothing ended, and requests that may have run got status 503, marked as retryable.

Change: Gateway.Ending ends all open requests at 0.9 of the grace period: 503 if nothing was sent, 502 if a server may have run them, a broken stream if one has begun. It holds for forwarded requests on both VMs. The times of a stop count from its begin, not from the announcement, which may take half a second. In the OpenAI interface calls that run once end with their VM, and an error whose status promises "not run" becomes outcome-unknown if the request may have run.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -70,12 +70,16 @@
 	budget    *budget.Budget
 	open      *openRequests
 	tokens    *tokenCounter
+	// ending ends when a stopping VM must respond to all requests; end ends it.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // NewFront returns a Front with the given settings and dependencies.
 func NewFront(s Settings, d Deps) *Front {
+	ending, end := context.WithCancel(context.Background())
 	return &Front{
-		settings: s, directory: d.Directory, limiter: d.Limiter, journal: d.Journal, router: d.Router,
+		ending: ending, end: end, settings: s, directory: d.Directory, limiter: d.Limiter, journal: d.Journal, router: d.Router,
 		engine: d.Engine, hasher: d.Hasher, fleet: d.Fleet, log: d.Log,
 		metrics: newMetrics(), budget: budget.New(s.RetryShare, s.RetryBurst), open: newOpenRequests(), tokens: newTokenCounter(),
 	}
@@ -186,7 +190,21 @@
 		_ = x.control.Flush() // the client may have disconnected
 		panic(http.ErrAbortHandler)
 	}
-	refuse(x.w, e)
+	refuse(x.w, withoutPromise(e))
+}
+
+// withoutPromise returns the error for a response to a request that may have run. Clients take some statuses for the promise
+// that it has not.
+func withoutPromise(e *errkind.Error) *errkind.Error {
+	properties := e.Kind.Properties()
+	if e.Outcome == errkind.NotRun || properties.Outcome != errkind.NotRun {
+		return e
+	}
+	switch properties.HTTP {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return errkind.New(errkind.OutcomeUnknown, "%s", e.Text).WithOutcome(e.Outcome)
+	}
+	return e
 }
 
 // withCause returns the cause of ctx if it has ended with an errkind error, because err is then
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -149,6 +149,7 @@
 	case <-grace.C:
 	case <-ctx.Done():
 	}
+	f.end()
 	f.open.cancelRefused(func(*openRequest) error {
 		return errkind.New(errkind.Draining, "this VM stopped before the response was complete").WithOutcome(errkind.Unknown)
 	})
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -184,8 +184,11 @@
 		}
 		sent, beginFailed := false, false
 		response, err := f.attemptPlain(p, ticket, func(call engine.Call) (*engine.Response, error) {
-			// A call that has been sent is completed even if its client disconnects.
-			return f.engine.DoOnce(context.WithoutCancel(p.ctx), call, func() error {
+			// A call that has been sent is completed even if its client disconnects, as long as this VM runs.
+			ctx, cancel := context.WithCancel(context.WithoutCancel(p.ctx))
+			defer cancel()
+			defer context.AfterFunc(f.ending, cancel)()
+			return f.engine.DoOnce(ctx, call, func() error {
 				if err := f.checkBeforeSend(p); err != nil {
 					return err
 				}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -159,6 +159,12 @@
 		}
 		return e
 	}
+	if x.ctx.Err() != nil && errors.Is(context.Cause(x.ctx), errEnding) {
+		if !x.mayHaveRun && !x.headWritten {
+			return errkind.New(errkind.Draining, "this VM is stopping").WithRetryAfter(retryAfterDraining)
+		}
+		return errkind.New(errkind.OutcomeUnknown, "%v", errEnding)
+	}
 	if !x.mayHaveRun {
 		if e.RetryAfter == 0 {
 			e = e.WithRetryAfter(retryAfterShort)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	Releases *releasetraffic.Traffic
 	// Closing reports whether this VM is stopping and refuses new requests.
 	Closing func() bool
+	// Ending ends when a stopping VM must have responded to all requests, a little before its process ends; nil never does.
+	Ending context.Context
 	// MaxViewAge is the age at which a view is too old to serve requests; 0 disables the check.
 	MaxViewAge time.Duration
 	// MaxSharingAge is the age from which on a view may lack the isolation of an account, so that accounts share no
@@ -149,6 +151,12 @@
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, r *Request) (complete bool) {
 	x := &exchange{Request: r, w: w, ctx: ctx}
 	limitWrites(w, time.Time{}) // the connection may have had a request before
+	if g.Ending != nil {
+		var cancel context.CancelCauseFunc
+		x.ctx, cancel = context.WithCancelCause(ctx)
+		defer cancel(nil)
+		defer context.AfterFunc(g.Ending, func() { cancel(errEnding) })()
+	}
 	err := g.serve(x)
 	g.finish(x, err)
 	if err == nil {
@@ -267,8 +275,12 @@
 	return view
 }
 
-// errDeadline is the cancelation cause of a request whose deadline has passed.
-var errDeadline = errors.New("request deadline exceeded")
+// errDeadline is the cancelation cause of a request whose deadline has passed, and errEnding that of a request whose VM has no
+// time left for it.
+var (
+	errDeadline = errors.New("request deadline exceeded")
+	errEnding  = errors.New("this VM stops before the response is complete")
+)
 
 func (x *exchange) authenticate(c *fleet.Config) error {
 	x.keyHolder = c.AccountByKey(x.APIKey)
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -47,6 +47,9 @@
 	// after acceptShare it refuses requests. Clients may use an address for up to three times
 	// the lookup's TTL.
 	drainShare = 0.65
+	// endShare is the share of the grace period after which requests that have no response get an error in its place,
+	// so that no connection is closed without one.
+	endShare = 0.9
 	// stopShare is the share of the grace period within which all modules must have stopped.
 	stopShare = 0.95
 	// failClosedShare is the share of the platform's FailClosedAfter from which on a VM that
@@ -78,6 +81,9 @@
 	forwarded *forward.Handler
 	leaving   atomic.Bool // set when drain starts
 	closing   atomic.Bool // refuses new requests
+	// ending ends when the last responses of a stopping VM are due; end ends it.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // RunEntry runs an entry VM until ctx ends. An empty metricsPort serves no metrics.
@@ -88,6 +94,8 @@
 	}
 	p.serveMetrics(ctx, metricsPort)
 	e := &entry{process: p}
+	e.ending, e.end = context.WithCancel(context.Background())
+	defer e.end()
 	k := kernel.New(p.log)
 	e.register(k)
 	go p.watchSettings(ctx, func(s *platform.Settings) { e.view.SetSeeds(s.Seeds) })
@@ -140,7 +148,7 @@
 	k.Register(reach.ModuleName, e.reach, peer.ServerName, peer.PoolName, fleetview.ModuleName)
 	core := gateway.New(gateway.Deps{
 		Directory: e.view, Router: router, Upstream: client, Log: e.log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
-		Closing: e.closing.Load, MaxViewAge: e.maxViewAge(), MaxSharingAge: e.settings.Bounds.ConfigApply,
+		Closing: e.closing.Load, Ending: e.ending, MaxViewAge: e.maxViewAge(), MaxSharingAge: e.settings.Bounds.ConfigApply,
 		Limiter: limiter,
 		Retries: retries, Forwarding: forwarding, Releases: releases, Memory: responseMemory,
 	})
@@ -265,21 +273,26 @@
 // drain announces that this VM is leaving and keeps serving while clients may still have its
 // address cached.
 func (e *entry) drain(ctx context.Context) {
+	began, gracePeriod := time.Now(), float64(e.settings.Bounds.GracePeriod)
+	at := func(share float64) time.Time { return began.Add(time.Duration(share * gracePeriod)) }
+	time.AfterFunc(time.Until(at(endShare)), func() {
+		e.log.Info("requests without a response are ended")
+		e.end()
+	})
 	e.leaving.Store(true)
 	if err := e.view.Leave(ctx); err != nil {
 		e.log.Warn("leaving could not be announced; the other VMs will detect the stop by timeout", zap.Error(err))
 	}
-	gracePeriod := float64(e.settings.Bounds.GracePeriod)
-	sleep(ctx, time.Duration(acceptShare*gracePeriod))
+	sleepUntil(ctx, at(acceptShare))
 	e.closing.Store(true)
 	e.log.Info("no further requests are taken")
-	sleep(ctx, time.Duration((drainShare-acceptShare)*gracePeriod))
+	sleepUntil(ctx, at(drainShare))
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
+// sleepUntil waits until t or until ctx ends.
+func sleepUntil(ctx context.Context, t time.Time) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(d):
+	case <-time.After(time.Until(t)):
 	}
 }
