--- a/internal/gateway/namespace_test.go
+++ b/internal/gateway/namespace_test.go
@@ -274,7 +274,8 @@
 		}
 		config := sharingConfig(t, 1, false)
 		config.Routes[0].Public = true
-		assert.Assert(t, salt(config) != salt(config))
+		first, second := salt(config), salt(config)
+		assert.Assert(t, first != second)
 		config = sharingConfig(t, 1, false)
 		config.Accounts = nil
 		assert.NilError(t, config.Check())
