--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -279,7 +279,7 @@
 // time left for it.
 var (
 	errDeadline = errors.New("request deadline exceeded")
-	errEnding  = errors.New("this VM stops before the response is complete")
+	errEnding   = errors.New("this VM stops before the response is complete")
 )
 
 func (x *exchange) authenticate(c *fleet.Config) error {
