--- a/internal/onplatform/rollouts_test.go
+++ b/internal/onplatform/rollouts_test.go
@@ -188,7 +188,7 @@
 	}
 	const config = `{"version":1,"routes":[{"name":"a","host":"h.example","pathPrefix":"/a/","kind":"idempotent","timeoutMs":2000,"targetLatencyMs":500,"service":"app","maxAttempts":2,"public":true},
 	 {"name":"b","host":"h.example","pathPrefix":"/b/","kind":"non_idempotent","timeoutMs":2000,"targetLatencyMs":500,"service":"app","maxAttempts":1,"public":true}],
-	 "services":[{"name":"app","healthPath":"`+healthPath+`","maxConns":9}],"limits":{"maxBodyBytes":1000},"tenants":[]}`
+	 "services":[{"name":"app","healthPath":"` + healthPath + `","maxConns":9}],"limits":{"maxBodyBytes":1000},"tenants":[]}`
 	d.eventually("a configuration is acknowledged", func() bool {
 		status, _ := sendRequest("POST", "http://"+d.address(1, operatorPort)+"/v1/config/put", "", config, nil)
 		return status == http.StatusOK
