Reads do not keep a new replica from becoming a voter

What operators saw: a control VM lost its disk and joined again at once, but did not vote for 6 s and more. When the next VM lost its disk, 6.5 to 7 s after the first, too few voters were left, and no change was acknowledged any more, for good.

Cause: the leader promoted learners only with a heartbeat round that the clock had started. The round of a read puts the next heartbeat off, so while reads come more often than heartbeats nobody was promoted.

Change: the leader looks for learners to promote at every tick.

--- a/internal/consensus/identity_test.go
+++ b/internal/consensus/identity_test.go
@@ -120,6 +120,27 @@
 	assert.Equal(t, leader.core.progress[follower.id].matchIndex, leader.core.log.lastIndex())
 }
 
+// TestReadsDoNotDelayPromotion reads more often than the leader sends heartbeats, so that every round is that of a read. A new
+// replica must become a voter all the same: otherwise the loss of another one ends the group for good.
+func TestReadsDoNotDelayPromotion(t *testing.T) {
+	s := newSim(t, 11, 3)
+	s.restoreAndElect()
+	leader := s.leader()
+	s.nodes[leader.id%3+1].core = nil
+	s.add(9, Membership{})
+	_, err := leader.core.AddLearner(9, "9")
+	assert.NilError(t, err)
+	s.processReady(leader)
+	for read := uint64(1); !leader.core.members.isVoter(9); read++ {
+		assert.Assert(t, time.Duration(read)*simStep < 2*simElection, "no voter after %v", 2*simElection)
+		s.reads[read] = uint64(len(s.committedAt))
+		assert.NilError(t, leader.core.ReadIndex(s.clock(leader), read))
+		leader.core.FlushReads()
+		s.processReady(leader)
+		s.advance(simStep)
+	}
+}
+
 // TestNewMemberIsVerifiedBesideLostMember replaces a lost member while its old ID is still
 // a voter. The new member becomes a voter before any replica but the leader has recorded
 // its store. It must neither stay unverified nor prevent an election.
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -18,8 +18,8 @@
 	}
 	if !c.now.Before(c.nextHeartbeat) {
 		c.startRound()
-		c.promoteLearner()
 	}
+	c.promoteLearner() // not only with a heartbeat: reads start rounds, too, and put the next one off
 }
 
 // hasQuorumContact implements check-quorum: it reports whether a majority, this replica
