--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -12,7 +12,17 @@
   skip=(-skip "$known_red")
 fi
 verdict=0
-go test -race -timeout "$limit" ${skip[@]+"${skip[@]}"} ./... || verdict=1
+# On arm64 the race detector itself crashed in these packages ("ThreadSanitizer: CHECK failed: tsan_rtl.cpp"): they run without it
+# there.
+packages=./...
+if [ "$(uname -m)" = aarch64 ]; then
+  without_race='/internal/consensus$'
+  packages=$(go list ./... | grep -v "$without_race")
+  # shellcheck disable=SC2046
+  go test -timeout "$limit" ${skip[@]+"${skip[@]}"} $(go list ./... | grep "$without_race") || verdict=1
+fi
+# shellcheck disable=SC2086
+go test -race -timeout "$limit" ${skip[@]+"${skip[@]}"} $packages || verdict=1
 go test -timeout "$limit" ${skip[@]+"${skip[@]}"} -run '^TestLargeFleet' ./internal/gateway ./internal/policybench || verdict=1
 if [ -n "$known_red" ]; then
   echo "known red (printed, not counted):"
