One condition for the end of the wait for former orders

Read again: the time from which on no order of a former leader needs a wait was computed in two places, and a comparison was written out. No change of behaviour. Ruled out: the copies of raw servers in the tests of several packages stay, as each package's differs in what it reads first.

--- a/internal/fleetcontrol/orders.go
+++ b/internal/fleetcontrol/orders.go
@@ -175,8 +175,5 @@
 }
 
 func (id orderID) compare(other orderID) int {
-	if id.Term != other.Term {
-		return cmp.Compare(id.Term, other.Term)
-	}
-	return cmp.Compare(id.Number, other.Number)
+	return cmp.Or(cmp.Compare(id.Term, other.Term), cmp.Compare(id.Number, other.Number))
 }
--- a/internal/fleetcontrol/reconciler.go
+++ b/internal/fleetcontrol/reconciler.go
@@ -150,23 +150,27 @@
 // orderable returns the servers that this leader may send orders. A former leader's last order may have arrived just
 // before this replica began to lead, and one without an answer can arrive later.
 func (r *Reconciler) orderable(now time.Time) []fleet.Server {
-	led := now.Sub(r.termStart)
-	if led < r.orderLease+orderLeaseMargin {
+	if now.Sub(r.termStart) < r.orderLease+orderLeaseMargin {
 		return nil
 	}
 	unanswered := r.service.machine.unansweredBefore(r.term)
-	if len(unanswered) == 0 || led >= unansweredOrderLifetime+r.orderLease+orderLeaseMargin {
+	if len(unanswered) == 0 || r.formerOrdersOver(now) {
 		return r.listed
 	}
 	return slices.DeleteFunc(slices.Clone(r.listed), func(s fleet.Server) bool { return unanswered[s.Address] })
 }
 
+// formerOrdersOver reports whether the order lease has passed since the last order of a former leader can have arrived.
+func (r *Reconciler) formerOrdersOver(now time.Time) bool {
+	return now.Sub(r.termStart) >= unansweredOrderLifetime+r.orderLease+orderLeaseMargin
+}
+
 // recordOrders commits which orders are about to be sent and which can't arrive any more, and then sends the former.
 func (r *Reconciler) recordOrders(ctx context.Context, now time.Time) {
 	if r.draining.Load() {
 		r.orders.due = nil
 	}
-	former := now.Sub(r.termStart) >= unansweredOrderLifetime+r.orderLease+orderLeaseMargin && len(r.service.machine.unansweredBefore(r.term)) > 0
+	former := r.formerOrdersOver(now) && len(r.service.machine.unansweredBefore(r.term)) > 0
 	change, orders := r.orders.next(now, former)
 	if change.empty() {
 		return
