A link that refuses connections keeps its address

Cause: Refuse closed the listener, and its port, chosen by the kernel, was free for any outgoing connection of the tests until Accept.

Change: while it refuses connections, a link holds a socket that is bound to its address and does not listen.

--- a/internal/loopback/link.go
+++ b/internal/loopback/link.go
@@ -2,18 +2,24 @@
 package loopback
 
 import (
+	"errors"
+	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Link is a TCP forwarder between two processes that can be cut. Bytes that are sent during a
 // cut are delivered after it to connections that are still open, as TCP retransmission would do.
 type Link struct {
-	listener net.Listener
-	target   string
+	target string
 
 	mu           sync.Mutex
+	listener     net.Listener
+	reserved     *os.File      // a bound socket that keeps the address while connections are refused, or nil
 	changed      *sync.Cond    // on mu; signals that a direction was opened or the link closed
 	forwardOpen  bool          // whether bytes from the dialing side are forwarded
 	backwardOpen bool          // whether bytes to the dialing side are forwarded
@@ -43,24 +49,83 @@
 }
 
 // Address returns the address to dial.
-func (k *Link) Address() string { return k.listener.Addr().String() }
+func (k *Link) Address() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.listener.Addr().String()
+}
 
-// Refuse closes the listener, so that new connections are refused. Open ones are not affected.
-func (k *Link) Refuse() error { return k.listener.Close() }
+// Refuse closes the listener, so that new connections are refused. Open ones are not affected. The address stays
+// reserved, as the kernel would otherwise give its port to an outgoing connection.
+func (k *Link) Refuse() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.listener.Close(); err != nil {
+		return err
+	}
+	reserved, err := reserve(k.listener.Addr().(*net.TCPAddr))
+	k.reserved = reserved
+	return err
+}
 
 // Accept listens again on the same address after Refuse.
 func (k *Link) Accept() error {
-	l, err := net.Listen("tcp", k.Address())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.reserved == nil {
+		return errors.New("the link does not refuse connections")
+	}
+	fd := int(k.reserved.Fd())
+	if err := shareAddress(fd, true); err != nil {
+		return err
+	}
+	if err := unix.Listen(fd, unix.SOMAXCONN); err != nil {
+		return os.NewSyscallError("listen", err)
+	}
+	l, err := net.FileListener(k.reserved) // a duplicate
 	if err != nil {
 		return err
 	}
-	k.mu.Lock()
-	k.listener = l
-	k.mu.Unlock()
+	_ = k.reserved.Close()
+	k.listener, k.reserved = l, nil
 	go k.serve(l)
 	return nil
 }
 
+// reserve returns a socket that is bound to an IPv4 address and does not listen: connections to it are refused, and no
+// other socket can be bound to it.
+func reserve(address *net.TCPAddr) (*os.File, error) {
+	ip := address.IP.To4()
+	if ip == nil {
+		return nil, fmt.Errorf("%v is not an IPv4 address", address)
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, os.NewSyscallError("socket", err)
+	}
+	err = shareAddress(fd, true)
+	if err == nil {
+		err = os.NewSyscallError("bind", unix.Bind(fd, &unix.SockaddrInet4{Port: address.Port, Addr: [4]byte(ip)}))
+	}
+	if err == nil {
+		err = shareAddress(fd, false)
+	}
+	if err != nil {
+		return nil, errors.Join(err, unix.Close(fd))
+	}
+	return os.NewFile(uintptr(fd), address.String()), nil
+}
+
+// shareAddress sets whether a socket may be bound, or listen, at an address that other sockets use, such as the
+// connections that a former listener accepted. It takes effect only if these sockets allow it, too.
+func shareAddress(fd int, share bool) error {
+	value := 0
+	if share {
+		value = 1
+	}
+	return os.NewSyscallError("setsockopt", unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, value))
+}
+
 func (k *Link) serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -198,9 +263,13 @@
 
 // Close closes the link and its connections.
 func (k *Link) Close() {
-	_ = k.listener.Close()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	_ = k.listener.Close()
+	if k.reserved != nil {
+		_ = k.reserved.Close()
+		k.reserved = nil
+	}
 	k.closed = true
 	k.changed.Broadcast()
 	for p := range k.pipes {
--- a/internal/loopback/link_test.go
+++ b/internal/loopback/link_test.go
@@ -115,3 +115,21 @@
 		})
 	}
 }
+
+// Guards against a link whose port is given to another socket while it refuses connections, so that it can't listen again.
+func TestRefusingLinkKeepsItsAddress(t *testing.T) {
+	k := newLink(t)
+	defer k.Close()
+	address := k.Address()
+	open := dial(t, k)
+	assert.Assert(t, echoes(t, open, longTimeout))
+	assert.NilError(t, k.Refuse())
+	_, err := net.Dial("tcp", address)
+	assert.ErrorContains(t, err, "refused")
+	_, err = net.Listen("tcp", address)
+	assert.ErrorContains(t, err, "address already in use")
+	assert.Assert(t, echoes(t, open, longTimeout))
+	assert.NilError(t, k.Accept())
+	assert.Equal(t, k.Address(), address)
+	assert.Assert(t, echoes(t, dial(t, k), longTimeout))
+}
