Soak: a server's notice binds the VM that sent the request

Cause: the stand-in took the VM from the request's ID, which names the VM that the client called.

Change: the stand-in finds the process that owns the connection. A notice on a connection that its VM has closed is not counted as received; requests on such a connection still count against the VM of their ID.

Evidence: TestNoticeBindsTheSender and TestClientOfForwardedConnection.

--- a/internal/loopback/link.go
+++ b/internal/loopback/link.go
@@ -181,6 +181,19 @@
 	k.mu.Unlock()
 }
 
+// ClientOf returns the two addresses, the client's and the link's, of the open connection whose bytes arrive at the target from
+// an address. It returns false if there is none.
+func (k *Link) ClientOf(from string) (client, link net.Addr, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for p := range k.pipes {
+		if p.server.LocalAddr().String() == from {
+			return p.client.RemoteAddr(), p.client.LocalAddr(), true
+		}
+	}
+	return nil, nil, false
+}
+
 func (k *Link) currentDelay() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/loopback/link_test.go
+++ b/internal/loopback/link_test.go
@@ -133,3 +133,29 @@
 	assert.Equal(t, k.Address(), address)
 	assert.Assert(t, echoes(t, dial(t, k), longTimeout))
 }
+
+// Guards against a request that is attributed to another client than the one whose connection carried it.
+func TestClientOfForwardedConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = target.Close() }()
+	k := New(l, target.Addr().String())
+	defer k.Close()
+	for range 3 {
+		c := dial(t, k)
+		arrived, err := target.Accept()
+		assert.NilError(t, err)
+		_, err = c.Write([]byte{1})
+		assert.NilError(t, err)
+		_, err = arrived.Read(make([]byte, 1)) // the link has connected the two
+		assert.NilError(t, err)
+		client, link, open := k.ClientOf(arrived.RemoteAddr().String())
+		assert.Assert(t, open)
+		assert.Equal(t, client.String(), c.LocalAddr().String())
+		assert.Equal(t, link.String(), k.Address())
+	}
+	_, _, open := k.ClientOf(target.Addr().String())
+	assert.Assert(t, !open)
+}
--- a/internal/onplatform/soak_calls_test.go
+++ b/internal/onplatform/soak_calls_test.go
@@ -71,14 +71,15 @@
 	s.runs[id]++
 }
 
-// handle executes a request at a server, or refuses it with X-Not-Executed.
-func (s *stubServers) handle(server int, w http.ResponseWriter, r *http.Request) {
+// handle executes a request of an entry VM at a server, or refuses it with X-Not-Executed. The sender is "" if it has closed the
+// connection.
+func (s *stubServers) handle(server int, sender string, w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
 	if misdirected(w, r, s.notices.id(server)) {
 		return
 	}
-	pauses := s.notices.announce(w, server, id)
+	pauses := s.notices.announce(w, server, id, sender)
 	w.Header().Set("X-Response-Stamp", "stamp")
 	_, _ = io.ReadAll(r.Body) // the body is incomplete if the request was canceled
 	s.mu.Lock()
--- a/internal/onplatform/soak_notices_test.go
+++ b/internal/onplatform/soak_notices_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -111,10 +112,37 @@
 	return "entry-" + vm
 }
 
+// sender returns the entry VM that sent a request through a link, or "" if it has closed the connection. It is another one
+// than that of the call if the request was forwarded.
+func (r *soakRun) sender(link string, request *http.Request) string {
+	client, accepted, open := r.links[link].ClientOf(request.RemoteAddr)
+	if !open {
+		return ""
+	}
+	pids := map[string]int{}
+	r.mu.Lock()
+	for _, name := range entryNames {
+		if command := r.commands[name]; command != nil {
+			pids[name] = command.Process.Pid
+		}
+	}
+	r.mu.Unlock()
+	for name, pid := range pids {
+		if ownsConnection(pid, client, accepted) {
+			return name
+		}
+	}
+	return ""
+}
+
 // announce checks a request that arrives at a server, and writes the server's notices to the
-// header of the response. It reports whether the server refuses the request and pauses.
-func (n *serverNotices) announce(w http.ResponseWriter, server int, requestID string) (pauses bool) {
-	vm, now := vmOf(requestID), time.Now()
+// header of the response. It reports whether the server refuses the request and pauses. sender is the entry VM that sent the
+// request. If it is "", the VM has closed the connection and won't receive the notices.
+func (n *serverNotices) announce(w http.ResponseWriter, server int, requestID, sender string) (pauses bool) {
+	vm, now, gone := sender, time.Now(), sender == ""
+	if gone {
+		vm = vmOf(requestID)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := &n.servers[server]
@@ -127,28 +155,32 @@
 		}
 	}
 	if !s.limitedAt.IsZero() {
-		n.checkLimit(server, vm, now)
+		n.checkLimit(server, vm, now, gone)
 		w.Header().Set("Server-Limit", strconv.Itoa(statedLimit))
 	}
 	if s.leaving {
 		w.Header().Set("Server-Leaving", "1")
-		if _, told := s.toldLeaving[vm]; !told {
+		if _, told := s.toldLeaving[vm]; !told && !gone {
 			s.toldLeaving[vm] = now
 		}
 	}
 	if s.pausing {
 		w.Header().Set("Retry-After", strconv.FormatFloat(pauseFor.Seconds(), 'f', -1, 64))
-		s.toldPause[vm], s.late[vm] = now, 0
+		if !gone {
+			s.toldPause[vm], s.late[vm] = now, 0
+		}
 	}
 	return s.pausing
 }
 
-// checkLimit checks a request that arrives at a server that states a limit.
-func (n *serverNotices) checkLimit(server int, vm string, now time.Time) {
+// checkLimit checks a request that arrives at a server that states a limit. gone is set if its entry VM won't receive the limit.
+func (n *serverNotices) checkLimit(server int, vm string, now time.Time, gone bool) {
 	s := &n.servers[server]
 	told, ok := s.toldLimit[vm]
 	if !ok || n.excused(vm, server, told) {
-		s.toldLimit[vm] = now
+		if !gone {
+			s.toldLimit[vm] = now
+		}
 		return
 	}
 	if now.Sub(told) < limitNotice {
@@ -215,3 +247,33 @@
 	assert.Assert(t, n.excused("entry-3", 1, time.Now()), "the link may have held the request")
 	assert.Assert(t, !n.excused("entry-3", 1, time.Now().Add(heldDelivery)))
 }
+
+// A VM that forwards a request hears nothing of the server's notices, nor does one that has closed the connection. The VM that
+// sent it does.
+func TestNoticeBindsTheSender(t *testing.T) {
+	for _, c := range []struct {
+		told, sender string // the VM that sent the first request, and the one that sent the next ones; the call was to entry-1
+		violates     bool
+	}{
+		{"entry-1", "entry-1", true},
+		{"entry-3", "entry-3", true},
+		{"entry-3", "entry-1", false},
+		{"entry-1", "entry-3", false},
+		{"", "entry-1", false},
+		{"entry-1", "", true},
+	} {
+		n, request := newServerNotices(), "1.orders-0-0"
+		n.servers[0].pausing, n.servers[0].leaving = true, true
+		assert.Assert(t, n.announce(httptest.NewRecorder(), 0, request, c.told))
+		n.servers[0].pausing, n.servers[0].leaving = false, false
+		for _, told := range []map[string]time.Time{n.servers[0].toldPause, n.servers[0].toldLeaving} {
+			for vm, at := range told {
+				told[vm] = at.Add(-pauseFor + pauseSlack)
+			}
+		}
+		for range pauseExcess + 1 {
+			n.announce(httptest.NewRecorder(), 0, request, c.sender)
+		}
+		assert.Equal(t, len(n.violations) > 0, c.violates, "%+v", c)
+	}
+}
--- a/internal/onplatform/soak_test.go
+++ b/internal/onplatform/soak_test.go
@@ -173,8 +173,11 @@
 	r := &soakRun{deployment: newEmptyDeployment(t, grantSlack), random: rand.New(rand.NewPCG(seed, 0)), servers: newStubServers(),
 		cuts: newEndpointCuts(), links: map[string]*loopback.Link{}, faulted: map[string]bool{}, faults: map[string]int{}}
 	for n := range soakServers {
-		r.serveStub(r.address(220+n, listPort), func(w http.ResponseWriter, request *http.Request) { r.servers.handle(n, w, request) })
-		r.endpointLink(fmt.Sprint("app-", n), r.address(201+n, listPort), r.address(220+n, listPort))
+		link := fmt.Sprint("app-", n)
+		r.serveStub(r.address(220+n, listPort), func(w http.ResponseWriter, request *http.Request) {
+			r.servers.handle(n, r.sender(link, request), w, request)
+		})
+		r.endpointLink(link, r.address(201+n, listPort), r.address(220+n, listPort))
 	}
 	r.bounds = rolloutBounds
 	r.serveStub(r.address(210, listPort), r.serveList)
