Soak: a planned stop must not leave a request that ran without a response

The soak accepted any connection that ended without a response.

Evidence: TestPlannedStopMustAnswer.

--- a/internal/onplatform/soak_calls_test.go
+++ b/internal/onplatform/soak_calls_test.go
@@ -371,6 +371,9 @@
 		if violation := record.violation(runs); violation != "" {
 			all = append(all, fmt.Sprintf("%s %s of %s at %v to %v, status %d, ran %d times: %s", record.path, record.id, record.account, record.from, record.to, record.status, runs, violation))
 		}
+		if runs > 0 && record.unanswered() && record.inPlannedStop(c.run.startedAt, c.run.spans) {
+			all = append(all, fmt.Sprintf("%s %s at %v to %v ran and got no response, in a planned stop of %s", record.path, record.id, record.from, record.to, entryName(record.vm)))
+		}
 		if record.account == "small" && runs > 0 {
 			small = append(small, oracle.Interval{From: record.from, To: record.to, Tokens: 1})
 		}
@@ -386,6 +389,29 @@
 	return append(all, c.run.cuts.check(c.run, c.records)...)
 }
 
+// unanswered reports whether the connection of a call ended without a response before its client gave up.
+func (record callRecord) unanswered() bool {
+	return record.status == 0 && record.to-record.from < clientTimeout
+}
+
+// inPlannedStop reports whether a call overlapped a planned stop of its VM, while no other fault affected the VM, or the
+// client's link to it, since contactTime before the call.
+func (record callRecord) inPlannedStop(startedAt time.Time, spans []faultSpan) (stopped bool) {
+	for _, span := range spans {
+		if span.target != entryName(record.vm) {
+			continue
+		}
+		from, to := span.from.Sub(startedAt), span.to.Sub(startedAt)
+		switch {
+		case span.name == "entry stopped":
+			stopped = stopped || from <= record.to && to >= record.from
+		case span.name != "hangup" && from <= record.to && to >= record.from-contactTime:
+			return false
+		}
+	}
+	return stopped
+}
+
 // violation returns the guarantee that one call violated, or "". runs is the number of its
 // executions.
 func (record callRecord) violation(runs int) string {
@@ -464,3 +490,30 @@
 	})
 	return status == http.StatusOK
 }
+
+// Guards against a check that overlooks a call without a response in a planned stop, or blames the stop for another fault.
+func TestPlannedStopMustAnswer(t *testing.T) {
+	start := time.Now()
+	span := func(name string, vm int, from, to time.Duration) faultSpan {
+		return faultSpan{name: name, target: entryName(vm), from: start.Add(from * time.Second), to: start.Add(to * time.Second)}
+	}
+	stop := span("entry stopped", 1, 5, 8)
+	for name, c := range map[string]struct {
+		call  callRecord
+		spans []faultSpan
+		want  bool
+	}{
+		"in the stop":           {callRecord{from: 6 * time.Second, to: 7 * time.Second}, []faultSpan{stop}, true},
+		"with a response":       {callRecord{from: 6 * time.Second, to: 7 * time.Second, status: 502}, []faultSpan{stop}, false},
+		"given up":              {callRecord{from: 5 * time.Second, to: 5*time.Second + clientTimeout}, []faultSpan{stop}, false},
+		"before the stop":       {callRecord{from: 3 * time.Second, to: 4 * time.Second}, []faultSpan{stop}, false},
+		"another VM":            {callRecord{from: 6 * time.Second, to: 7 * time.Second}, []faultSpan{span("entry stopped", 2, 5, 8)}, false},
+		"with a hangup":         {callRecord{from: 6 * time.Second, to: 7 * time.Second}, []faultSpan{stop, span("hangup", 1, 6, 6)}, true},
+		"fault shortly before":  {callRecord{from: 6 * time.Second, to: 7 * time.Second}, []faultSpan{stop, span("reset", 1, 3, 3)}, false},
+		"fault long before":     {callRecord{from: 6 * time.Second, to: 7 * time.Second}, []faultSpan{stop, span("reset", 1, 1, 1)}, true},
+		"fault of another link": {callRecord{from: 6 * time.Second, to: 7 * time.Second}, []faultSpan{stop, span("reset", 2, 6, 6)}, true},
+	} {
+		c.call.vm = 1
+		assert.Equal(t, c.call.unanswered() && c.call.inPlannedStop(start, c.spans), c.want, name)
+	}
+}
