TestSlowReadersLeaveMemory sees all bodies at once on a busy machine

What the tests saw: beside load 30 and more, the requests held 3.3 to 8.5 MB at most, less than the bodies of the 200 slow readers.

Cause: the test's samples. A stream is stopped some 3 s after it has begun. On a busy machine one round of samples takes about a second (8 to 11 rounds in 8 s at load 35), and more at a higher load, so that the first sample may come when most streams have been stopped.

Change: the readers hold back the last byte of their bodies until the VM holds all of them, which is the check; then the streams begin, at the former interval, while the test already samples.

--- a/internal/onplatform/slow_readers_test.go
+++ b/internal/onplatform/slow_readers_test.go
@@ -136,6 +136,9 @@
 	idle, _ := d.processMemory("entry-1")
 
 	head := fmt.Sprintf("POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 30000\r\nContent-Length: %d\r\n", bodyBytes)
+	// The last byte of each body is sent when the VM holds all of them: a stream that has begun is stopped some seconds later, which
+	// on a busy machine may be before the next sample.
+	conns := make([]net.Conn, readers)
 	var wg sync.WaitGroup
 	for i := range readers {
 		time.Sleep(arrivalInterval)
@@ -145,15 +148,30 @@
 				return
 			}
 			t.Cleanup(func() { _ = conn.Close() })
+			conns[i] = conn
 			_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10) // best effort: with a larger one, more is delivered
-			_, err = fmt.Fprintf(conn, "%sX-Request-Id: slow-%d\r\n\r\n%s", head, i, bytes.Repeat([]byte("b"), bodyBytes))
+			_, err = fmt.Fprintf(conn, "%sX-Request-Id: slow-%d\r\n\r\n%s", head, i, bytes.Repeat([]byte("b"), bodyBytes-1))
 			assert.Check(t, err == nil, "%v", err)
 		})
 	}
 	wg.Wait()
-	var mostRSS, mostSockets int64
+	assert.Assert(t, !t.Failed())
 	const heldByRequests, heldByResponses = `eelgrass_memory_held_bytes{use="requests"}`, `eelgrass_memory_held_bytes{use="responses"}`
-	mostHeld, mostBuffered, begin, requests, slowest := 0.0, 0.0, time.Now(), 0, time.Duration(0)
+	mostHeld := 0.0
+	d.eventually("the VM holds all bodies", func() bool {
+		mostHeld = d.metric(11, heldByRequests)
+		return mostHeld >= float64(readers*bodyBytes)
+	})
+	wg.Go(func() {
+		for _, conn := range conns {
+			time.Sleep(arrivalInterval)
+			_, err := io.WriteString(conn, "b")
+			assert.Check(t, err == nil, "%v", err)
+		}
+	})
+	defer wg.Wait()
+	var mostRSS, mostSockets int64
+	mostBuffered, begin, requests, slowest := 0.0, time.Now(), 0, time.Duration(0)
 	for time.Since(begin) < stopped {
 		sent := time.Now()
 		assert.Equal(t, d.share(11, 1), 1.0, "other requests are served")
