A link that refuses connections does not leave its listener in child processes

Cause: a child process that has been forked has the listener open until it has started its program. Close does not end the listening then, and the socket that reserves the address can't be bound; before the reservation, connections were still accepted for that time, and Accept could fail in the same way.

Change: Refuse shuts the socket down before it closes it, which ends the listening in all processes that have it open.

--- a/internal/loopback/link.go
+++ b/internal/loopback/link.go
@@ -60,10 +60,14 @@
 func (k *Link) Refuse() error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err := k.listener.Close(); err != nil {
+	listener, ok := k.listener.(*net.TCPListener)
+	if !ok {
+		return fmt.Errorf("a %T can't refuse connections", k.listener)
+	}
+	if err := errors.Join(stopListening(listener), listener.Close()); err != nil {
 		return err
 	}
-	reserved, err := reserve(k.listener.Addr().(*net.TCPAddr))
+	reserved, err := reserve(listener.Addr().(*net.TCPAddr))
 	k.reserved = reserved
 	return err
 }
@@ -92,6 +96,18 @@
 	return nil
 }
 
+// stopListening ends the listening of a socket in all processes that have it open, such as a child process that has been
+// forked and has not started its program yet.
+func stopListening(l *net.TCPListener) error {
+	conn, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = conn.Control(func(fd uintptr) { failed = unix.Shutdown(int(fd), unix.SHUT_RDWR) })
+	return errors.Join(err, os.NewSyscallError("shutdown", failed))
+}
+
 // reserve returns a socket that is bound to an IPv4 address and does not listen: connections to it are refused, and no
 // other socket can be bound to it.
 func reserve(address *net.TCPAddr) (*os.File, error) {
--- a/internal/loopback/link_test.go
+++ b/internal/loopback/link_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"os/exec"
+	"sync"
 	"testing"
 	"time"
 
@@ -159,3 +161,29 @@
 	_, _, open := k.ClientOf(target.Addr().String())
 	assert.Assert(t, !open)
 }
+
+// Guards against a listener that outlives Refuse in a child process that has been forked and has not started its program yet.
+func TestLinkRefusesWhileProcessesStart(t *testing.T) {
+	k := newLink(t)
+	defer k.Close()
+	stop := make(chan struct{})
+	var starters sync.WaitGroup
+	for range 4 {
+		starters.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_ = exec.Command("true").Run()
+				}
+			}
+		})
+	}
+	defer starters.Wait()
+	defer close(stop)
+	for range 200 {
+		assert.NilError(t, k.Refuse())
+		assert.NilError(t, k.Accept())
+	}
+}
