--- a/internal/fleetcontrol/orders_test.go
+++ b/internal/fleetcontrol/orders_test.go
@@ -195,6 +195,20 @@
 	return n
 }
 
+// restore ends the cut of an address for orders that are sent from now on.
+func (n *orderNetwork) restore(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.late, address)
+}
+
+// ordersSent returns the number of orders that leaders have sent.
+func (n *orderNetwork) ordersSent() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent
+}
+
 // target sets the target version of the model.
 func (n *orderNetwork) target(t *testing.T, version int64) {
 	n.log.mu.Lock()
@@ -238,9 +252,7 @@
 				})
 				a.setLeading(1, false)
 				stopA()
-				n.mu.Lock()
-				delete(n.late, "x:1")
-				n.mu.Unlock()
+				n.restore("x:1")
 				n.target(t, 3)
 				ended := time.Now()
 				_, _, stopB := n.leader(t, "b", 2)
@@ -263,10 +275,8 @@
 		n := newOrderNetwork(t)
 		n.late["x:1"] = 6 * time.Second
 		_, a, stopA := n.leader(t, "a", 1)
-		until(t, 10*time.Second, func() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.sent == 2 })
-		n.mu.Lock()
-		delete(n.late, "x:1")
-		n.mu.Unlock()
+		until(t, 10*time.Second, func() bool { return n.ordersSent() == 2 })
+		n.restore("x:1")
 		until(t, 10*time.Second, func() bool { return !n.first("a", "x:1").IsZero() })
 		time.Sleep(200 * time.Millisecond)
 		assert.Equal(t, len(n.log.machine.orderRecords()), 1)
@@ -289,9 +299,7 @@
 		until(t, 10*time.Second, func() bool { return len(n.log.machine.unansweredBefore(2)) > 0 })
 		a.setLeading(1, false)
 		stopA()
-		n.mu.Lock()
-		delete(n.late, "x:1")
-		n.mu.Unlock()
+		n.restore("x:1")
 		_, b, stopB := n.leader(t, "b", 2)
 		time.Sleep(3400 * time.Millisecond)
 		b.setLeading(2, false)
@@ -312,9 +320,7 @@
 		n.log.fail = true
 		_, _, stop := n.leader(t, "a", 1)
 		time.Sleep(3 * testOrderLease)
-		n.mu.Lock()
-		assert.Equal(t, n.sent, 0)
-		n.mu.Unlock()
+		assert.Equal(t, n.ordersSent(), 0)
 		n.log.mu.Lock()
 		n.log.fail = false
 		n.log.mu.Unlock()
@@ -336,7 +342,7 @@
 					n.late["x:1"] = 3 * time.Second
 				}
 				reconciler, _, stop := n.leader(t, "a", 1)
-				until(t, 10*time.Second, func() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.sent == 2 })
+				until(t, 10*time.Second, func() bool { return n.ordersSent() == 2 })
 				n.target(t, 3)
 				began := time.Now()
 				assert.NilError(t, reconciler.Drain(t.Context()))
@@ -349,9 +355,7 @@
 					assert.Assert(t, took <= n.answer+200*time.Millisecond, "%v", took)
 				}
 				time.Sleep(5 * time.Second)
-				n.mu.Lock()
-				assert.Equal(t, n.sent, 2, "an order was sent after the begin of the stop")
-				n.mu.Unlock()
+				assert.Equal(t, n.ordersSent(), 2, "an order was sent after the begin of the stop")
 				stop()
 			})
 		})
--- a/internal/forward/cut_head_test.go
+++ b/internal/forward/cut_head_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -15,19 +15,16 @@
 
 // cutHelper is a VM that answers each forwarded request with the same bytes and closes the connection. It returns its peer address.
 func cutHelper(t *testing.T, response string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
 			_, _ = io.WriteString(conn, response)
 			_ = conn.Close()
 		}
-	})}
-	go func() { _ = server.Serve(l) }() // ends with the listener
-	return peerOf(t, l.Addr().String())
+	}))
+	t.Cleanup(s.Close)
+	return peerOf(t, s.Listener.Addr().String())
 }
 
 // Another VM ends at any byte of its response. What it has written must not look like a whole response, and must not be taken for
