Soak: the kernel is asked once for the socket of a request

Cause: sender asked it once for each entry VM, for each request at a server.

Change: ownsConnection is split, and sender looks the socket up once, for all VMs. What it returns is as before.

--- a/internal/onplatform/isolation_test.go
+++ b/internal/onplatform/isolation_test.go
@@ -66,9 +66,11 @@
 // ownsConnection reports whether a process has the socket that connects two addresses.
 func ownsConnection(pid int, local, remote net.Addr) bool {
 	inode, err := socketInode(local.(*net.TCPAddr), remote.(*net.TCPAddr))
-	if err != nil {
-		return false
-	}
+	return err == nil && ownsSocket(pid, inode)
+}
+
+// ownsSocket reports whether a process has the socket with an inode.
+func ownsSocket(pid int, inode uint32) bool {
 	descriptors, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
 	for _, d := range descriptors {
 		if target, err := os.Readlink(d); err == nil && target == fmt.Sprintf("socket:[%d]", inode) {
--- a/internal/onplatform/soak_notices_test.go
+++ b/internal/onplatform/soak_notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -119,16 +120,15 @@
 	if !open {
 		return ""
 	}
-	pids := map[string]int{}
-	r.mu.Lock()
-	for _, name := range entryNames {
-		if command := r.commands[name]; command != nil {
-			pids[name] = command.Process.Pid
-		}
+	inode, err := socketInode(client.(*net.TCPAddr), accepted.(*net.TCPAddr))
+	if err != nil {
+		return ""
 	}
-	r.mu.Unlock()
-	for name, pid := range pids {
-		if ownsConnection(pid, client, accepted) {
+	for _, name := range entryNames {
+		r.mu.Lock()
+		command := r.commands[name]
+		r.mu.Unlock()
+		if command != nil && ownsSocket(command.Process.Pid, inode) {
 			return name
 		}
 	}
