--- a/internal/onplatform/process_test.go
+++ b/internal/onplatform/process_test.go
@@ -55,6 +55,8 @@
 	t                  testing.TB
 	slack              int                  // see newEmptyDeployment
 	memoryMB           int                  // memory limit of each daemon
+	controlMemoryMB    int                  // memory limit of each control daemon, or 0 for memoryMB
+	descriptors        int                  // descriptor limit of each daemon, or 0 for none in the settings
 	bounds             map[string]any       // of the settings, in addition to the usual ones
 	dir, addressPrefix string               // folder of settings and data; first three parts of the VMs' addresses
 	commands           map[string]*exec.Cmd // running daemons by name
@@ -91,7 +93,7 @@
 	settings := map[string]any{
 		"nodeName": name, "ip": d.ip(n), "zone": "a", "region": "r", "internalPorts": []int{peerPort, peerPort + 15},
 		"seeds": []string{d.address(1, operatorPort), d.address(2, operatorPort), d.address(3, operatorPort)}, "bootstrap": firstStart,
-		"limits": map[string]any{"memoryMb": d.memoryMB}, "cloudApi": map[string]any{"address": d.address(200, listPort), "ratePerS": 40, "maxLagMs": 100},
+		"limits": map[string]any{"memoryMb": d.memoryMB, "maxFds": d.descriptors}, "cloudApi": map[string]any{"address": d.address(200, listPort), "ratePerS": 40, "maxLagMs": 100},
 		"bounds": map[string]any{"graceS": graceS, "leaseMs": 1000, "retryBudgetRatio": 0.2, "retryBudgetExtra": 50, "budgetWindowS": 10,
 			"quotaOvershoot": 0.1, "quotaSlack": d.slack, "quotaWindowS": 8, "ttl_max_s": 5},
 		"listen": map[string]any{"control": d.address(n, operatorPort)},
@@ -99,6 +101,9 @@
 	maps.Copy(settings["bounds"].(map[string]any), d.bounds)
 	if strings.HasPrefix(name, "core") {
 		settings["dataDir"] = filepath.Join(d.dir, name)
+		if d.controlMemoryMB > 0 {
+			settings["limits"].(map[string]any)["memoryMb"] = d.controlMemoryMB
+		}
 	} else {
 		settings["listen"] = map[string]any{"front": d.address(n, clientPort), "readyAddr": d.address(n, readyPort), "directory": d.address(n, lookupPort)}
 	}
--- a/internal/onplatform/slow_readers_test.go
+++ b/internal/onplatform/slow_readers_test.go
@@ -18,26 +18,6 @@
 	"gotest.tools/v3/assert"
 )
 
-// processMemory returns the resident memory of a daemon and the greatest so far, in bytes.
-func (d *deployment) processMemory(name string) (now, most int64) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.commands[name].Process.Pid))
-	assert.NilError(d.t, err)
-	for line := range strings.Lines(string(text)) {
-		f := strings.Fields(line)
-		if len(f) < 2 {
-			continue
-		}
-		kb, _ := strconv.ParseInt(f[1], 10, 64) // only the lines below have numbers of kB that are used
-		switch f[0] {
-		case "VmRSS:":
-			now = kb << 10
-		case "VmHWM:":
-			most = kb << 10
-		}
-	}
-	return now, most
-}
-
 // queuedBytes returns the bytes that the operating system holds for a VM's connections with clients and
 // with the server: those that have arrived and are unread, and those that the other side has not received.
 func (d *deployment) queuedBytes(client, server string) int64 {
@@ -133,7 +113,7 @@
 		return status == http.StatusOK
 	})
 	d.eventually("the VM serves", func() bool { return d.share(11, 1) == 1 })
-	idle, _ := d.processMemory("entry-1")
+	idle := d.resources("entry-1").Resident
 
 	head := fmt.Sprintf("POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 30000\r\nContent-Length: %d\r\n", bodyBytes)
 	// The last byte of each body is sent when the VM holds all of them: a stream that has begun is stopped some seconds later, which
@@ -177,7 +157,7 @@
 		assert.Equal(t, d.share(11, 1), 1.0, "other requests are served")
 		slowest = max(slowest, time.Since(sent))
 		requests++
-		_, mostRSS = d.processMemory("entry-1")
+		mostRSS = d.resources("entry-1").MostResident
 		mostSockets = max(mostSockets, d.queuedBytes(d.address(11, clientPort), d.address(201, listPort)))
 		mostHeld, mostBuffered = max(mostHeld, d.metric(11, heldByRequests)), max(mostBuffered, d.metric(11, heldByResponses))
 		time.Sleep(100 * time.Millisecond)
--- a/internal/onplatform/soak_streams_test.go
+++ b/internal/onplatform/soak_streams_test.go
@@ -158,7 +158,7 @@
 		r.checkRecovers("the memory of slow readers is given back", func() bool {
 			return r.metric(entryHost(n), `eelgrass_memory_held_bytes{use="requests"}`)+r.metric(entryHost(n), `eelgrass_memory_held_bytes{use="responses"}`) == 0
 		})
-		_, most := r.processMemory(entryName(n))
+		most := r.resources(entryName(n)).MostResident
 		assert.Check(r.t, most < int64(r.memoryMB)<<20, "%s had %d bytes resident", entryName(n), most)
 		stopped += r.metric(entryHost(n), "eelgrass_gateway_slow_readers_total")
 	}
