connguard bounds what HTTP clients make a daemon hold

Callers saw: heads of many short fields, long lines or unfinished heads took an entry VM over its memory, so that it was killed with all its requests; silent connections took all descriptors; unfinished bodies kept all others from being served; a head within maxHeaderBytes whose fields have no space after the colon got 431.

Cause: net/http reads a whole head, of up to 1 MB, before the limit of the configuration is checked; a field takes a multiple of its bytes in memory, and nothing bounded the sum over connections. maxFds was read by nothing. A body held its announced length until its client's own deadline. The size of a head was computed from the parsed fields with a space for each.

Change: a guard under all HTTP listeners of a process. A meter follows the framing of each connection, counts a head as held in memory, refuses one over the limit in force with 431 while it arrives, and knows which part of a request is missing. All connections together have a bound in number, half of the descriptors beside those for files, and in bytes, a fifth of the memory limit. At a bound those are closed that serve nobody: without a whole request, then between two requests, then with an incomplete one, the one that has waited for longest first; never one whose request is being served. A closed connection's request has not run. Bodies count as they arrive, stalled ones are closed for others, the last tenth of the budget is kept for requests that begin. Receive buffers are bounded, responses on short listeners end in 10 s, at most 4 responses with metrics are written at a time. Closes are counted by listener and reason and logged once a second each.

The timeouts in force move here from internal/liveness, with their tests.

--- a/internal/liveness/readtimeouts_test.go
+++ b/internal/connguard/timeouts_test.go
@@ -1,4 +1,4 @@
-package liveness
+package connguard
 
 import (
 	"bufio"
@@ -33,13 +33,15 @@
 
 // startServer serves with http.Server timeouts of one minute and the given timeouts in
 // force.
-func startServer(t *testing.T, timeouts *atomic.Pointer[ReadTimeouts]) pipeListener {
+func startServer(t *testing.T, timeouts *atomic.Pointer[HTTPLimits]) pipeListener {
 	l := make(pipeListener)
 	server := &http.Server{
 		ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }),
 	}
-	go func() { _ = server.Serve(WithReadTimeouts(server, l, func() ReadTimeouts { return *timeouts.Load() })) }()
+	go func() {
+		_ = server.Serve(testGuard(Bounds{Connections: 100, Bytes: unlimitedBytes}).HTTP(server, l, HTTPOptions{Name: "test", Limits: func() HTTPLimits { return *timeouts.Load() }}))
+	}()
 	t.Cleanup(func() { assert.NilError(t, server.Close()) })
 	return l
 }
@@ -79,19 +81,19 @@
 func TestReadTimeoutsInForceApply(t *testing.T) {
 	for _, c := range []struct {
 		name     string
-		timeouts ReadTimeouts
+		timeouts HTTPLimits
 		send     string
 		closed   bool
 	}{
-		{"header too slow", ReadTimeouts{Header: shortTimeout, Idle: longTimeout}, "POST / HTTP/1.1\r\nHos", true},
-		{"header within the timeout", ReadTimeouts{Header: longTimeout, Idle: longTimeout}, "POST / HTTP/1.1\r\nHos", false},
-		{"idle for too long", ReadTimeouts{Header: longTimeout, Idle: shortTimeout}, request, true},
-		{"idle within the timeout", ReadTimeouts{Header: shortTimeout, Idle: longTimeout}, request, false},
-		{"no timeout: the server's own applies", ReadTimeouts{}, request, false},
-		{"a slow body is not a slow header", ReadTimeouts{Header: shortTimeout, Idle: shortTimeout}, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nok", false},
+		{"header too slow", HTTPLimits{HeadTime: shortTimeout, IdleTime: longTimeout}, "POST / HTTP/1.1\r\nHos", true},
+		{"header within the timeout", HTTPLimits{HeadTime: longTimeout, IdleTime: longTimeout}, "POST / HTTP/1.1\r\nHos", false},
+		{"idle for too long", HTTPLimits{HeadTime: longTimeout, IdleTime: shortTimeout}, request, true},
+		{"idle within the timeout", HTTPLimits{HeadTime: shortTimeout, IdleTime: longTimeout}, request, false},
+		{"no timeout: the default applies", HTTPLimits{}, request, false},
+		{"a slow body is not a slow header", HTTPLimits{HeadTime: shortTimeout, IdleTime: shortTimeout}, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nok", false},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			timeouts := &atomic.Pointer[ReadTimeouts]{}
+			timeouts := &atomic.Pointer[HTTPLimits]{}
 			timeouts.Store(&c.timeouts)
 			assert.Equal(t, closedWithin(t, dial(t, startServer(t, timeouts), c.send), 4*shortTimeout), c.closed, c.name)
 		})
@@ -105,14 +107,14 @@
 }
 
 func checkChangedTimeouts(t *testing.T) {
-	timeouts := &atomic.Pointer[ReadTimeouts]{}
-	timeouts.Store(&ReadTimeouts{Idle: longTimeout})
+	timeouts := &atomic.Pointer[HTTPLimits]{}
+	timeouts.Store(&HTTPLimits{IdleTime: longTimeout})
 	c := dial(t, startServer(t, timeouts), request)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.Assert(t, !closedWithin(t, c, 2*shortTimeout))
-	timeouts.Store(&ReadTimeouts{Idle: shortTimeout})
+	timeouts.Store(&HTTPLimits{IdleTime: shortTimeout})
 	_, err = io.WriteString(c, request)
 	assert.NilError(t, err)
 	assert.Assert(t, closedWithin(t, c, longTimeout))
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -259,7 +259,7 @@
 		Fleet: singleVMFleet{watch.VM{Name: "e1", Address: "127.0.0.1:7001", FailureDomain: "a"}},
 	})
 	b.server = httptest.NewUnstartedServer(nil)
-	l, err := liveness.Listen(t.Context(), "127.0.0.1:0", entrySettings.AckTimeout, int(entrySettings.SendBuffer))
+	l, err := liveness.Listen(t.Context(), "127.0.0.1:0", entrySettings.AckTimeout, int(entrySettings.SendBuffer), int(entrySettings.SendBuffer))
 	assert.NilError(t, err)
 	assert.NilError(t, b.server.Listener.Close())
 	b.server.Listener = l
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -77,7 +77,7 @@
 // Start opens the listener and serves requests in the background.
 func (m *Module) Start(ctx context.Context) error {
 	s := m.config.Settings
-	l, err := liveness.Listen(ctx, m.config.Self.Address, s.AckTimeout, int(s.SendBuffer))
+	l, err := liveness.Listen(ctx, m.config.Self.Address, s.AckTimeout, int(s.SendBuffer), int(s.SendBuffer))
 	if err != nil {
 		return err
 	}
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -1,7 +1,6 @@
 // Package liveness opens TCP connections that the operating system aborts when the
 // peer stops acknowledging, so that a connection whose state a device on the path has
-// lost ends within a known time. It also bounds how long clients may take to send a
-// request's header.
+// lost ends within a known time.
 package liveness
 
 import (
@@ -53,13 +52,15 @@
 
 // Listen listens on address. Accepted connections are aborted when the peer
 // acknowledges nothing for ackTimeout, and buffer at most sendBuffer bytes (as the
-// operating system counts them) that the peer has not received. Without that limit the
-// system would buffer megabytes for a peer that reads nothing, and the server would not
-// detect that peer.
-func Listen(ctx context.Context, address string, ackTimeout time.Duration, sendBuffer int) (net.Listener, error) {
+// operating system counts them) that the peer has not received, and receiveBuffer
+// bytes that have arrived and have not been read. Without these limits the system would
+// buffer megabytes for a peer that reads nothing, and the server would not detect that
+// peer, or megabytes of a peer that sends more than the server reads.
+func Listen(ctx context.Context, address string, ackTimeout time.Duration, sendBuffer, receiveBuffer int) (net.Listener, error) {
 	setTimeout := setUserTimeout(ackTimeout)
 	config := net.ListenConfig{KeepAliveConfig: keepAlive(ackTimeout), Control: func(network, address string, c syscall.RawConn) error {
-		return errors.CombineErrors(setTimeout(network, address, c), setOption(c, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer))
+		err := errors.CombineErrors(setTimeout(network, address, c), setOption(c, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer))
+		return errors.CombineErrors(err, setOption(c, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer))
 	}}
 	l, err := config.Listen(ctx, "tcp", address)
 	return l, errors.Wrapf(err, "listen on %s", address)
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -5,7 +5,9 @@
 package membudget
 
 import (
+	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -30,6 +32,12 @@
 	maxSocketBytes = 64 << 10
 	// unlimitedBytes is the budget of a process without a memory limit.
 	unlimitedBytes = 256 << 20
+	// partShare is the share of a budget that parts of requests may take. The rest is kept for requests that begin.
+	partShare = 0.9
+	// reclaimAttempts and reclaimPause are how often memory is reclaimed for a request that finds none, and the time for
+	// its holder to give it back.
+	reclaimAttempts = 10
+	reclaimPause    = 5 * time.Millisecond
 	// RequestBytes is what a request holds apart from its body: goroutines, buffers of both
 	// connections, and the first part of a response.
 	RequestBytes = 96 << 10
@@ -60,6 +68,8 @@
 	limit   int64
 	held    atomic.Int64
 	refused prometheus.Counter
+	// reclaim makes a holder give back its bytes soon and reports whether there was one.
+	reclaim func() bool
 }
 
 // New returns a budget of limit bytes. use is the label of its metrics.
@@ -70,16 +80,65 @@
 	})}
 }
 
+// ReclaimWith sets what Acquire calls when no bytes are left: reclaim makes a holder give back its bytes soon and
+// reports whether there was one. It must be called before the budget is used.
+func (b *Budget) ReclaimWith(reclaim func() bool) { b.reclaim = reclaim }
+
 // TryAcquire takes n bytes and reports whether they were left.
 func (b *Budget) TryAcquire(n int64) bool {
-	if b.held.Add(n) > b.limit {
+	if b.tryAcquire(n, b.limit) {
+		return true
+	}
+	b.refused.Inc()
+	return false
+}
+
+func (b *Budget) tryAcquire(n, limit int64) bool {
+	if b.held.Add(n) > limit {
 		b.held.Add(-n)
-		b.refused.Inc()
 		return false
 	}
 	return true
 }
 
+// Acquire takes n bytes and reports whether they were left, or were given back within some milliseconds.
+func (b *Budget) Acquire(ctx context.Context, n int64) bool {
+	return b.reclaimUntil(ctx, func() bool { return b.tryAcquire(n, b.limit) })
+}
+
+// acquirePart is Acquire for a part of a request that has begun. It leaves bytes for other requests.
+func (b *Budget) acquirePart(ctx context.Context, n int64) bool {
+	return b.reclaimUntil(ctx, func() bool { return b.tryAcquire(n, b.partLimit()) })
+}
+
+// fits reports whether n bytes are left for parts of a request, or were given back within some milliseconds.
+func (b *Budget) fits(ctx context.Context, n int64) bool {
+	return b.reclaimUntil(ctx, func() bool { return b.held.Load()+n <= b.partLimit() })
+}
+
+func (b *Budget) partLimit() int64 { return int64(partShare * float64(b.limit)) }
+
+// reclaimUntil reclaims memory until the condition holds, and reports whether it does.
+func (b *Budget) reclaimUntil(ctx context.Context, condition func() bool) bool {
+	if condition() {
+		return true
+	}
+	for range reclaimAttempts {
+		if b.reclaim == nil || !b.reclaim() {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(reclaimPause):
+		}
+		if condition() {
+			return true
+		}
+	}
+	b.refused.Inc()
+	return false
+}
+
 // Release gives n bytes back.
 func (b *Budget) Release(n int64) { b.held.Add(-n) }
 
--- a/internal/onplatform/common.go
+++ b/internal/onplatform/common.go
@@ -7,10 +7,10 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
+	"eelgrasshollow/internal/connguard"
 	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/logging"
@@ -25,9 +25,6 @@
 )
 
 const (
-	// memoryLimitShare is the share of the VM's memory limit that is set as the limit of the
-	// Go runtime. The rest is for memory that the runtime does not count.
-	memoryLimitShare = 0.75
 	// settingsPollInterval is the time between checks of the settings file, which may change
 	// without a signal.
 	settingsPollInterval = 2 * time.Second
@@ -35,10 +32,12 @@
 	ackTimeout = 10 * time.Second
 	// logFlushTimeout limits the time to write the last log lines.
 	logFlushTimeout = 300 * time.Millisecond
-	// headerTimeout limits the time to read a request's headers, and idleTimeout that of an
-	// idle connection, unless the configuration in force sets limits.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
+	// writeTimeout limits the time from a request to the end of its response on listeners whose responses are short. Calls of
+	// operators wait for agreement, and their documents have megabytes.
+	writeTimeout         = 10 * time.Second
+	operatorWriteTimeout = time.Minute
+	// maxMetricsRequests limits the responses with metrics that are written at a time. Each is held in memory.
+	maxMetricsRequests = 4
 )
 
 // process is the state that all daemons have in common.
@@ -49,6 +48,8 @@
 	registry     *prometheus.Registry
 	settingsPath string
 	hangups      chan os.Signal
+	// guard bounds the connections of all listeners.
+	guard *connguard.Guard
 }
 
 // newProcess loads the settings, sets up logging and metrics, and logs the start. daemon is the
@@ -62,15 +63,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
-	}
+	membudget.LimitRuntime(s.MemoryBytes)
 	logOutput := logging.NewBoundedWriter(os.Stdout)
 	log, err := logging.NewWithOutput(logging.Settings{Level: "info"}, daemon, s.VM, logOutput)
 	if err != nil {
 		return nil, err
 	}
-	p := &process{settings: s, log: log, logOutput: logOutput, registry: prometheus.NewRegistry(), settingsPath: path, hangups: hangups}
+	p := &process{
+		settings: s, log: log, logOutput: logOutput, registry: prometheus.NewRegistry(), settingsPath: path, hangups: hangups,
+		guard: connguard.New(connguard.BoundsFor(s.MemoryBytes, s.Descriptors), log.Named("connections")),
+	}
+	p.registry.MustRegister(p.guard.Collectors()...)
 	p.registry.MustRegister(collectors.NewGoCollector(), prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "eelgrass_log_lines_dropped_total", Help: "Log lines that found no room.",
 	}, func() float64 { return float64(logOutput.Dropped()) }))
@@ -135,19 +138,23 @@
 	return fileStamp{info.ModTime(), info.Size()}
 }
 
-// listenAndServe listens and serves in the background. readTimeouts returns the time limits in
-// force for clients; with nil, headerTimeout and idleTimeout apply.
-func (p *process) listenAndServe(ctx context.Context, name, address string, handler http.Handler, readTimeouts func() liveness.ReadTimeouts) (*http.Server, error) {
-	listener, err := liveness.Listen(ctx, address, ackTimeout, membudget.LimitsFor(p.settings.MemoryBytes).SocketBuffer)
+// listenerOptions are the limits of a listener. Zero values mean no limit of its own.
+type listenerOptions struct {
+	// limits returns those in force for clients.
+	limits func() connguard.HTTPLimits
+	// writeTimeout limits the time from a request to the end of its response.
+	writeTimeout time.Duration
+}
+
+// listenAndServe listens and serves in the background.
+func (p *process) listenAndServe(ctx context.Context, name, address string, handler http.Handler, o listenerOptions) (*http.Server, error) {
+	buffer := membudget.LimitsFor(p.settings.MemoryBytes).SocketBuffer
+	listener, err := liveness.Listen(ctx, address, ackTimeout, buffer, buffer)
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: zap.NewStdLog(p.log.Named("http")),
-	}
-	if readTimeouts != nil {
-		listener = liveness.WithReadTimeouts(server, listener, readTimeouts)
-	}
+	server := &http.Server{Handler: handler, WriteTimeout: o.writeTimeout, ErrorLog: zap.NewStdLog(p.log.Named("http"))}
+	listener = p.guard.HTTP(server, listener, connguard.HTTPOptions{Name: name, Limits: o.limits})
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.log.Error("listener ended", zap.String("door", name), zap.Error(err))
@@ -164,8 +171,8 @@
 	host, _, err := net.SplitHostPort(p.settings.PeerAddress)
 	if err == nil {
 		mux := http.NewServeMux()
-		mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
-		_, err = p.listenAndServe(ctx, "metrics", net.JoinHostPort(host, port), mux, nil)
+		mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
+		_, err = p.listenAndServe(ctx, "metrics", net.JoinHostPort(host, port), mux, listenerOptions{writeTimeout: writeTimeout})
 	}
 	if err != nil {
 		p.log.Error("metrics are not served", zap.Error(err))
--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -134,7 +134,7 @@
 	})
 	k.Register(fleetcontrol.ModuleName, fleet, consensus.ModuleName)
 	k.Register("control.operator", &listenerModule{process: p, name: "operators", address: s.OperatorAddress,
-		handler: func() http.Handler { return p.operatorHandler(fleet, operators) }}, fleetcontrol.ModuleName)
+		handler: func() http.Handler { return p.operatorHandler(fleet, operators) }, options: listenerOptions{writeTimeout: operatorWriteTimeout}}, fleetcontrol.ModuleName)
 	k.Register("control.metrics", &metricsModule{registry: p.registry}, consensus.ModuleName, fleetcontrol.ModuleName, grants.OwnerName)
 	go p.watchSettings(ctx, func(s *platform.Settings) { groupModule.AddPeers(s.Seeds) })
 	err = k.Run(ctx, controlStopTimeout)
@@ -152,12 +152,14 @@
 // operatorHandler serves the platform's calls and, if operators have tokens, those of eelctl for rollouts and dry runs.
 func (p *process) operatorHandler(fleet *fleetcontrol.Module, operators *control.OperatorTokens) http.Handler {
 	documents := membudget.New(membudget.LimitsFor(p.settings.MemoryBytes).Requests, "documents")
+	documents.ReclaimWith(p.guard.CloseIncomplete)
 	if operators == nil {
 		return platform.OperatorHandler(fleet, documents)
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", platform.OperatorHandler(fleet, documents))
-	mux.Handle(control.PlatformHandler(fleet, fleet.EntryVMs, fleet, operators, p.log.Named("operator")))
+	path, calls := control.PlatformHandler(fleet, fleet.EntryVMs, fleet, operators, p.log.Named("operator"))
+	mux.Handle(path, membudget.BoundRequests(documents, platform.DocumentCost, calls))
 	return mux
 }
 
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"eelgrasshollow/internal/clock"
+	"eelgrasshollow/internal/connguard"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/fleet"
 	"eelgrasshollow/internal/fleetview"
@@ -16,7 +17,6 @@
 	"eelgrasshollow/internal/gateway"
 	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/kernel"
-	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/lookup"
 	"eelgrasshollow/internal/membership"
 	"eelgrasshollow/internal/membudget"
@@ -111,6 +111,7 @@
 	bounds := membudget.LimitsFor(s.MemoryBytes)
 	requestMemory, responseMemory := membudget.New(bounds.Requests, "requests"), membudget.New(bounds.Responses, "responses")
 	e.registry.MustRegister(append(requestMemory.Collectors(), responseMemory.Collectors()...)...)
+	requestMemory.ReclaimWith(e.guard.CloseIncomplete)
 	releases := newReleaseTraffic(s.Bounds.Rollouts)
 	if releases != nil {
 		e.registry.MustRegister(releases.Collector())
@@ -156,16 +157,17 @@
 	k.Register("entry.dryrun", dryRunModule{core}, peer.ServerName, routing.ModuleName, reach.ModuleName, "entry.grants")
 	front := platform.NewRequestHandler(core.Serve, e.limits, e.leaving.Load, requestMemory, e.log.Named("front"))
 	k.Register("entry.http", &listenerModule{process: e.process, name: "callers", address: s.ClientAddress,
-		handler: func() http.Handler { return front }, readTimeouts: e.readTimeouts, drain: e.drain}, routing.ModuleName, reach.ModuleName, "entry.grants")
+		handler: func() http.Handler { return front }, options: listenerOptions{limits: e.connectionLimits}, drain: e.drain}, routing.ModuleName, reach.ModuleName, "entry.grants")
+	short := listenerOptions{limits: e.connectionLimits, writeTimeout: writeTimeout}
 	k.Register("entry.ready", &listenerModule{process: e.process, name: "ready", address: s.ReadyAddress,
-		handler: func() http.Handler { return platform.ReadyHandler(e.checkReady) }}, "entry.http")
+		handler: func() http.Handler { return platform.ReadyHandler(e.checkReady) }, options: short}, "entry.http")
 	if s.LookupAddress != "" {
 		ttl := lookupTTL
 		if s.Bounds.MaxLookupTTL > 0 {
 			ttl = min(ttl, s.Bounds.MaxLookupTTL)
 		}
 		k.Register("entry.lookup", &listenerModule{process: e.process, name: "lookup", address: s.LookupAddress,
-			handler: func() http.Handler { return platform.LookupHandler(e.lookupAddresses, ttl) }}, fleetview.ModuleName)
+			handler: func() http.Handler { return platform.LookupHandler(e.lookupAddresses, ttl) }, options: short}, fleetview.ModuleName)
 	}
 }
 
@@ -214,10 +216,18 @@
 	return fleet.Limits{}
 }
 
-// readTimeouts returns the limits that apply to reading from connections.
-func (e *entry) readTimeouts() liveness.ReadTimeouts {
-	l := e.limits()
-	return liveness.ReadTimeouts{Header: l.HeaderTimeout, Idle: l.IdleTimeout}
+// connectionLimits returns the limits of the configuration in force for connections of clients. Without a configuration, the
+// defaults apply.
+func (e *entry) connectionLimits() connguard.HTTPLimits {
+	c := e.view.View().Config
+	if c == nil {
+		return connguard.HTTPLimits{}
+	}
+	l := connguard.HTTPLimits{HeadBytes: int64(c.Limits.MaxHeaderBytes), HeadTime: c.Limits.HeaderTimeout, IdleTime: c.Limits.IdleTimeout}
+	if l.HeadBytes == 0 {
+		l.HeadBytes = http.DefaultMaxHeaderBytes // the configuration sets no limit
+	}
+	return l
 }
 
 // checkReady returns nil if this VM can serve clients, otherwise the reason why not.
--- a/internal/onplatform/listener.go
+++ b/internal/onplatform/listener.go
@@ -5,7 +5,6 @@
 	"net/http"
 
 	"eelgrasshollow/internal/kernel"
-	"eelgrasshollow/internal/liveness"
 )
 
 // listenerModule runs one HTTP listener as a kernel module.
@@ -15,9 +14,7 @@
 	address string
 	// handler returns the handler. It is called after the modules that it needs are provisioned.
 	handler func() http.Handler
-	// readTimeouts, if set, returns the time limits for clients that apply instead of
-	// headerTimeout and idleTimeout.
-	readTimeouts func() liveness.ReadTimeouts
+	options listenerOptions
 	// drain, if set, runs before any module is stopped.
 	drain  func(ctx context.Context)
 	server *http.Server
@@ -29,7 +26,7 @@
 // Start implements kernel.Module.
 func (m *listenerModule) Start(ctx context.Context) error {
 	var err error
-	m.server, err = m.process.listenAndServe(ctx, m.name, m.address, m.handler(), m.readTimeouts)
+	m.server, err = m.process.listenAndServe(ctx, m.name, m.address, m.handler(), m.options)
 	return err
 }
 
