Daemons with settings of their own bound their clients too

Operators' messages of up to 32 MB were read, and decompressed, before the operator's token was checked.

Cause: these daemons had no limit of memory or descriptors at all, and no bound on what requests hold together. net/http allows 250 streams a connection, each with a head in memory that its bytes don't tell.

Change: [node] has memory and descriptors, by default all of the VM and as many as the system allows; [entry] has receive_buffer. The guard is under the listeners for callers, operators and metrics. TLS is done above the guard's record of a connection and below its meter, so that the framing is read without encryption; the first read does the handshake within the time for a head. HTTP/2 connections count with their receive buffer, of 128 kB, streams (100) with their heads as parsed, and a connection whose streams all wait for a body may be closed for others. Requests hold memory as on the platform; a request for which there is none is refused as not run.

--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"eelgrasshollow/gen/eelgrass/v1/eelgrassv1connect"
+	"eelgrasshollow/internal/connguard"
 	"eelgrasshollow/internal/consensus"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/peer"
 	"eelgrasshollow/internal/state"
 	"eelgrasshollow/internal/watch"
@@ -24,17 +26,25 @@
 const ModuleName = "control.operator"
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxMessageBytes   = 32 << 20
+	idleTimeout     = 2 * time.Minute
+	maxMessageBytes = 32 << 20
+	// messageCost is the memory of a message that is being executed, in sizes of its encoded form.
+	messageCost = 3
 )
 
+// Bounds limit what operators make the process hold.
+type Bounds struct {
+	Guard  *connguard.Guard  // connections
+	Memory *membudget.Budget // requests
+}
+
 // Module serves the operator API over HTTP.
 type Module struct {
 	address   string
 	tlsConfig *tls.Config
 	operators *OperatorTokens
 	keys      keys.Deriver
+	bounds    Bounds
 	log       *zap.Logger
 	server    *http.Server
 	listener  net.Listener
@@ -42,8 +52,8 @@
 
 // NewModule returns a module that serves operators at address. tlsConfig is nil for plain
 // HTTP.
-func NewModule(address string, tlsConfig *tls.Config, operators *OperatorTokens, deriver keys.Deriver, log *zap.Logger) *Module {
-	return &Module{address: address, tlsConfig: tlsConfig, operators: operators, keys: deriver, log: log}
+func NewModule(address string, tlsConfig *tls.Config, operators *OperatorTokens, deriver keys.Deriver, bounds Bounds, log *zap.Logger) *Module {
+	return &Module{address: address, tlsConfig: tlsConfig, operators: operators, keys: deriver, bounds: bounds, log: log}
 }
 
 // Provision builds the HTTP handler and registers the net/rpc receiver that followers
@@ -62,15 +72,19 @@
 		return err
 	}
 	service := NewService(replica, machine.Machine, w.Server, pool, m.keys, m.log)
-	m.server = &http.Server{Handler: Handler(service, m.operators, replica.Health), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	handler := membudget.BoundRequests(m.bounds.Memory, messageCost, Handler(service, m.operators, replica.Health))
+	m.server = &http.Server{Handler: handler, IdleTimeout: idleTimeout}
 	return server.Register(ServiceName, service.leader.local)
 }
 
+// uncompressed refuses compressed messages, whose size in memory their body does not tell.
+var uncompressed = connect.WithCompression("gzip", nil, nil)
+
 // Handler returns an HTTP handler that serves the operator API with authentication and
 // /healthz without.
 func Handler(service *Service, operators *OperatorTokens, health func() error) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(eelgrassv1connect.NewOperatorHandler(service, connect.WithInterceptors(authenticate(operators)), connect.WithReadMaxBytes(maxMessageBytes)))
+	mux.Handle(eelgrassv1connect.NewOperatorHandler(service, connect.WithInterceptors(authenticate(operators)), connect.WithReadMaxBytes(maxMessageBytes), uncompressed))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		if err := health(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -88,10 +102,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	if m.tlsConfig != nil {
-		l = tls.NewListener(l, m.tlsConfig)
-	}
 	m.listener = l
+	l = m.bounds.Guard.HTTP(m.server, l, connguard.HTTPOptions{
+		Name: "operators", TLS: m.tlsConfig, Limits: func() connguard.HTTPLimits { return connguard.HTTPLimits{IdleTime: idleTimeout} },
+	})
 	go func() {
 		if err := m.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			m.log.Error("operator API server stopped unexpectedly", zap.Error(err))
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -45,7 +45,7 @@
 func PlatformHandler(api RolloutAPI, vms EntryVMs, peers dryrun.Caller, operators *OperatorTokens, log *zap.Logger) (path string, handler http.Handler) {
 	service := &platformService{rolloutCalls: rolloutCalls{api: api, log: log}, explainCalls: explainCalls{vms: vms, peers: peers, log: log}}
 	return eelgrassv1connect.NewOperatorHandler(service,
-		connect.WithInterceptors(authenticate(operators)), connect.WithReadMaxBytes(maxMessageBytes))
+		connect.WithInterceptors(authenticate(operators)), connect.WithReadMaxBytes(maxMessageBytes), uncompressed)
 }
 
 // check returns an error if rollouts are not available here or the service has no name.
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"eelgrasshollow/internal/clock"
+	"eelgrasshollow/internal/connguard"
 	"eelgrasshollow/internal/consensus"
 	"eelgrasshollow/internal/control"
 	"eelgrasshollow/internal/grants"
@@ -14,6 +15,7 @@
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/keys"
 	"eelgrasshollow/internal/logging"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/peer"
 	"eelgrasshollow/internal/placement"
 	"eelgrasshollow/internal/state"
@@ -36,6 +38,8 @@
 	mux      *statemachine.Mux
 	machine  *state.Machine
 	onFatal  func(error) // called when the replica can't continue
+	guard    *connguard.Guard
+	memory   *membudget.Budget // of operators' requests
 }
 
 // Run runs a control replica until ctx ends or a fatal error occurs, which it returns.
@@ -61,6 +65,7 @@
 // the error when the replica can't continue.
 func Build(s *Settings, log *zap.Logger, onFatal func(error)) (*kernel.Kernel, error) {
 	b := &builder{settings: s, log: log, kernel: kernel.New(log), mux: statemachine.NewMux(), onFatal: onFatal}
+	b.addBounds()
 	if err := b.addPeers(); err != nil {
 		return nil, err
 	}
@@ -73,6 +78,15 @@
 	return b.kernel, nil
 }
 
+// addBounds creates the bounds of what peers and operators make the daemon hold.
+func (b *builder) addBounds() {
+	memoryBytes := membudget.ProcessBytes(int64(b.settings.Node.Memory))
+	membudget.LimitRuntime(memoryBytes)
+	b.guard = connguard.New(connguard.BoundsFor(memoryBytes, b.settings.Node.Descriptors), b.log.Named("connections"))
+	b.memory = membudget.New(membudget.LimitsFor(memoryBytes).Requests, "operators")
+	b.memory.ReclaimWith(b.guard.CloseIncomplete)
+}
+
 // addPeers registers the server and the connection pool for peers.
 func (b *builder) addPeers() error {
 	var serverTLS, clientTLS *tls.Config
@@ -125,7 +139,7 @@
 		}
 		tlsConfig = files.Server()
 	}
-	b.kernel.Register(control.ModuleName, control.NewModule(b.settings.Node.OperatorAddress, tlsConfig, operators, deriver, b.log.Named("operator")), watch.ModuleName)
+	b.kernel.Register(control.ModuleName, control.NewModule(b.settings.Node.OperatorAddress, tlsConfig, operators, deriver, control.Bounds{Guard: b.guard, Memory: b.memory}, b.log.Named("operator")), watch.ModuleName)
 	if c := b.settings.Control; c.PlatformAddress != "" {
 		b.kernel.Register(control.PlatformName, control.NewPlatformModule(c.PlatformAddress, c.PlatformPollInterval, b.log.Named("platform")), watch.ModuleName)
 	}
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"time"
 
+	"eelgrasshollow/internal/connguard"
 	"eelgrasshollow/internal/consensus"
 	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/state"
 
 	"github.com/cockroachdb/errors"
@@ -20,13 +22,18 @@
 )
 
 const (
-	metricsName       = "control.metrics"
-	readHeaderTimeout = 5 * time.Second
+	metricsName = "control.metrics"
+	// writeTimeout limits the time from a request to the end of its response.
+	writeTimeout = 10 * time.Second
+	// maxMetricsRequests limits the responses that are written at a time. Each is held in memory.
+	maxMetricsRequests = 4
 )
 
 // metricsModule serves the replica's metrics over HTTP.
 type metricsModule struct {
 	address string
+	guard   *connguard.Guard
+	memory  *membudget.Budget
 	log     *zap.Logger
 	server  *http.Server
 }
@@ -34,7 +41,7 @@
 // addMetrics registers the metrics module if an address is configured.
 func (b *builder) addMetrics() {
 	if address := b.settings.Node.MetricsAddress; address != "" {
-		b.kernel.Register(metricsName, &metricsModule{address: address, log: b.log}, consensus.ModuleName)
+		b.kernel.Register(metricsName, &metricsModule{address: address, guard: b.guard, memory: b.memory, log: b.log}, consensus.ModuleName)
 	}
 }
 
@@ -57,6 +64,7 @@
 		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "eelgrass", Subsystem: "control", Name: name, Help: help}, value))
 	}
 	reg.MustRegister(consensusModule.Collectors()...)
+	reg.MustRegister(append(m.guard.Collectors(), m.memory.Collectors()...)...)
 	gauge("revision", "Revision of the configuration.", func() float64 { return float64(stateModule.Revision()) })
 	gauge("journal_records", "Requests with a record in the journal.", func() float64 { return float64(journalOwner.Stats().Records) })
 	gauge("journal_claims", "Records whose request is claimed and not settled.", func() float64 { return float64(journalOwner.Stats().Claims) })
@@ -64,8 +72,8 @@
 	gauge("journal_answer_bytes", "Bytes of stored answers.", func() float64 { return float64(journalOwner.Stats().AnswerBytes) })
 	gauge("grant_accounts", "Client accounts whose grants this replica owns.", func() float64 { return float64(grantOwner.Accounts()) })
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
-	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
+	m.server = &http.Server{Handler: mux, WriteTimeout: writeTimeout}
 	return nil
 }
 
@@ -76,6 +84,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
+	l = m.guard.HTTP(m.server, l, connguard.HTTPOptions{Name: "metrics"})
 	go func() {
 		if err := m.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			m.log.Error("metrics server stopped unexpectedly", zap.Error(err))
--- a/internal/controld/settings.go
+++ b/internal/controld/settings.go
@@ -34,6 +34,9 @@
 	PeerAddress     string `ini:"peer_address" doc:"IP address and port for the system's other processes."`
 	OperatorAddress string `ini:"operator_address" doc:"IP address and port for operators."`
 	MetricsAddress  string `ini:"metrics_address" default:"" doc:"IP address and port of the metrics; empty serves none."`
+
+	Memory      settings.Bytes `ini:"memory" default:"0 B" doc:"Memory that the daemon may use; 0: all of the VM."`
+	Descriptors int            `ini:"descriptors" default:"0" min:"0" doc:"Descriptors that the daemon may open; 0: as many as the system allows."`
 }
 
 // Control is the [control] section.
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -19,6 +19,7 @@
 	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/keys"
 	"eelgrasshollow/internal/liveness"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/settings"
 	"eelgrasshollow/internal/standin"
@@ -256,10 +257,10 @@
 	b.front = NewFront(entrySettings, Deps{
 		Directory: b.directory, Limiter: b.limiter, Journal: b.journal, Router: b.router,
 		Engine: engine.New(engineSettings, nil, zap.New(core)), Hasher: hasher, Log: zap.New(core),
-		Fleet: singleVMFleet{watch.VM{Name: "e1", Address: "127.0.0.1:7001", FailureDomain: "a"}},
+		Fleet: singleVMFleet{watch.VM{Name: "e1", Address: "127.0.0.1:7001", FailureDomain: "a"}}, Memory: membudget.New(membudget.LimitsFor(0).Requests, "requests"),
 	})
 	b.server = httptest.NewUnstartedServer(nil)
-	l, err := liveness.Listen(t.Context(), "127.0.0.1:0", entrySettings.AckTimeout, int(entrySettings.SendBuffer), int(entrySettings.SendBuffer))
+	l, err := liveness.Listen(t.Context(), "127.0.0.1:0", entrySettings.AckTimeout, int(entrySettings.SendBuffer), 64<<10)
 	assert.NilError(t, err)
 	assert.NilError(t, b.server.Listener.Close())
 	b.server.Listener = l
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -24,6 +24,7 @@
 	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/watch"
 
@@ -43,6 +44,9 @@
 	HeaderAccount = "Eelgrass-Account"
 )
 
+// maxMetricsRequests limits the responses with metrics that are written at a time. Each is held in memory.
+const maxMetricsRequests = 4
+
 // Deps holds the dependencies of a Front.
 type Deps struct {
 	Directory watch.Directory
@@ -53,6 +57,8 @@
 	Hasher    keys.Hasher
 	Fleet     watch.Fleet
 	Log       *zap.Logger
+	// Memory bounds what requests hold.
+	Memory *membudget.Budget
 }
 
 // Front is the HTTP front end for clients.
@@ -66,6 +72,7 @@
 	hasher    keys.Hasher
 	fleet     watch.Fleet
 	log       *zap.Logger
+	memory    *membudget.Budget
 	metrics   *metrics
 	budget    *budget.Budget
 	open      *openRequests
@@ -80,7 +87,7 @@
 	ending, end := context.WithCancel(context.Background())
 	return &Front{
 		ending: ending, end: end, settings: s, directory: d.Directory, limiter: d.Limiter, journal: d.Journal, router: d.Router,
-		engine: d.Engine, hasher: d.Hasher, fleet: d.Fleet, log: d.Log,
+		engine: d.Engine, hasher: d.Hasher, fleet: d.Fleet, log: d.Log, memory: d.Memory,
 		metrics: newMetrics(), budget: budget.New(s.RetryShare, s.RetryBurst), open: newOpenRequests(), tokens: newTokenCounter(),
 	}
 }
@@ -88,7 +95,7 @@
 // Handler returns the HTTP handler of all paths.
 func (f *Front) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(f.metrics.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(f.metrics.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
 	mux.HandleFunc("GET /healthz", f.health)
 	mux.Handle("GET /v1/entries", f.serve(f.entries))
 	mux.Handle("GET /v1/models", f.serve(f.models))
@@ -130,6 +137,7 @@
 	start        time.Time
 	headWritten  bool // the response header has been written
 	dryRun       bool // nothing may be changed; see Front.DryRun
+	held         *membudget.Held
 	// actAs is the client account of a dry run without a key.
 	actAs string
 }
@@ -142,8 +150,9 @@
 		defer cancel(nil)
 		x := &exchange{
 			w: w, control: http.NewResponseController(w), r: r, ctx: ctx,
-			id: uuid.NewString(), token: bearerToken(r), start: time.Now(),
+			id: uuid.NewString(), token: bearerToken(r), start: time.Now(), held: membudget.NewHeld(f.memory, 1),
 		}
+		defer x.held.Release()
 		w.Header().Set(engineapi.HeaderRequestID, x.id)
 		w.Header().Set(HeaderRequest, x.id)
 		f.echoRequestID(x)
@@ -157,7 +166,14 @@
 		if f.open.currentPhase() == leaving {
 			w.Header().Set("Connection", "close")
 		}
-		if err := handle(x); err != nil {
+		err := x.held.Begin(ctx, r.ContentLength)
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			err = errkind.Wrap(err, errkind.Overloaded, "no memory for another request").WithOutcome(errkind.NotRun)
+		} else {
+			err = handle(x)
+		}
+		if err != nil {
 			f.fail(x, err)
 		}
 	})
@@ -237,9 +253,12 @@
 		x.w.Header().Set("Connection", "close")
 		return nil, errkind.New(errkind.TooLarge, "request body exceeds %d bytes", limit)
 	}
-	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	body, err := readAll(http.MaxBytesReader(x.w, x.held.Body(x.ctx, x.r.Body), limit), x.r.ContentLength)
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, membudget.ErrNoMemory):
+		x.w.Header().Set("Connection", "close")
+		return nil, errkind.Wrap(err, errkind.Overloaded, "no memory for another request").WithOutcome(errkind.NotRun)
 	case errors.As(err, &large):
 		return nil, errkind.New(errkind.TooLarge, "request body exceeds %d bytes", limit)
 	case err != nil:
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"time"
 
+	"eelgrasshollow/internal/connguard"
 	"eelgrasshollow/internal/dryrun"
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/keys"
 	"eelgrasshollow/internal/liveness"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/peer"
 	"eelgrasshollow/internal/tlsconf"
 	"eelgrasshollow/internal/watch"
@@ -27,6 +29,9 @@
 	TLS      tlsconf.Settings
 	Self     watch.VM
 	Hasher   keys.Hasher
+	// Guard bounds the connections, and Memory what requests hold.
+	Guard  *connguard.Guard
+	Memory *membudget.Budget
 }
 
 // Module is the kernel module entry.http: the listener for clients and its graceful stop.
@@ -50,7 +55,7 @@
 // Provision looks up the required modules and creates the front.
 func (m *Module) Provision(k *kernel.Kernel) error {
 	m.log = k.Log.Named("http")
-	d := Deps{Hasher: m.config.Hasher, Log: m.log, Fleet: singleVMFleet{m.config.Self}}
+	d := Deps{Hasher: m.config.Hasher, Log: m.log, Fleet: singleVMFleet{m.config.Self}, Memory: m.config.Memory}
 	var module *engine.Module
 	err := k.Find(kernel.As("entry.directory", &d.Directory), kernel.As("entry.grants", &d.Limiter),
 		kernel.As("entry.journal", &d.Journal), kernel.As("entry.routing", &d.Router), kernel.As("entry.engine", &module))
@@ -63,6 +68,8 @@
 	}
 	m.front = NewFront(m.config.Settings, d)
 	m.front.metrics.registry.MustRegister(d.Engine.Collectors()...)
+	m.front.metrics.registry.MustRegister(m.config.Guard.Collectors()...)
+	m.front.metrics.registry.MustRegister(m.config.Memory.Collectors()...)
 	if server, err := kernel.Lookup[peerServer](k, peer.ServerName); err == nil {
 		return server.Register(dryrun.ServiceName, dryrun.NewReceiver(m.front.DryRun))
 	}
@@ -77,29 +84,39 @@
 // Start opens the listener and serves requests in the background.
 func (m *Module) Start(ctx context.Context) error {
 	s := m.config.Settings
-	l, err := liveness.Listen(ctx, m.config.Self.Address, s.AckTimeout, int(s.SendBuffer), int(s.SendBuffer))
+	options := connguard.HTTPOptions{Name: "callers", Limits: m.front.connectionLimits}
+	if m.config.TLS.Enabled() {
+		certificates, err := tlsconf.New(m.config.TLS)
+		if err != nil {
+			return err
+		}
+		options.TLS = certificates.Server("h2", "http/1.1")
+	}
+	l, err := liveness.Listen(ctx, m.config.Self.Address, s.AckTimeout, int(s.SendBuffer), int(s.ReceiveBuffer))
 	if err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	m.cancel = cancel
 	m.server = m.front.Server(m.log)
+	m.server.Handler = m.config.Guard.BoundStreams(m.server.Handler, m.front.refuseStream)
+	l = m.config.Guard.HTTP(m.server, l, options)
 	m.work.Go(func() error { m.front.recheckKeys(background); return nil })
-	if !m.config.TLS.Enabled() {
-		m.work.Go(func() error { return m.serveUntilClosed(l, m.server.Serve) })
-		return nil
-	}
-	certificates, err := tlsconf.New(m.config.TLS)
-	if err != nil {
-		return errors.CombineErrors(err, l.Close())
-	}
-	m.server.TLSConfig = certificates.Server("h2", "http/1.1")
-	m.work.Go(func() error {
-		return m.serveUntilClosed(l, func(l net.Listener) error { return m.server.ServeTLS(l, "", "") })
-	})
+	m.work.Go(func() error { return m.serveUntilClosed(l) })
 	return nil
 }
 
+// connectionLimits returns the limits of the settings for connections of clients.
+func (f *Front) connectionLimits() connguard.HTTPLimits {
+	s := f.settings
+	return connguard.HTTPLimits{HeadBytes: int64(s.MaxHeader), HeadTime: s.ReadHeaderTimeout, IdleTime: s.IdleTimeout, BodyTime: s.ReadBodyTimeout}
+}
+
+// refuseStream refuses a request for whose head there is no memory.
+func (f *Front) refuseStream(w http.ResponseWriter, _ *http.Request) {
+	refuse(w, errkind.New(errkind.Overloaded, "no memory for another request"))
+}
+
 // Server returns an HTTP server for the front with the limits of its settings.
 func (f *Front) Server(log *zap.Logger) *http.Server {
 	errorLog, err := zap.NewStdLogAt(log, zap.DebugLevel)
@@ -110,18 +127,19 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	pingTimeout := f.settings.AckTimeout / 2
+	// Pings detect an unresponsive HTTP/2 client even while its streams are idle.
+	http2 := connguard.HTTP2Config()
+	http2.PingTimeout = f.settings.AckTimeout / 2
+	http2.SendPingTimeout = http2.PingTimeout
 	return &http.Server{
-		Handler: f.Handler(), ErrorLog: errorLog, Protocols: &protocols,
-		// Pings detect an unresponsive HTTP/2 client even while its streams are idle.
-		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingTimeout, PingTimeout: pingTimeout},
+		Handler: f.Handler(), ErrorLog: errorLog, Protocols: &protocols, HTTP2: http2,
 		ReadHeaderTimeout: f.settings.ReadHeaderTimeout, IdleTimeout: f.settings.IdleTimeout,
 		MaxHeaderBytes: int(f.settings.MaxHeader),
 	}
 }
 
-func (m *Module) serveUntilClosed(l net.Listener, serve func(net.Listener) error) error {
-	err := serve(l)
+func (m *Module) serveUntilClosed(l net.Listener) error {
+	err := m.server.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/entry/module_test.go
+++ b/internal/entry/module_test.go
@@ -19,9 +19,11 @@
 	"testing"
 	"time"
 
+	"eelgrasshollow/internal/connguard"
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/tlsconf"
 	"eelgrasshollow/internal/watch"
 
@@ -90,6 +92,7 @@
 	k.Register("entry.engine", engine.NewModule(engineSettings, zap.NewNop()))
 	k.Register("entry.http", NewModule(Config{
 		Settings: b.front.settings, TLS: s, Hasher: keys.NewHasher(testHashKey), Self: watch.VM{Name: "e1", Address: address},
+		Guard: connguard.New(connguard.BoundsFor(0, 0), zap.NewNop()), Memory: membudget.New(membudget.LimitsFor(0).Requests, "requests"),
 	}), Dependencies()...)
 	assert.NilError(t, k.Start(t.Context()))
 	return k, address
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -14,6 +14,7 @@
 	ReadBodyTimeout    time.Duration  `ini:"read_body" default:"30s" min:"50ms" max:"10m" doc:"Time a caller may take to send a body."`
 	WriteTimeout       time.Duration  `ini:"write" default:"10s" min:"50ms" max:"10m" doc:"Time a caller may take to accept one event or answer."`
 	SendBuffer         settings.Bytes `ini:"send_buffer" default:"64 KiB" min:"4 KiB" max:"16 MiB" doc:"Bytes that wait in the system for a caller that does not read."`
+	ReceiveBuffer      settings.Bytes `ini:"receive_buffer" default:"64 KiB" min:"4 KiB" max:"16 MiB" doc:"Bytes of a caller that wait in the system until they are read."`
 	IdleTimeout        time.Duration  `ini:"idle" default:"60s" min:"100ms" max:"1h" doc:"Time an unused connection of a caller is kept."`
 	AckTimeout         time.Duration  `ini:"acknowledge" default:"10s" min:"100ms" max:"1m" doc:"Time that bytes for a caller may stay unacknowledged or unsent."`
 	QueueTimeout       time.Duration  `ini:"queue" default:"20s" min:"10ms" max:"10m" doc:"Time a request may wait for an endpoint."`
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"eelgrasshollow/internal/clock"
+	"eelgrasshollow/internal/connguard"
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/entry"
 	"eelgrasshollow/internal/grants"
@@ -16,8 +17,10 @@
 	"eelgrasshollow/internal/keys"
 	"eelgrasshollow/internal/logging"
 	"eelgrasshollow/internal/membership"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/peer"
 	"eelgrasshollow/internal/routing"
+	"eelgrasshollow/internal/settings"
 	"eelgrasshollow/internal/tlsconf"
 	"eelgrasshollow/internal/watch"
 
@@ -47,6 +50,9 @@
 	FailureDomain string `ini:"failure_domain" doc:"Failure domain that this VM is in."`
 	Address       string `ini:"address" doc:"IP and port that callers connect to."`
 	PeerAddress   string `ini:"peer_address" doc:"IP and port that other VMs connect to."`
+
+	Memory      settings.Bytes `ini:"memory" default:"0 B" doc:"Memory that the daemon may use; 0: all of the VM."`
+	Descriptors int            `ini:"descriptors" default:"0" min:"0" doc:"Descriptors that the daemon may open; 0: as many as the system allows."`
 }
 
 // Control is the [control] section.
@@ -85,6 +91,11 @@
 	if err != nil {
 		return errors.Wrap(err, "read hash key")
 	}
+	memoryBytes := membudget.ProcessBytes(int64(s.Node.Memory))
+	membudget.LimitRuntime(memoryBytes)
+	guard := connguard.New(connguard.BoundsFor(memoryBytes, s.Node.Descriptors), log.Named("connections"))
+	memory := membudget.New(membudget.LimitsFor(memoryBytes).Requests, "requests")
+	memory.ReclaimWith(guard.CloseIncomplete)
 	if err := registerPeers(k, s, log); err != nil {
 		return err
 	}
@@ -95,7 +106,8 @@
 	k.Register("entry.routing", routing.NewModule(s.Routing, nil, nil, clock.Boot), watch.ClientName, "entry.engine", peer.ServerName, peer.PoolName)
 	front := entry.NewModule(entry.Config{
 		Settings: s.Entry, TLS: s.TLS, Hasher: keys.NewHasher(strings.TrimSpace(string(hashKey))),
-		Self: watch.VM{Name: s.Node.Name, Address: s.Node.Address, FailureDomain: s.Node.FailureDomain},
+		Self:  watch.VM{Name: s.Node.Name, Address: s.Node.Address, FailureDomain: s.Node.FailureDomain},
+		Guard: guard, Memory: memory,
 	})
 	k.Register("entry.http", front, entry.Dependencies()...)
 	return nil
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -36,7 +36,9 @@
 	keyIDs    map[string]string         // by client account
 	calls     map[string]*pendingCall
 	loads     map[string]*loadRun
-	vmStates  map[string]string // states in the platform's list that a script has set; other VMs are live
+	// entryNode and controlNode are further lines of the section [node] of the settings.
+	entryNode, controlNode string
+	vmStates               map[string]string // states in the platform's list that a script has set; other VMs are live
 }
 
 const (
@@ -201,6 +203,7 @@
 		}
 		text := fmt.Sprintf(controlSettings, n, failureDomainOf(i), f.path(n+".data"), f.addresses[n], operator, i+1,
 			strings.Join(replicas, ","), f.path("hash-key"), f.path("operators"))
+		text = strings.Replace(text, "[node]\n", "[node]\n"+f.controlNode, 1)
 		if f.size.vms > 0 {
 			text = strings.Replace(text, "[control]\n", "[control]\nplatform_address = "+f.addresses["vms-1"]+"\n", 1)
 		}
@@ -242,6 +245,7 @@
 			control = append(control, linked)
 		}
 		text := fmt.Sprintf(entrySettings, n, failureDomainOf(i), f.addresses[n], freeAddress(), strings.Join(control, ","), f.path("hash-key"))
+		text = strings.Replace(text, "[node]\n", "[node]\n"+f.entryNode, 1)
 		if err := f.write(n+".ini", text+f.peerTLS()); err != nil {
 			return err
 		}
