connguard bounds what peers' connections make a daemon hold

Seen: two connections to an internal port that announce a gob message of 1 GB took a daemon to 679 MB (4.6 GB when they send all of it); silent connections to that port took all descriptors.

Cause: gob reads a message of up to 1 GB whatever it is, net/rpc serves each call of a connection in a goroutine of its own without bound, and nothing counted peers' connections.

Change: a meter follows the length of each gob message. One over an eighth of the memory limit (20 MB at least) is refused once its length is read; others count as announced, before gob takes memory for them, and type definitions, which a decoder keeps, count for the connection and are limited to 64 kB. The server's codec is that of net/rpc with at most 1,024 calls of a connection at a time, which hold their messages until the response is written; further calls wait unread. Peers have half of the connections at most, so that clients find room. One large message may exceed the bound of all connections, so that a configuration or a replica's state gets through; a connection that has sent nothing whole yields to it.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -97,7 +97,7 @@
 		}
 		serverTLS, clientTLS = files.Server(), files.Client()
 	}
-	b.kernel.Register(peer.ServerName, peer.NewServerModule(b.log.Named("peer"), b.settings.Node.PeerAddress, serverTLS))
+	b.kernel.Register(peer.ServerName, peer.NewServerModule(b.log.Named("peer"), b.settings.Node.PeerAddress, serverTLS, b.guard))
 	b.kernel.Register(peer.PoolName, peer.NewPoolModule(peer.Options{TLS: clientTLS}, b.settings.controlAddresses()))
 	return nil
 }
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -96,7 +96,7 @@
 	guard := connguard.New(connguard.BoundsFor(memoryBytes, s.Node.Descriptors), log.Named("connections"))
 	memory := membudget.New(membudget.LimitsFor(memoryBytes).Requests, "requests")
 	memory.ReclaimWith(guard.CloseIncomplete)
-	if err := registerPeers(k, s, log); err != nil {
+	if err := registerPeers(k, s, log, guard); err != nil {
 		return err
 	}
 	k.Register(watch.ClientName, newDirectory(s, log), peer.PoolName)
@@ -113,9 +113,9 @@
 	return nil
 }
 
-func registerPeers(k *kernel.Kernel, s Settings, log *zap.Logger) error {
+func registerPeers(k *kernel.Kernel, s Settings, log *zap.Logger, guard *connguard.Guard) error {
 	if !s.PeerTLS.Enabled() {
-		k.Register(peer.ServerName, peer.NewServerModule(log, s.Node.PeerAddress, nil))
+		k.Register(peer.ServerName, peer.NewServerModule(log, s.Node.PeerAddress, nil, guard))
 		k.Register(peer.PoolName, peer.NewPoolModule(peer.Options{}, s.Control.Addresses))
 		return nil
 	}
@@ -123,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	k.Register(peer.ServerName, peer.NewServerModule(log, s.Node.PeerAddress, files.Server()))
+	k.Register(peer.ServerName, peer.NewServerModule(log, s.Node.PeerAddress, files.Server(), guard))
 	k.Register(peer.PoolName, peer.NewPoolModule(peer.Options{TLS: files.Client()}, s.Control.Addresses))
 	return nil
 }
--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -114,7 +114,7 @@
 	mux := statemachine.NewMux()
 	mux.Add(fleetcontrol.Namespace, machine)
 	mux.Add(grants.Namespace, grantMachine)
-	k.Register(peer.ServerName, peer.NewServerModule(p.log.Named("peer"), s.PeerAddress, nil))
+	k.Register(peer.ServerName, peer.NewServerModule(p.log.Named("peer"), s.PeerAddress, nil, p.guard))
 	k.Register(peer.PoolName, peer.NewPoolModule(peer.Options{}, s.Seeds))
 	k.Register(consensus.ModuleName, consensus.NewModule(consensus.ModuleConfig{
 		ReplicaID: identity.ReplicaID, InitialMembership: identity.InitialMembership, DataDir: s.DataDir,
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -125,7 +125,7 @@
 		VersionDeadline: time.Duration(versionDeadlineShare * float64(s.Bounds.VersionDeadline)), Seeds: s.Seeds, Now: clock.Boot, Log: e.log.Named("view"),
 		Rollouts: s.Bounds.Rollouts.Enabled(), Releases: releases,
 	})
-	k.Register(peer.ServerName, peer.NewServerModule(e.log.Named("peer"), s.PeerAddress, nil))
+	k.Register(peer.ServerName, peer.NewServerModule(e.log.Named("peer"), s.PeerAddress, nil, e.guard))
 	k.Register(peer.PoolName, peer.NewPoolModule(peer.Options{}, s.Seeds))
 	k.Register(fleetview.ModuleName, e.view, peer.PoolName)
 	holder := grants.NewHolderModule(grants.HolderSettings{
--- a/internal/peer/module.go
+++ b/internal/peer/module.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 
+	"eelgrasshollow/internal/connguard"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/kernel"
 
@@ -24,15 +25,16 @@
 	address string
 	config  *tls.Config
 	server  *Server
+	guard   *connguard.Guard
 	log     *zap.Logger
 
 	listener net.Listener
 }
 
-// NewServerModule returns a module that serves peers at address. A nil config means TCP
-// without TLS.
-func NewServerModule(log *zap.Logger, address string, config *tls.Config) *ServerModule {
-	return &ServerModule{address: address, config: config, log: log, server: NewServer(log, DefaultLivenessTimeout)}
+// NewServerModule returns a module that serves peers at address, whose connections guard bounds. A nil config
+// means TCP without TLS.
+func NewServerModule(log *zap.Logger, address string, config *tls.Config, guard *connguard.Guard) *ServerModule {
+	return &ServerModule{address: address, config: config, log: log, guard: guard, server: NewServer(log, DefaultLivenessTimeout)}
 }
 
 // Register registers the methods of receiver under name. It must be called before Start, while
@@ -62,7 +64,7 @@
 	}
 	m.listener = listener
 	go func() {
-		err := m.server.Serve(listener, m.config)
+		err := m.server.Serve(m.guard.Messages(listener, "peers"), m.config)
 		if !errors.Is(err, net.ErrClosed) {
 			m.log.Error("peer server stopped unexpectedly", zap.Error(err))
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"eelgrasshollow/internal/connguard"
+
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
@@ -64,15 +66,19 @@
 		if err != nil {
 			return errors.Wrap(err, "accept peer connection")
 		}
+		plain := conn
 		if config != nil {
-			conn = tls.Server(conn, config)
+			plain = tls.Server(conn, config)
 		}
-		s.ServeConn(conn)
+		s.serve(connguard.Bound(conn, plain))
 	}
 }
 
 // ServeConn serves one connection in the background.
-func (s *Server) ServeConn(conn net.Conn) {
+func (s *Server) ServeConn(conn net.Conn) { s.serve(connguard.Bound(conn, conn)) }
+
+// serve serves one connection in the background.
+func (s *Server) serve(conn *connguard.MessageConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -81,7 +87,7 @@
 	}
 	s.conns[conn] = struct{}{}
 	s.wg.Go(func() {
-		s.rpc.ServeConn(&deadlineConn{Conn: conn, readTimeout: s.timeout, writeTimeout: s.timeout})
+		s.rpc.ServeCodec(newServerCodec(&deadlineConn{Conn: conn, readTimeout: s.timeout, writeTimeout: s.timeout}, conn))
 		s.mu.Lock()
 		delete(s.conns, conn)
 		s.mu.Unlock()
