A change ends only requests that were admitted with a key

Callers saw 401 "key is no longer valid" on an open route of the OpenAI interface, which needs no key, if they had sent one that is not valid and a configuration arrived while the request ran; calls of plain services always.

Cause: every open request was registered with the key that its client sent, whether its route needs one or not, and each change of the configuration checks the keys of all open requests.

Change: a request is registered with its key when that has admitted it, and the key is checked once more then, as it may have been withdrawn since the configuration was read. A resumed stream is admitted in the same way.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -85,17 +85,18 @@
 	return account.GetName(), nil
 }
 
-// stillAllowed returns an error if the key of an open request is not valid in the
-// configuration in force, or if that configuration is not fresh.
+// stillAllowed returns an error if the key that an open request was admitted with is not valid
+// in the configuration in force, or if that configuration is not fresh.
 func (f *Front) stillAllowed(r *openRequest) error {
 	view, err := f.currentView()
 	if err != nil {
 		return errkind.Of(err).WithOutcome(errkind.Unknown)
 	}
-	if r.token == "" {
+	key := r.key.Load()
+	if key == nil {
 		return nil
 	}
-	if _, err = view.Authenticate(f.hasher, r.token); err != nil {
+	if _, err = view.Authenticate(f.hasher, *key); err != nil {
 		return errkind.New(errkind.Unauthenticated, "key is no longer valid").WithOutcome(errkind.Unknown)
 	}
 	return nil
--- a/internal/entry/dryrun.go
+++ b/internal/entry/dryrun.go
@@ -27,7 +27,11 @@
 // account instead of a key.
 func (f *Front) authorize(view *state.View, x *exchange, route *pb.Route) (string, error) {
 	if x.actAs == "" || route.GetOpen() {
-		return f.admit(view, x.token, route)
+		account, err := f.admit(view, x.token, route)
+		if err == nil && account != "" {
+			err = f.registerKey(x)
+		}
+		return account, err
 	}
 	account, ok := view.Account(x.actAs)
 	switch {
@@ -39,6 +43,19 @@
 	return mayUse(route, account)
 }
 
+// registerKey makes a withdrawal of the request's key end the request from here on. The key may have been withdrawn since
+// view was read.
+func (f *Front) registerKey(x *exchange) error {
+	if x.dryRun {
+		return nil
+	}
+	x.open.key.Store(&x.token)
+	if err := f.stillAllowed(x.open); err != nil {
+		return errkind.Of(err).WithOutcome(errkind.NotRun)
+	}
+	return nil
+}
+
 // DryRun explains where a request would go now, and why. It sends nothing, takes no tokens and changes no state. An
 // error says that the query is invalid.
 func (f *Front) DryRun(q dryrun.Query) (*dryrun.Explanation, error) {
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -138,6 +138,7 @@
 	headWritten  bool // the response header has been written
 	dryRun       bool // nothing may be changed; see Front.DryRun
 	held         *membudget.Held
+	open         *openRequest
 	// actAs is the client account of a dry run without a key.
 	actAs string
 }
@@ -156,7 +157,8 @@
 		w.Header().Set(engineapi.HeaderRequestID, x.id)
 		w.Header().Set(HeaderRequest, x.id)
 		f.echoRequestID(x)
-		open := &openRequest{token: x.token, route: r.URL.Path, cancel: cancel}
+		open := &openRequest{route: r.URL.Path, cancel: cancel}
+		x.open = open
 		if err := f.open.add(open); err != nil {
 			w.Header().Set("Connection", "close")
 			f.fail(x, err)
--- a/internal/entry/namespace_test.go
+++ b/internal/entry/namespace_test.go
@@ -151,6 +151,50 @@
 	assert.Equal(t, b.router.requests[len(b.router.requests)-2].Account, "", "an open route has no account")
 }
 
+// Guards against a request on an open route that a change of the configuration ends because it has sent a key that is not valid,
+// which it does not need, and against a withdrawn key that goes on where it is needed.
+func TestChangeEndsOnlyRequestsThatNeedTheirKey(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		open       bool
+		key        string
+		wantStatus int
+	}{
+		{"unknown key on an open route", true, "unknown", http.StatusOK},
+		{"withdrawn key on a route that needs one", false, "", http.StatusUnauthorized},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestFront(t, nil)
+			running, goOn := make(chan struct{}), make(chan struct{})
+			b.addHandler("plain", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				close(running)
+				select {
+				case <-goOn:
+				case <-r.Context().Done():
+				}
+				w.Header().Set(engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
+				_, _ = io.WriteString(w, "news")
+			}))
+			b.change(func(config *pb.Configuration) { config.Routes[3].Open = c.open })
+			if c.key != "" {
+				b.token = c.key
+			}
+			status := make(chan int)
+			go func() {
+				response, _ := b.do("GET", "/news", "")
+				status <- response.StatusCode
+			}()
+			<-running
+			b.change(func(config *pb.Configuration) { config.Keys[0].Withdrawn = true })
+			if c.wantStatus == http.StatusOK {
+				time.Sleep(5 * b.front.settings.KeyRecheckInterval / 4) // both the notice and the regular check have passed
+				close(goOn)
+			}
+			assert.Equal(t, <-status, c.wantStatus)
+		})
+	}
+}
+
 // dryRunRecorder records the requests of dry runs.
 type dryRunRecorder struct {
 	*fakeRouter
--- a/internal/entry/open.go
+++ b/internal/entry/open.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eelgrasshollow/internal/errkind"
@@ -11,7 +12,8 @@
 
 // openRequest is a request that is being served.
 type openRequest struct {
-	token  string // the client's key, or "" if it sent none
+	// key is the key that the request was admitted with. It is nil before that, and on an open route, whatever key was sent.
+	key    atomic.Pointer[string]
 	route  string
 	cancel context.CancelCauseFunc
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -217,7 +217,7 @@
 	if p.ctx.Err() != nil {
 		return withCause(p.ctx, errkind.New(errkind.Canceled, "client disconnected before the call was sent"))
 	}
-	return f.stillAllowed(&openRequest{token: p.token})
+	return f.stillAllowed(p.open)
 }
 
 // logJournalError logs that a journal record could not be written. The record then keeps its
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -82,7 +82,7 @@
 	if !ok || !routed {
 		return errkind.New(errkind.NotFound, "no such stream")
 	}
-	x.account, err = f.admit(view, x.token, route)
+	x.account, err = f.authorize(view, x, route)
 	if err != nil {
 		return err
 	}
