Tests of the default limit for heads and of limits over TLS

The default applies without a configuration, to the byte; over TLS a head over max_header gets 431 and one inside is served, over HTTP/1.1. The reason no_room has its name in the code too.

--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -60,7 +60,7 @@
 	reasonNoRequest  closeReason = "no_request" // it has never sent a whole request
 	reasonIdle       closeReason = "idle"       // between two requests
 	reasonIncomplete closeReason = "incomplete" // the rest of a request or message is missing
-	reasonAccept     closeReason = "no_room"    // a new one for which nothing else could be closed
+	reasonNoRoom     closeReason = "no_room"    // a new one for which nothing else could be closed
 	// In any case:
 	reasonHeadSize    closeReason = "head_size"    // head over its limit
 	reasonProtocol    closeReason = "protocol"     // ambiguous framing
@@ -205,7 +205,7 @@
 			continue
 		}
 		if !found {
-			g.report(c, reasonAccept)
+			g.report(c, reasonNoRoom)
 			_ = raw.Close() // it is refused
 			return nil
 		}
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -66,7 +66,7 @@
 	refused, _ := admitted(g, false)
 	assert.Assert(t, refused == nil && !isClosed(list[0]), "a request is being served on each connection")
 	assert.Equal(t, closedFor(t, g, reasonNoRequest), 2.0)
-	assert.Equal(t, closedFor(t, g, reasonAccept), 1.0)
+	assert.Equal(t, closedFor(t, g, reasonNoRoom), 1.0)
 }
 
 // Guards against a crowd of new connections that closes those of callers before they can send a request, and against one
@@ -252,6 +252,19 @@
 	})
 }
 
+// Guards against heads without any limit while no configuration is known.
+func TestDefaultLimitForHeadsApplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newHTTPServer(t, Bounds{Connections: 10, Bytes: unlimitedBytes})
+		const start, end = "GET /x HTTP/1.1\r\nHost: a\r\nX: ", "\r\n"
+		for size, want := range map[int]int{DefaultHeadBytes: http.StatusOK, DefaultHeadBytes + 1: http.StatusRequestHeaderFieldsTooLarge} {
+			_, reader := s.connect(t, start+strings.Repeat("x", size-len(start)-len(end))+end+"\r\n")
+			assert.Equal(t, status(reader), want, "%d bytes", size)
+		}
+		time.Sleep(2 * lingerTime)
+	})
+}
+
 // Guards against a request that loses its response because what follows it on the connection is over the limit.
 func TestRequestBeforeALongHeadIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/module_test.go
+++ b/internal/entry/module_test.go
@@ -132,3 +132,30 @@
 	_, err := net.DialTimeout("tcp", address, time.Second)
 	assert.ErrorContains(t, err, "refused")
 }
+
+// Guards against connections with TLS whose framing is not read: a long head is refused, and what is inside the limit is
+// served over HTTP/1.1 as well.
+func TestModuleLimitsHeadsOverTLS(t *testing.T) {
+	b := newTestFront(t, nil)
+	dir := t.TempDir()
+	s := tlsconf.Settings{CertificateFile: filepath.Join(dir, "c"), KeyFile: filepath.Join(dir, "k"), ReloadEvery: time.Nanosecond}
+	writePair(t, s, 1)
+	k, address := startModule(t, b, s)
+	limit := int(b.front.settings.MaxHeader)
+	for size, want := range map[int]int{limit / 2: http.StatusOK, limit: http.StatusRequestHeaderFieldsTooLarge} {
+		client := http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}} // the certificate is the test's own
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "https://"+address+"/v1/entries", nil)
+		assert.NilError(t, err)
+		r.Header.Set("Authorization", "Bearer "+b.token)
+		r.Header.Set("X-Long", strings.Repeat("x", size))
+		response, err := client.Do(r)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.ProtoMajor, 1)
+		assert.Equal(t, response.StatusCode, want, "%d bytes", size)
+		client.CloseIdleConnections()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	assert.NilError(t, k.Stop(ctx))
+}
