Responses that nobody reads are bounded on every listener

Seen with larger crowds than those of the first tests: 1200 clients that ask a control VM of 280 MB for a configuration of 2 MB and read nothing leave 135 MB in its sockets, which count twice, beside 71 MB resident; 1000 clients that ask an entry VM of 134 MB for lookups leave 39 MB beside 62 MB.

Cause: a connection counts with 32 kB, but its buffers in the operating system may hold up to 128 kB; operators' calls held no memory; a client that reads nothing kept its request until TCP gave up after 10 s.

Operators' and metrics listeners of control daemons with own settings have bounded buffers too.

--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -8,8 +8,9 @@
 // Invariants:
 //   - The number of connections never exceeds Bounds.Connections. What they hold exceeds Bounds.Bytes only by
 //     one large message of a peer, and by what is read ahead while requests are served.
-//   - A connection whose request is being served is never closed for others. A request of a connection that the guard
-//     closes has not run. Peers' connections are closed with calls on them only for a second large message.
+//   - A connection whose request is being served is never closed for others, unless its client does not read the
+//     response. The request of any other connection that the guard closes has not run. Peers' connections are closed with calls on
+//     them only for a second large message.
 package connguard
 
 import (
@@ -44,10 +45,12 @@
 	minConnections      = 16
 	// requestGrace is the time that a new connection has for its first request while others may be closed for it.
 	requestGrace = 100 * time.Millisecond
-	// stalledTime is the time for which a client may send nothing of the rest of a request, and incompleteTime that for which
-	// the request may be incomplete, while there is no memory for other requests.
+	// stalledTime is the time for which a client may send nothing of the rest of a request, incompleteTime that for which
+	// the request may be incomplete, and unreadTime that for which a client may read nothing of its response, while there is no memory
+	// for other requests.
 	stalledTime    = time.Second
 	incompleteTime = 30 * time.Second
+	unreadTime     = 3 * time.Second
 	// logInterval is the least time between two log lines about the same listener and reason.
 	logInterval = time.Second
 )
@@ -60,6 +63,7 @@
 	reasonNoRequest  closeReason = "no_request" // it has never sent a whole request
 	reasonIdle       closeReason = "idle"       // between two requests
 	reasonIncomplete closeReason = "incomplete" // the rest of a request or message is missing
+	reasonUnread     closeReason = "unread"     // it reads nothing of its response
 	reasonNoRoom     closeReason = "no_room"    // a new one for which nothing else could be closed
 	// In any case:
 	reasonHeadSize    closeReason = "head_size"    // head over its limit
@@ -122,6 +126,8 @@
 	byListener  map[string]int
 	// large is the connection that may exceed the bound of all, or nil; see claimLarge.
 	large *tracked
+	// all has the open connections.
+	all map[*tracked]struct{}
 	// waiting has the connections of each state except serving, first the one that has been in it for longest.
 	waiting [serving]list.List
 	logged  map[logKey]*logCount
@@ -133,7 +139,7 @@
 // New returns a guard without connections.
 func New(bounds Bounds, log *zap.Logger) *Guard {
 	return &Guard{
-		bounds: bounds, log: log, logged: map[logKey]*logCount{}, byListener: map[string]int{},
+		bounds: bounds, log: log, logged: map[logKey]*logCount{}, byListener: map[string]int{}, all: map[*tracked]struct{}{},
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "eelgrass", Subsystem: "connections", Name: "closed_total", Help: "Connections that were closed at a bound, by listener and reason.",
 		}, []string{"listener", "reason"}),
@@ -169,8 +175,9 @@
 	raw      net.Conn
 	listener string
 	peer     bool // of another VM
-	// progress is the time of the last byte of an incomplete request, in nanoseconds.
-	progress atomic.Int64
+	// progress is the time of the last byte of an incomplete request, and writing that since which a write waits for
+	// the client or 0, both in nanoseconds.
+	progress, writing atomic.Int64
 
 	// Guarded by Guard.mu:
 	state   state
@@ -212,6 +219,7 @@
 	}
 	g.connections++
 	g.byListener[listener]++
+	g.all[c] = struct{}{}
 	g.open.WithLabelValues(listener).Inc()
 	c.held = connectionBytes
 	g.held += c.held
@@ -284,6 +292,7 @@
 	c.gone = true
 	c.guard.connections--
 	c.guard.byListener[c.listener]--
+	delete(c.guard.all, c)
 	if c.guard.large == c {
 		c.guard.large = nil
 	}
@@ -374,36 +383,44 @@
 	return net.ErrClosed
 }
 
-// CloseIncomplete closes the client's connection that has sent nothing of the rest of its request for longest, if that is at least
-// stalledTime, or the one whose request has been incomplete for longest, if that is at least incompleteTime. It reports whether
-// there was one.
-func (g *Guard) CloseIncomplete() bool {
+// CloseStalled closes the client's connection that holds up its own request for longest: it has sent nothing of the rest of it for
+// stalledTime, has not sent all of it for incompleteTime, or reads nothing of its response for unreadTime. It reports whether there
+// was one.
+func (g *Guard) CloseStalled() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var stalled, oldest *tracked
-	for e := g.waiting[receiving].Front(); e != nil; e = e.Next() {
-		c := e.Value.(*tracked)
+	var worst *tracked
+	var reason closeReason
+	longest, now := time.Duration(0), time.Now()
+	for c := range g.all {
 		if c.peer {
 			continue
 		}
-		if oldest == nil {
-			oldest = c
-		}
-		if stalled == nil || c.progress.Load() < stalled.progress.Load() {
-			stalled = c
+		if stalled, why := c.stalled(now); stalled > longest {
+			worst, longest, reason = c, stalled, why
 		}
 	}
-	switch now := time.Now(); {
-	case stalled == nil:
-		return false
-	case now.UnixNano()-stalled.progress.Load() >= int64(stalledTime):
-		stalled.end(reasonIncomplete)
-	case now.Sub(oldest.since) >= incompleteTime:
-		oldest.end(reasonIncomplete)
-	default:
-		return false
+	if worst != nil {
+		worst.end(reason)
 	}
-	return true
+	return worst != nil
+}
+
+// stalled returns for how long the client has held up its own request, or 0 if that is within the limits.
+func (c *tracked) stalled(now time.Time) (time.Duration, closeReason) {
+	if since := c.writing.Load(); since != 0 && now.UnixNano()-since >= int64(unreadTime) {
+		return time.Duration(now.UnixNano() - since), reasonUnread
+	}
+	if c.state != receiving {
+		return 0, ""
+	}
+	if pause := time.Duration(now.UnixNano() - c.progress.Load()); pause >= stalledTime {
+		return pause, reasonIncomplete
+	}
+	if age := now.Sub(c.since); age >= incompleteTime {
+		return age, reasonIncomplete
+	}
+	return 0, ""
 }
 
 // logKey identifies log lines that are counted together.
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -333,11 +333,26 @@
 		s := newHTTPServer(t, Bounds{Connections: 10, Bytes: unlimitedBytes})
 		_, reader := s.connect(t, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nok")
 		synctest.Wait()
-		assert.Assert(t, !s.guard.CloseIncomplete(), "it has just begun")
+		assert.Assert(t, !s.guard.CloseStalled(), "it has just begun")
 		time.Sleep(stalledTime)
-		assert.Assert(t, s.guard.CloseIncomplete())
+		assert.Assert(t, s.guard.CloseStalled())
 		assert.Equal(t, status(reader), 0)
-		assert.Assert(t, !s.guard.CloseIncomplete())
+		assert.Assert(t, !s.guard.CloseStalled())
+	})
+}
+
+// Guards against responses that nobody reads and that hold memory until the server's own limits end them, and against a client that is
+// closed while it reads.
+func TestUnreadResponseIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newHTTPServer(t, Bounds{Connections: 10, Bytes: unlimitedBytes})
+		_, reader := s.connect(t, okRequest)
+		time.Sleep(unreadTime - time.Millisecond)
+		assert.Assert(t, !s.guard.CloseStalled())
+		time.Sleep(time.Millisecond)
+		assert.Assert(t, s.guard.CloseStalled())
+		assert.Equal(t, status(reader), 0)
+		assert.Equal(t, closedFor(t, s.guard, reasonUnread), 1.0)
 	})
 }
 
@@ -350,9 +365,9 @@
 			_, err := io.WriteString(conn, "b")
 			assert.NilError(t, err)
 			synctest.Wait()
-			assert.Assert(t, !s.guard.CloseIncomplete())
+			assert.Assert(t, !s.guard.CloseStalled())
 		}
-		assert.Assert(t, s.guard.CloseIncomplete())
+		assert.Assert(t, s.guard.CloseStalled())
 	})
 }
 
--- a/internal/connguard/http.go
+++ b/internal/connguard/http.go
@@ -160,6 +160,13 @@
 	return n, err
 }
 
+// Write implements net.Conn. The guard knows how long a write waits for the client.
+func (c *httpConn) Write(p []byte) (int, error) {
+	c.record.writing.Store(time.Now().UnixNano())
+	defer c.record.writing.Store(0)
+	return c.Conn.Write(p)
+}
+
 // received accounts for bytes that have been read.
 func (c *httpConn) received(p []byte) error {
 	if c.meter.phase == phaseHTTP2 {
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -12,6 +12,7 @@
 	"eelgrasshollow/internal/consensus"
 	"eelgrasshollow/internal/kernel"
 	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/peer"
 	"eelgrasshollow/internal/state"
@@ -26,7 +27,11 @@
 const ModuleName = "control.operator"
 
 const (
-	idleTimeout     = 2 * time.Minute
+	idleTimeout = 2 * time.Minute
+	// ackTimeout limits the time for which an operator may leave sent bytes unacknowledged or unread, and socketBuffer is the size
+	// in bytes of the buffers of a connection.
+	ackTimeout      = 10 * time.Second
+	socketBuffer    = 64 << 10
 	maxMessageBytes = 32 << 20
 	// messageCost is the memory of a message that is being executed, in sizes of its encoded form.
 	messageCost = 3
@@ -97,10 +102,9 @@
 
 // Start listens and serves in the background.
 func (m *Module) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", m.address)
+	l, err := liveness.Listen(ctx, m.address, ackTimeout, socketBuffer, socketBuffer)
 	if err != nil {
-		return errors.Wrap(err, "listen for operators")
+		return errors.Wrap(err, "operators")
 	}
 	m.listener = l
 	l = m.bounds.Guard.HTTP(m.server, l, connguard.HTTPOptions{
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -84,7 +84,7 @@
 	membudget.LimitRuntime(memoryBytes)
 	b.guard = connguard.New(connguard.BoundsFor(memoryBytes, b.settings.Node.Descriptors), b.log.Named("connections"))
 	b.memory = membudget.New(membudget.LimitsFor(memoryBytes).Requests, "operators")
-	b.memory.ReclaimWith(b.guard.CloseIncomplete)
+	b.memory.ReclaimWith(b.guard.CloseStalled)
 }
 
 // addPeers registers the server and the connection pool for peers.
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"eelgrasshollow/internal/grants"
 	"eelgrasshollow/internal/journal"
 	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/state"
 
@@ -25,6 +25,10 @@
 	metricsName = "control.metrics"
 	// writeTimeout limits the time from a request to the end of its response.
 	writeTimeout = 10 * time.Second
+	// ackTimeout limits the time for which a client may leave sent bytes unacknowledged or unread, and socketBuffer is the size in
+	// bytes of the buffers of a connection.
+	ackTimeout   = 10 * time.Second
+	socketBuffer = 8 << 10
 	// maxMetricsRequests limits the responses that are written at a time. Each is held in memory.
 	maxMetricsRequests = 4
 )
@@ -79,10 +83,9 @@
 
 // Start listens and serves in the background.
 func (m *metricsModule) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", m.address)
+	l, err := liveness.Listen(ctx, m.address, ackTimeout, socketBuffer, socketBuffer)
 	if err != nil {
-		return errors.Wrap(err, "listen for metrics")
+		return errors.Wrap(err, "metrics")
 	}
 	l = m.guard.HTTP(m.server, l, connguard.HTTPOptions{Name: "metrics"})
 	go func() {
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -95,7 +95,7 @@
 	membudget.LimitRuntime(memoryBytes)
 	guard := connguard.New(connguard.BoundsFor(memoryBytes, s.Node.Descriptors), log.Named("connections"))
 	memory := membudget.New(membudget.LimitsFor(memoryBytes).Requests, "requests")
-	memory.ReclaimWith(guard.CloseIncomplete)
+	memory.ReclaimWith(guard.CloseStalled)
 	if err := registerPeers(k, s, log, guard); err != nil {
 		return err
 	}
--- a/internal/onplatform/common.go
+++ b/internal/onplatform/common.go
@@ -36,6 +36,8 @@
 	// operators wait for agreement, and their documents have megabytes.
 	writeTimeout         = 10 * time.Second
 	operatorWriteTimeout = time.Minute
+	// shortBuffer is the size in bytes of the buffers of connections on these listeners.
+	shortBuffer = 8 << 10
 	// maxMetricsRequests limits the responses with metrics that are written at a time. Each is held in memory.
 	maxMetricsRequests = 4
 )
@@ -144,11 +146,16 @@
 	limits func() connguard.HTTPLimits
 	// writeTimeout limits the time from a request to the end of its response.
 	writeTimeout time.Duration
+	// buffer is the size in bytes of the buffers of a connection; 0 means that of the memory limit.
+	buffer int
 }
 
 // listenAndServe listens and serves in the background.
 func (p *process) listenAndServe(ctx context.Context, name, address string, handler http.Handler, o listenerOptions) (*http.Server, error) {
-	buffer := membudget.LimitsFor(p.settings.MemoryBytes).SocketBuffer
+	buffer := o.buffer
+	if buffer == 0 {
+		buffer = membudget.LimitsFor(p.settings.MemoryBytes).SocketBuffer
+	}
 	listener, err := liveness.Listen(ctx, address, ackTimeout, buffer, buffer)
 	if err != nil {
 		return nil, err
@@ -172,7 +179,7 @@
 	if err == nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
-		_, err = p.listenAndServe(ctx, "metrics", net.JoinHostPort(host, port), mux, listenerOptions{writeTimeout: writeTimeout})
+		_, err = p.listenAndServe(ctx, "metrics", net.JoinHostPort(host, port), mux, listenerOptions{writeTimeout: writeTimeout, buffer: shortBuffer})
 	}
 	if err != nil {
 		p.log.Error("metrics are not served", zap.Error(err))
--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -151,16 +151,18 @@
 
 // operatorHandler serves the platform's calls and, if operators have tokens, those of eelctl for rollouts and dry runs.
 func (p *process) operatorHandler(fleet *fleetcontrol.Module, operators *control.OperatorTokens) http.Handler {
-	documents := membudget.New(membudget.LimitsFor(p.settings.MemoryBytes).Requests, "documents")
-	documents.ReclaimWith(p.guard.CloseIncomplete)
-	if operators == nil {
-		return platform.OperatorHandler(fleet, documents)
-	}
+	limits := membudget.LimitsFor(p.settings.MemoryBytes)
+	documents, requests := membudget.New(limits.Requests, "documents"), membudget.New(limits.Responses, "operators")
+	documents.ReclaimWith(p.guard.CloseStalled)
+	requests.ReclaimWith(p.guard.CloseStalled)
 	mux := http.NewServeMux()
 	mux.Handle("/", platform.OperatorHandler(fleet, documents))
-	path, calls := control.PlatformHandler(fleet, fleet.EntryVMs, fleet, operators, p.log.Named("operator"))
-	mux.Handle(path, membudget.BoundRequests(documents, platform.DocumentCost, calls))
-	return mux
+	if operators != nil {
+		path, calls := control.PlatformHandler(fleet, fleet.EntryVMs, fleet, operators, p.log.Named("operator"))
+		mux.Handle(path, membudget.BoundRequests(documents, platform.DocumentCost, calls))
+	}
+	const bodyCost = 0 // bodies hold bytes of documents
+	return membudget.BoundRequests(requests, bodyCost, mux)
 }
 
 // storeRefused reports whether the other replicas refused the store as lost or replaced.
--- a/internal/onplatform/crowd_test.go
+++ b/internal/onplatform/crowd_test.go
@@ -223,6 +223,14 @@
 			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4)) // the VM need not take them
 			crowd.Write(conn, fmt.Sprintf(post, "/slow/x", n, 0), 4<<20, crowd.Constant(strings.Repeat("b", 1000)))
 		}}},
+		{clientPort, crowd.Crowd{Name: "unread refusals", Clients: 1000, Send: func(conn net.Conn, _ int) {
+			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4))
+			crowd.Write(conn, "", 4<<20, crowd.Constant("GET /none HTTP/1.1\r\nHost: h.example\r\n\r\n"))
+		}}},
+		{lookupPort, crowd.Crowd{Name: "unread lookups of many", Clients: 1000, Send: func(conn net.Conn, _ int) {
+			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4))
+			crowd.Write(conn, "", 4<<20, crowd.Constant("GET /v1/resolve?name=h.example&region=r&zone=a HTTP/1.1\r\nHost: h.example\r\n\r\n"))
+		}}},
 		{lookupPort, crowd.Crowd{Name: "unread lookups", Clients: 200, Send: func(conn net.Conn, _ int) {
 			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4))
 			crowd.Write(conn, "", 4<<20, crowd.Constant("GET /v1/resolve?name=h.example&region=r&zone=a HTTP/1.1\r\nHost: h.example\r\n\r\n"))
@@ -239,6 +247,34 @@
 	}
 }
 
+// TestCrowdOfOperators guards against configurations of megabytes that clients of the operators' port ask for and don't read, or
+// announce and don't send.
+func TestCrowdOfOperators(t *testing.T) {
+	const padding = 2 << 20
+	d := newCrowdDeployment(t, 0, time.Minute, time.Minute)
+	version := 1
+	acknowledges := func() bool {
+		return d.putDocument(1, strings.Replace(crowdConfig(version, time.Minute, time.Minute), `"services"`, strings.Repeat(" ", padding)+`"services"`, 1))
+	}
+	for _, c := range []crowd.Crowd{
+		{Name: "unread configurations", Clients: 1200, Send: func(conn net.Conn, _ int) {
+			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4))
+			crowd.Write(conn, "", 100<<10, crowd.Constant("GET /v1/config/get HTTP/1.1\r\nHost: h.example\r\n\r\n"))
+		}},
+		crowd.NewCrowd("unfinished configurations", 300, "POST /v1/config/put HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4000000\r\n\r\n", 3<<20,
+			crowd.Constant(strings.Repeat("x", 1000))),
+	} {
+		d.inSubtest(t, c.Name, func() {
+			d.kill("core-1")
+			d.start("core-1", 1, false)
+			version++
+			d.eventually("a configuration is acknowledged", acknowledges)
+			version++
+			d.checkCrowd("core-1", 1, crowdControlMB, operatorPort, c, acknowledges)
+		})
+	}
+}
+
 // exchange writes the parts of a request on a connection, with a pause after each, and returns the response.
 func exchange(t testing.TB, conn net.Conn, reader *bufio.Reader, pause time.Duration, parts ...string) (int, string) {
 	t.Helper()
