Connections that are closed for others are reset, and operators hold less

Cause: closing a connection in order leaves what its client has not read with the operating system until TCP gives up, 10 s later: the crowd's connections that were closed for others still held up to 128 kB each. And 298 operators' calls could be in work at a time, each with buffers of 64 kB, for which the system takes twice that.

Change: the guard resets the connections that it closes, but for those whose last response was written less than a second ago, which a client that reads still gets. Operators' calls hold a twentieth of the memory limit, so that 149 of them are in work at a time.

--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -51,6 +51,8 @@
 	stalledTime    = time.Second
 	incompleteTime = 30 * time.Second
 	unreadTime     = 3 * time.Second
+	// deliveryTime is the time for a client to read its last response.
+	deliveryTime = time.Second
 	// logInterval is the least time between two log lines about the same listener and reason.
 	logInterval = time.Second
 )
@@ -273,6 +275,11 @@
 	c.evicted = true
 	c.guard.report(c, reason)
 	c.remove()
+	// Closed in order, the operating system would keep what the client has not read. A response that was
+	// just written still reaches a client that reads.
+	if t, ok := c.raw.(*net.TCPConn); ok && (reason != reasonIdle || time.Since(c.since) >= deliveryTime) {
+		_ = t.SetLinger(0) // a connection that has ended holds nothing
+	}
 	_ = c.raw.Close() // reads and writes that wait return
 }
 
--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -43,6 +43,9 @@
 	refusedResetTime = 10 * time.Second
 	// grantLease is how long an entry VM may use a token slice without contact with the owner.
 	grantLease = 3 * time.Second
+	// operatorDivisor is the part of the budget for responses that operators' calls may hold, as a divisor. The buffers of their
+	// connections are the largest, as configurations have megabytes.
+	operatorDivisor = 2
 	// controlStopTimeout is the part of the platform's grace period that a control VM uses to
 	// stop.
 	controlStopTimeout = 3 * time.Second
@@ -152,7 +155,7 @@
 // operatorHandler serves the platform's calls and, if operators have tokens, those of eelctl for rollouts and dry runs.
 func (p *process) operatorHandler(fleet *fleetcontrol.Module, operators *control.OperatorTokens) http.Handler {
 	limits := membudget.LimitsFor(p.settings.MemoryBytes)
-	documents, requests := membudget.New(limits.Requests, "documents"), membudget.New(limits.Responses, "operators")
+	documents, requests := membudget.New(limits.Requests, "documents"), membudget.New(limits.Responses/operatorDivisor, "operators")
 	documents.ReclaimWith(p.guard.CloseStalled)
 	requests.ReclaimWith(p.guard.CloseStalled)
 	mux := http.NewServeMux()
