--- a/internal/onplatform/crowd_test.go
+++ b/internal/onplatform/crowd_test.go
@@ -204,6 +204,15 @@
 	})
 }
 
+// unreadCrowd returns clients that repeat a request, total bytes in all, and read no response. A VM need not take all
+// requests, so that they send for a shorter time.
+func unreadCrowd(name string, clients, total int, request string) crowd.Crowd {
+	return crowd.Crowd{Name: name, Clients: clients, Send: func(conn net.Conn, _ int) {
+		_ = conn.SetDeadline(time.Now().Add(crowdTime / 4)) // the connection may be closed already
+		crowd.Write(conn, "", total, crowd.Constant(request))
+	}}
+}
+
 // TestCrowdOfRequests guards against memory that requests hold whose clients don't go on: bodies that are not sent,
 // responses that nobody reads, and bytes that arrive while a request is served.
 func TestCrowdOfRequests(t *testing.T) {
@@ -223,22 +232,10 @@
 			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4)) // the VM need not take them
 			crowd.Write(conn, fmt.Sprintf(post, "/slow/x", n, 0), 4<<20, crowd.Constant(strings.Repeat("b", 1000)))
 		}}},
-		{clientPort, crowd.Crowd{Name: "unread refusals", Clients: 1000, Send: func(conn net.Conn, _ int) {
-			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4))
-			crowd.Write(conn, "", 4<<20, crowd.Constant("GET /none HTTP/1.1\r\nHost: h.example\r\n\r\n"))
-		}}},
-		{lookupPort, crowd.Crowd{Name: "unread lookups of many", Clients: 1000, Send: func(conn net.Conn, _ int) {
-			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4))
-			crowd.Write(conn, "", 4<<20, crowd.Constant("GET /v1/resolve?name=h.example&region=r&zone=a HTTP/1.1\r\nHost: h.example\r\n\r\n"))
-		}}},
-		{lookupPort, crowd.Crowd{Name: "unread lookups", Clients: 200, Send: func(conn net.Conn, _ int) {
-			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4))
-			crowd.Write(conn, "", 4<<20, crowd.Constant("GET /v1/resolve?name=h.example&region=r&zone=a HTTP/1.1\r\nHost: h.example\r\n\r\n"))
-		}}},
-		{metricsPort, crowd.Crowd{Name: "unread metrics", Clients: 200, Send: func(conn net.Conn, _ int) {
-			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4))
-			crowd.Write(conn, "", 1<<20, crowd.Constant("GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n"))
-		}}},
+		{clientPort, unreadCrowd("unread refusals", 1000, 4<<20, "GET /none HTTP/1.1\r\nHost: h.example\r\n\r\n")},
+		{lookupPort, unreadCrowd("unread lookups of many", 1000, 4<<20, "GET /v1/resolve?name=h.example&region=r&zone=a HTTP/1.1\r\nHost: h.example\r\n\r\n")},
+		{lookupPort, unreadCrowd("unread lookups", 200, 4<<20, "GET /v1/resolve?name=h.example&region=r&zone=a HTTP/1.1\r\nHost: h.example\r\n\r\n")},
+		{metricsPort, unreadCrowd("unread metrics", 200, 1<<20, "GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n")},
 	} {
 		d.inSubtest(t, c.crowd.Name, func() {
 			d.restartEntry()
@@ -257,10 +254,7 @@
 		return d.putDocument(1, strings.Replace(crowdConfig(version, time.Minute, time.Minute), `"services"`, strings.Repeat(" ", padding)+`"services"`, 1))
 	}
 	for _, c := range []crowd.Crowd{
-		{Name: "unread configurations", Clients: 1200, Send: func(conn net.Conn, _ int) {
-			_ = conn.SetDeadline(time.Now().Add(crowdTime / 4))
-			crowd.Write(conn, "", 100<<10, crowd.Constant("GET /v1/config/get HTTP/1.1\r\nHost: h.example\r\n\r\n"))
-		}},
+		unreadCrowd("unread configurations", 1200, 100<<10, "GET /v1/config/get HTTP/1.1\r\nHost: h.example\r\n\r\n"),
 		crowd.NewCrowd("unfinished configurations", 300, "POST /v1/config/put HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4000000\r\n\r\n", 3<<20,
 			crowd.Constant(strings.Repeat("x", 1000))),
 	} {
