Connections start with small buffers in the operating system

A process that passes its limit ends.

Cause: a connection counted 32 kB with what has arrived and is unread, but the listeners gave it receive and send buffers of up to 64 kB each, for which the system takes twice that. A crowd that sends before the process gets to read fills them: 919 connections held 74 MB unread. The listener between VMs set no buffers at all: the system's own grow to megabytes.

Change: all listeners start with 8 kB each way. The guard enlarges a buffer to its former size for a body, a message of a peer or a response over 8 kB, if connections hold less than half of the bound then, and counts what that takes.

checkCrowd counts sockets also while the crowd sends, which is stricter.

--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -20,6 +20,8 @@
 	"sync/atomic"
 	"time"
 
+	"eelgrasshollow/internal/membudget"
+
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -32,8 +34,15 @@
 	messageShare    = 8
 	minMessageBytes = 20 << 20
 	// connectionBytes is what an open connection holds: goroutine, buffers and structures in the process, and
-	// bytes in the operating system that have arrived and are not read yet.
+	// bytes in the operating system that have arrived and are not read yet, for which it has a buffer of InitialBuffer.
 	connectionBytes = 32 << 10
+	// InitialBuffer is the size in bytes of the buffers that a listener sets for its connections, in both directions. The guard
+	// enlarges them for requests and responses that are larger.
+	InitialBuffer = 8 << 10
+	// bufferCost is the memory of a byte of such a buffer: the operating system takes up to twice its size. widenShare is
+	// the share of Bounds.Bytes up to which buffers are enlarged, so that no connection is closed for that.
+	bufferCost = 2
+	widenShare = 0.5
 	// memoryShare is the share of the memory limit that connections may hold, and unlimitedBytes the bound
 	// of a process without a memory limit.
 	memoryShare    = 0.2
@@ -79,6 +88,8 @@
 	Bytes       int64
 	// MessageBytes limits one message of a peer.
 	MessageBytes int64
+	// PeerBuffer is the size up to which the buffers of peers' connections are enlarged.
+	PeerBuffer int
 }
 
 // BoundsFor returns the bounds under a memory limit in bytes and a limit of descriptors. 0 means no limit of memory, and
@@ -92,6 +103,7 @@
 		b.Bytes = int64(memoryShare * float64(memoryBytes))
 	}
 	b.MessageBytes = max(memoryBytes/messageShare, minMessageBytes)
+	b.PeerBuffer = membudget.LimitsFor(memoryBytes).SocketBuffer
 	return b
 }
 
@@ -186,8 +198,9 @@
 	since   time.Time     // when it entered the state
 	element *list.Element // in Guard.waiting, or nil
 	held    int64
-	evicted bool // closed by the guard
-	gone    bool // closed by either side
+	buffers int64 // of held, for buffers that have been enlarged
+	evicted bool  // closed by the guard
+	gone    bool  // closed by either side
 }
 
 // errAtBound is the error of reads from a connection that the guard has closed.
@@ -319,8 +332,9 @@
 	if c.gone {
 		return c.closedError()
 	}
-	g.held += connectionBytes + held - c.held
-	c.held = connectionBytes + held
+	held += connectionBytes + c.buffers
+	g.held += held - c.held
+	c.held = held
 	if !c.claimLarge(message) {
 		c.end(reasonIncomplete)
 		return c.closedError()
@@ -334,6 +348,27 @@
 	return nil
 }
 
+// widen takes the memory for a larger buffer of the operating system and calls set to enlarge it, if there is room for that.
+func (c *tracked) widen(size int, set func(*net.TCPConn, int) error) {
+	conn, ok := c.raw.(*net.TCPConn)
+	cost := bufferCost * int64(size-InitialBuffer)
+	if !ok || cost <= 0 {
+		return
+	}
+	g := c.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.gone || float64(g.held+cost) > widenShare*float64(g.bounds.Bytes) {
+		return
+	}
+	if set(conn, size) != nil {
+		return // the connection is being closed
+	}
+	c.buffers += cost
+	c.held += cost
+	g.held += cost
+}
+
 // claimLarge makes the connection of a peer the one that may exceed the bound, if its message holds so much that closing others
 // would hardly make room: a configuration or the state of a replica must get through, however little memory there is. It
 // reports whether the connection may go on. One that has sent nothing whole yields to another one.
--- a/internal/connguard/http.go
+++ b/internal/connguard/http.go
@@ -40,6 +40,9 @@
 	TLS *tls.Config
 	// Limits, if set, returns the limits in force. It is called when a wait for the client begins, and for each part of a head.
 	Limits func() HTTPLimits
+	// ReceiveBuffer and SendBuffer are the sizes up to which the operating system's buffers of a connection are enlarged for requests
+	// and responses over InitialBuffer. With 0 they stay as the listener has set them.
+	ReceiveBuffer, SendBuffer int
 }
 
 // HTTP returns a listener that bounds the connections of an HTTP server. It sets the server's own limits, which
@@ -113,7 +116,7 @@
 		if l.options.TLS != nil {
 			plain = tls.Server(raw, l.options.TLS) // the first read does the handshake
 		}
-		c := &httpConn{Conn: plain, record: record, limits: l.limits}
+		c := &httpConn{Conn: plain, record: record, limits: l.limits, receiveBuffer: l.options.ReceiveBuffer, sendBuffer: l.options.SendBuffer}
 		c.meter.http2 = l.http2
 		c.meter.startHead()
 		return c, nil
@@ -126,20 +129,25 @@
 	net.Conn // without TLS
 	record   *tracked
 	limits   func() HTTPLimits
+	// receiveBuffer and sendBuffer are those of the options.
+	receiveBuffer, sendBuffer int
 
 	meter   httpMeter
 	state   state
 	held    int64
 	served  bool  // a request was served
 	refused error // the result of all further reads
+	// widened reports that the receive buffer was to be enlarged.
+	widened bool
 	streams http2Streams
 
 	// Handlers set deadlines while another goroutine reads.
-	requestOpen  atomic.Bool // a request has a whole head and no response yet
-	bodyOpen     atomic.Bool // its body is incomplete
-	bodyDeadline atomic.Bool // the read deadline is the one for a body
-	startsIdle   atomic.Bool // the next deadline bounds the idle time
-	lingers      atomic.Bool // the response to a refused request is to be read
+	requestOpen  atomic.Bool  // a request has a whole head and no response yet
+	bodyOpen     atomic.Bool  // its body is incomplete
+	bodyDeadline atomic.Bool  // the read deadline is the one for a body
+	startsIdle   atomic.Bool  // the next deadline bounds the idle time
+	lingers      atomic.Bool  // the response to a refused request is to be read
+	written      atomic.Int64 // bytes of the current response
 }
 
 // errRefused is the error of reads from a connection whose client was refused.
@@ -162,6 +170,9 @@
 
 // Write implements net.Conn. The guard knows how long a write waits for the client.
 func (c *httpConn) Write(p []byte) (int, error) {
+	if before := c.written.Add(int64(len(p))) - int64(len(p)); before <= InitialBuffer && before+int64(len(p)) > InitialBuffer {
+		c.record.widen(c.sendBuffer, (*net.TCPConn).SetWriteBuffer)
+	}
 	c.record.writing.Store(time.Now().UnixNano())
 	defer c.record.writing.Store(0)
 	return c.Conn.Write(p)
@@ -177,6 +188,7 @@
 	switch {
 	case c.meter.phase == phaseHTTP2:
 		c.requestOpen.Store(true) // the deadlines of the HTTP/2 server are its own
+		c.record.widen(c.receiveBuffer, (*net.TCPConn).SetReadBuffer)
 		err = c.update(fresh, http2Bytes)
 	case c.meter.phase == phaseBroken && len(c.meter.whole) == 0:
 		return c.refuseRequest(c.meter.broke)
@@ -204,6 +216,10 @@
 	case c.served:
 		s = idle
 	}
+	if s == receiving && !c.widened && c.meter.largeBody() {
+		c.widened = true
+		c.record.widen(c.receiveBuffer, (*net.TCPConn).SetReadBuffer)
+	}
 	c.requestOpen.Store(s >= receiving)
 	c.bodyOpen.Store(s == receiving)
 	if s != receiving && c.bodyDeadline.Swap(false) {
@@ -254,6 +270,7 @@
 		err = c.streams.changed(c, s)
 	case s == http.StateIdle:
 		c.served = true
+		c.written.Store(0)
 		c.startsIdle.Store(true)
 		c.meter.served()
 		err = c.sync()
--- a/internal/connguard/httpmeter.go
+++ b/internal/connguard/httpmeter.go
@@ -58,6 +58,7 @@
 	broke closeReason
 
 	remaining int64 // of the body or chunk
+	bodyBytes int64 // of the body that have arrived
 	kept      []byte
 	lineBytes int64
 	requests  int // heads that have started on this connection
@@ -89,6 +90,11 @@
 	}
 }
 
+// largeBody reports whether the current body is larger than the buffer for it.
+func (m *httpMeter) largeBody() bool {
+	return m.bodyBytes > InitialBuffer || m.phase == phaseBody && m.bodyBytes+m.remaining > InitialBuffer
+}
+
 // served ends the oldest request.
 func (m *httpMeter) served() {
 	if len(m.whole) > 0 {
@@ -105,6 +111,7 @@
 		case phaseBody, phaseChunkData:
 			n := min(m.remaining, int64(len(p)))
 			m.remaining -= n
+			m.bodyBytes += n
 			p = p[n:]
 			if m.remaining == 0 {
 				if m.phase == phaseBody {
@@ -278,7 +285,7 @@
 // endHead decides where the body ends.
 func (m *httpMeter) endHead() {
 	m.whole = append(m.whole, m.cost)
-	m.cost = 0
+	m.cost, m.bodyBytes = 0, 0
 	switch {
 	case m.badLength && !(m.chunked && !m.http10), m.badCoding && !m.http10: // net/http ignores the coding in HTTP/1.0
 		m.phase = phaseUnknown
--- a/internal/connguard/messages.go
+++ b/internal/connguard/messages.go
@@ -62,6 +62,8 @@
 	held  int64 // by calls being served
 	// whole is the cost of whole messages that no call has taken yet.
 	whole int64
+	// widenedReads and widenedWrites report that the buffer was to be enlarged.
+	widenedReads, widenedWrites bool
 }
 
 // Bound returns a connection that bounds the messages that are read from plain. accepted is the connection that Accept
@@ -92,12 +94,35 @@
 		return 0, errors.New("peer sent a message over its limit")
 	}
 	c.whole += c.meter.takeWhole()
+	if c.record != nil && !c.widenedReads && c.meter.messages > 0 && c.meter.length > InitialBuffer {
+		c.widenedReads = true
+		c.record.widen(c.record.guard.bounds.PeerBuffer, (*net.TCPConn).SetReadBuffer)
+	}
 	if err := c.sync(); err != nil {
 		return 0, err
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *MessageConn) Write(p []byte) (int, error) {
+	if len(p) > InitialBuffer {
+		c.widenWrites()
+	}
+	return c.Conn.Write(p)
+}
+
+// widenWrites enlarges the send buffer.
+func (c *MessageConn) widenWrites() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.record == nil || c.widenedWrites {
+		return
+	}
+	c.widenedWrites = true
+	c.record.widen(c.record.guard.bounds.PeerBuffer, (*net.TCPConn).SetWriteBuffer)
+}
+
 // BeginCall notes that a call is being served and returns what it holds so far.
 func (c *MessageConn) BeginCall() int64 {
 	c.mu.Lock()
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -29,7 +29,7 @@
 const (
 	idleTimeout = 2 * time.Minute
 	// ackTimeout limits the time for which an operator may leave sent bytes unacknowledged or unread, and socketBuffer is the size
-	// in bytes of the buffers of a connection.
+	// in bytes up to which the buffers of a connection are enlarged.
 	ackTimeout      = 10 * time.Second
 	socketBuffer    = 64 << 10
 	maxMessageBytes = 32 << 20
@@ -102,13 +102,14 @@
 
 // Start listens and serves in the background.
 func (m *Module) Start(ctx context.Context) error {
-	l, err := liveness.Listen(ctx, m.address, ackTimeout, socketBuffer, socketBuffer)
+	l, err := liveness.Listen(ctx, m.address, ackTimeout, connguard.InitialBuffer, connguard.InitialBuffer)
 	if err != nil {
 		return errors.Wrap(err, "operators")
 	}
 	m.listener = l
 	l = m.bounds.Guard.HTTP(m.server, l, connguard.HTTPOptions{
 		Name: "operators", TLS: m.tlsConfig, Limits: func() connguard.HTTPLimits { return connguard.HTTPLimits{IdleTime: idleTimeout} },
+		ReceiveBuffer: socketBuffer, SendBuffer: socketBuffer,
 	})
 	go func() {
 		if err := m.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -25,10 +25,8 @@
 	metricsName = "control.metrics"
 	// writeTimeout limits the time from a request to the end of its response.
 	writeTimeout = 10 * time.Second
-	// ackTimeout limits the time for which a client may leave sent bytes unacknowledged or unread, and socketBuffer is the size in
-	// bytes of the buffers of a connection.
-	ackTimeout   = 10 * time.Second
-	socketBuffer = 8 << 10
+	// ackTimeout limits the time for which a client may leave sent bytes unacknowledged or unread.
+	ackTimeout = 10 * time.Second
 	// maxMetricsRequests limits the responses that are written at a time. Each is held in memory.
 	maxMetricsRequests = 4
 )
@@ -83,7 +81,7 @@
 
 // Start listens and serves in the background.
 func (m *metricsModule) Start(ctx context.Context) error {
-	l, err := liveness.Listen(ctx, m.address, ackTimeout, socketBuffer, socketBuffer)
+	l, err := liveness.Listen(ctx, m.address, ackTimeout, connguard.InitialBuffer, connguard.InitialBuffer)
 	if err != nil {
 		return errors.Wrap(err, "metrics")
 	}
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -3,8 +3,10 @@
 
 import (
 	"bytes"
+	"encoding/gob"
 	"fmt"
 	"net"
+	"net/rpc"
 	"os"
 	"strconv"
 	"strings"
@@ -114,6 +116,23 @@
 	return NewCrowd("announced message", 2, "\xfc\x3f\xff\xff\xff", 200<<20, Constant(strings.Repeat("x", 4<<10)))
 }
 
+// UnreadCalls returns peers that call a method over and over and read no response.
+func UnreadCalls() Crowd {
+	const callBytes = 4 << 20
+	var calls bytes.Buffer
+	encoder := gob.NewEncoder(&calls)
+	for seq := uint64(0); calls.Len() < callBytes; seq++ {
+		for _, message := range []any{rpc.Request{ServiceMethod: "Peer.Ping", Seq: seq}, struct{}{}} {
+			if err := encoder.Encode(message); err != nil {
+				panic(err) // can't happen: the types can be encoded, and a buffer takes all bytes
+			}
+		}
+	}
+	return Crowd{"unread calls", crowdClients, func(conn net.Conn, _ int) {
+		_, _ = conn.Write(calls.Bytes()) // the process need not take them
+	}}
+}
+
 // Silent returns clients that send nothing.
 func Silent(clients int) Crowd { return Crowd{"silent", clients, func(net.Conn, int) {}} }
 
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -84,7 +84,9 @@
 // Start opens the listener and serves requests in the background.
 func (m *Module) Start(ctx context.Context) error {
 	s := m.config.Settings
-	options := connguard.HTTPOptions{Name: "callers", Limits: m.front.connectionLimits}
+	options := connguard.HTTPOptions{
+		Name: "callers", Limits: m.front.connectionLimits, ReceiveBuffer: int(s.ReceiveBuffer), SendBuffer: int(s.SendBuffer),
+	}
 	if m.config.TLS.Enabled() {
 		certificates, err := tlsconf.New(m.config.TLS)
 		if err != nil {
@@ -92,7 +94,7 @@
 		}
 		options.TLS = certificates.Server("h2", "http/1.1")
 	}
-	l, err := liveness.Listen(ctx, m.config.Self.Address, s.AckTimeout, int(s.SendBuffer), int(s.ReceiveBuffer))
+	l, err := liveness.Listen(ctx, m.config.Self.Address, s.AckTimeout, min(connguard.InitialBuffer, options.SendBuffer), min(connguard.InitialBuffer, options.ReceiveBuffer))
 	if err != nil {
 		return err
 	}
--- a/internal/onplatform/common.go
+++ b/internal/onplatform/common.go
@@ -36,8 +36,6 @@
 	// operators wait for agreement, and their documents have megabytes.
 	writeTimeout         = 10 * time.Second
 	operatorWriteTimeout = time.Minute
-	// shortBuffer is the size in bytes of the buffers of connections on these listeners.
-	shortBuffer = 8 << 10
 	// maxMetricsRequests limits the responses with metrics that are written at a time. Each is held in memory.
 	maxMetricsRequests = 4
 )
@@ -146,22 +144,23 @@
 	limits func() connguard.HTTPLimits
 	// writeTimeout limits the time from a request to the end of its response.
 	writeTimeout time.Duration
-	// buffer is the size in bytes of the buffers of a connection; 0 means that of the memory limit.
-	buffer int
+	// shortMessages keeps the operating system's buffers of connections small.
+	shortMessages bool
 }
 
 // listenAndServe listens and serves in the background.
 func (p *process) listenAndServe(ctx context.Context, name, address string, handler http.Handler, o listenerOptions) (*http.Server, error) {
-	buffer := o.buffer
-	if buffer == 0 {
-		buffer = membudget.LimitsFor(p.settings.MemoryBytes).SocketBuffer
-	}
-	listener, err := liveness.Listen(ctx, address, ackTimeout, buffer, buffer)
+	listener, err := liveness.Listen(ctx, address, ackTimeout, connguard.InitialBuffer, connguard.InitialBuffer)
 	if err != nil {
 		return nil, err
 	}
 	server := &http.Server{Handler: handler, WriteTimeout: o.writeTimeout, ErrorLog: zap.NewStdLog(p.log.Named("http"))}
-	listener = p.guard.HTTP(server, listener, connguard.HTTPOptions{Name: name, Limits: o.limits})
+	options := connguard.HTTPOptions{Name: name, Limits: o.limits}
+	if !o.shortMessages {
+		buffer := membudget.LimitsFor(p.settings.MemoryBytes).SocketBuffer
+		options.ReceiveBuffer, options.SendBuffer = buffer, buffer
+	}
+	listener = p.guard.HTTP(server, listener, options)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.log.Error("listener ended", zap.String("door", name), zap.Error(err))
@@ -179,7 +178,7 @@
 	if err == nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
-		_, err = p.listenAndServe(ctx, "metrics", net.JoinHostPort(host, port), mux, listenerOptions{writeTimeout: writeTimeout, buffer: shortBuffer})
+		_, err = p.listenAndServe(ctx, "metrics", net.JoinHostPort(host, port), mux, listenerOptions{writeTimeout: writeTimeout, shortMessages: true})
 	}
 	if err != nil {
 		p.log.Error("metrics are not served", zap.Error(err))
--- a/internal/onplatform/crowd_test.go
+++ b/internal/onplatform/crowd_test.go
@@ -23,7 +23,8 @@
 	crowdEntryMB, crowdControlMB = 134, 280
 	// crowdDescriptors is maxFds in the settings of the tests that exhaust descriptors.
 	crowdDescriptors = 600
-	// crowdSamples and crowdSampleInterval say how often descriptors and sockets are counted once the crowd is connected.
+	// crowdSampleInterval is the time between two counts of descriptors and sockets, and crowdSamples the number of counts once all
+	// clients of a crowd have sent.
 	crowdSamples, crowdSampleInterval = 10, 50 * time.Millisecond
 	// crowdTime limits how long a client of a crowd sends.
 	crowdTime = 12 * time.Second
@@ -95,17 +96,26 @@
 	return r
 }
 
-// checkCrowd gathers a crowd at a port of a daemon on host n and checks the daemon while the crowd is connected.
+// checkCrowd gathers a crowd at a port of a daemon on host n and checks the daemon while the crowd sends and is connected.
 func (d *deployment) checkCrowd(name string, n, memoryMB, port int, c crowd.Crowd, serves func() bool) {
 	const mb, socketOverhead = 1 << 20, 2 // the operating system counts up to twice the bytes in a socket
-	release := c.Gather(d.address(n, port), crowdTime)
-	defer release()
 	var sockets int64
 	descriptors := 0
 	sample := func() {
 		sockets = max(sockets, d.queuedBytes(d.address(n, port), d.address(201, listPort)))
 		descriptors = max(descriptors, d.resources(name).Descriptors)
 	}
+	gathered := make(chan func())
+	go func() { gathered <- c.Gather(d.address(n, port), crowdTime) }()
+	var release func()
+	for release == nil {
+		sample()
+		select {
+		case release = <-gathered:
+		case <-time.After(crowdSampleInterval):
+		}
+	}
+	defer release()
 	sample()
 	d.eventually("ordinary requests are served beside the crowd", serves)
 	for range crowdSamples { // the last connections may still wait to be accepted
@@ -151,10 +161,12 @@
 			})
 		}
 	}
-	d.inSubtest(t, "peers/announced message", func() {
-		d.restartEntry()
-		d.checkCrowd("entry-1", 11, crowdEntryMB, peerPort, crowd.Announced(), d.servesOrdinary)
-	})
+	for _, c := range []crowd.Crowd{crowd.Announced(), crowd.UnreadCalls()} {
+		d.inSubtest(t, "peers/"+c.Name, func() {
+			d.restartEntry()
+			d.checkCrowd("entry-1", 11, crowdEntryMB, peerPort, c, d.servesOrdinary)
+		})
+	}
 }
 
 // TestCrowdAtControlVM guards against a control VM that passes its memory limit under heads and messages that never end.
@@ -181,6 +193,7 @@
 		check("metrics", metricsPort, c)
 	}
 	check("peers", peerPort, crowd.Announced())
+	check("peers", peerPort, crowd.UnreadCalls())
 }
 
 // TestCrowdOfSilentConnections guards against silent connections that take all descriptors, so that ordinary clients
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -158,7 +158,7 @@
 	front := platform.NewRequestHandler(core.Serve, e.limits, e.leaving.Load, requestMemory, e.log.Named("front"))
 	k.Register("entry.http", &listenerModule{process: e.process, name: "callers", address: s.ClientAddress,
 		handler: func() http.Handler { return front }, options: listenerOptions{limits: e.connectionLimits}, drain: e.drain}, routing.ModuleName, reach.ModuleName, "entry.grants")
-	short := listenerOptions{limits: e.connectionLimits, writeTimeout: writeTimeout, buffer: shortBuffer}
+	short := listenerOptions{limits: e.connectionLimits, writeTimeout: writeTimeout, shortMessages: true}
 	k.Register("entry.ready", &listenerModule{process: e.process, name: "ready", address: s.ReadyAddress,
 		handler: func() http.Handler { return platform.ReadyHandler(e.checkReady) }, options: short}, "entry.http")
 	if s.LookupAddress != "" {
--- a/internal/peer/module.go
+++ b/internal/peer/module.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"time"
 
 	"eelgrasshollow/internal/connguard"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/liveness"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -19,6 +21,9 @@
 	PoolName   = "peer.pool"
 )
 
+// ackTimeout limits the time for which a peer may leave sent bytes unacknowledged or unread.
+const ackTimeout = 10 * time.Second
+
 // ServerModule is the kernel module of a Server. Other modules register their receivers while
 // they are provisioned; Start begins to listen.
 type ServerModule struct {
@@ -57,10 +62,9 @@
 
 // Start listens and serves connections in the background.
 func (m *ServerModule) Start(ctx context.Context) error {
-	var listenConfig net.ListenConfig
-	listener, err := listenConfig.Listen(ctx, "tcp", m.address)
+	listener, err := liveness.Listen(ctx, m.address, ackTimeout, connguard.InitialBuffer, connguard.InitialBuffer)
 	if err != nil {
-		return errors.Wrap(err, "listen for peers")
+		return errors.Wrap(err, "peers")
 	}
 	m.listener = listener
 	go func() {
