Peers' calls wait unread while there is no memory for them

Callers saw (in tests): with 200 peers that send calls and read no response, a control VM refused every operator for over 30 s (no_room).

Cause: a call counted 8 kB, and a connection could have 1,024. The guard can't close connections that are served, so that what it counted passed its bound without end (1.07 GB of 58.7 MB), and all others were closed or refused.

Change: a connection's fifth call and those after it are read only if there is room. The first four are not counted.

--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -7,7 +7,8 @@
 //
 // Invariants:
 //   - The number of connections never exceeds Bounds.Connections. What they hold exceeds Bounds.Bytes only by
-//     one large message of a peer, and by what is read ahead while requests are served.
+//     one large message of a peer, by the calls that each peer may have in any case, and by what is read ahead while
+//     requests are served.
 //   - A connection whose request is being served is never closed for others, unless its client does not read the
 //     response. The request of any other connection that the guard closes has not run. Peers' connections are closed with calls on
 //     them only for a second large message.
@@ -398,6 +399,13 @@
 	return g.large.held
 }
 
+// hasRoom reports whether there is room for n bytes without closing a connection.
+func (g *Guard) hasRoom(n int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held-g.largeHeld()+n <= g.bounds.Bytes
+}
+
 // acquire takes bytes that belong to no single connection and reports whether they were left.
 func (g *Guard) acquire(n int64) bool {
 	g.mu.Lock()
--- a/internal/connguard/messages.go
+++ b/internal/connguard/messages.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -10,8 +11,12 @@
 const (
 	// peerConnectionShare is the share of the connections that peers may have, so that those of clients find room.
 	peerConnectionShare = 0.5
-	// callBytes is the memory of a call apart from its messages.
-	callBytes = 8 << 10
+	// callBytes is the memory of a call apart from its messages, and guaranteedCalls are the calls of a connection that are served at a
+	// time in any case.
+	callBytes       = 8 << 10
+	guaranteedCalls = 4
+	// roomInterval is the time between two looks for the memory of another call.
+	roomInterval = 50 * time.Millisecond
 )
 
 // Messages returns a listener whose connections are those of peers that send gob messages.
@@ -59,7 +64,7 @@
 	mu    sync.Mutex
 	meter gobMeter
 	calls int   // being served
-	held  int64 // by calls being served
+	held  int64 // by the messages of calls being served
 	// whole is the cost of whole messages that no call has taken yet.
 	whole int64
 	// widenedReads and widenedWrites report that the buffer was to be enlarged.
@@ -123,13 +128,31 @@
 	c.record.widen(c.record.guard.bounds.PeerBuffer, (*net.TCPConn).SetWriteBuffer)
 }
 
-// BeginCall notes that a call is being served and returns what it holds so far.
+// AwaitRoom waits until there is memory for another call and reports whether there is, which it is not once closed is closed. The
+// peer's further calls wait unread meanwhile.
+func (c *MessageConn) AwaitRoom(closed <-chan struct{}) bool {
+	for !c.hasRoom() {
+		select {
+		case <-closed:
+			return false
+		case <-time.After(roomInterval):
+		}
+	}
+	return true
+}
+
+func (c *MessageConn) hasRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.record == nil || c.calls < guaranteedCalls || c.record.guard.hasRoom(callBytes)
+}
+
+// BeginCall notes that a call is being served and returns what its messages hold so far.
 func (c *MessageConn) BeginCall() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls++
-	c.held += callBytes
-	return callBytes + c.takeMessages()
+	return c.takeMessages()
 }
 
 // TakeMessages returns what the messages hold that have arrived since the last one was taken. They are held until the call ends.
@@ -147,7 +170,7 @@
 	return cost
 }
 
-// EndCall gives back what a call holds: what BeginCall and TakeMessages returned.
+// EndCall ends a call and gives back what its messages hold: what BeginCall and TakeMessages returned.
 func (c *MessageConn) EndCall(cost int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -170,5 +193,6 @@
 	case c.meter.messages > 0:
 		s = idle
 	}
-	return c.record.updateMessage(s, c.held+c.whole+c.meter.held(), c.meter.held())
+	held := callBytes*int64(max(c.calls-guaranteedCalls, 0)) + c.held + c.whole + c.meter.held()
+	return c.record.updateMessage(s, held, c.meter.held())
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -40,13 +40,16 @@
 	}
 }
 
-// ReadRequestHeader implements rpc.ServerCodec. It waits while the connection has too many calls.
+// ReadRequestHeader implements rpc.ServerCodec. It waits while the connection has too many calls, or there is no memory for another one.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	select {
 	case c.slots <- struct{}{}:
 	case <-c.closed:
 		return net.ErrClosed
 	}
+	if !c.bounded.AwaitRoom(c.closed) {
+		return net.ErrClosed
+	}
 	if err := c.decoder.Decode(r); err != nil {
 		return err // unwrapped: net/rpc compares it with io.EOF
 	}
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -48,7 +48,12 @@
 
 // guardedServer returns a server whose connections a guard bounds, and a pool that calls it.
 func guardedServer(t *testing.T, service any) (*connguard.Guard, *Pool) {
-	guard := connguard.New(connguard.Bounds{Connections: 10, Bytes: 64 << 20, MessageBytes: 1 << 20}, zap.NewNop())
+	return boundedServer(t, service, connguard.Bounds{Connections: 10, Bytes: 64 << 20, MessageBytes: 1 << 20})
+}
+
+// boundedServer is guardedServer with other bounds.
+func boundedServer(t *testing.T, service any, bounds connguard.Bounds) (*connguard.Guard, *Pool) {
+	guard := connguard.New(bounds, zap.NewNop())
 	server := NewServer(zap.NewNop(), DefaultLivenessTimeout)
 	assert.NilError(t, server.Register("Test", service))
 	listener := make(pipeListener)
@@ -89,6 +94,25 @@
 	awaitCondition(t, func() bool { return guard.Held() < connection })
 }
 
+// Guards against calls of peers that hold more than there is room for, so that other connections are closed for them or refused, and
+// against calls that are never served for lack of room.
+func TestCallsWaitForRoom(t *testing.T) {
+	const bytes, calls, pause = 128 << 10, 100, 100 * time.Millisecond
+	service := &waitService{release: make(chan struct{})}
+	guard, pool := boundedServer(t, service, connguard.Bounds{Connections: 10, Bytes: bytes, MessageBytes: 1 << 20})
+	var running sync.WaitGroup
+	for range calls {
+		running.Go(func() { assert.Check(t, pool.Call(t.Context(), "a", "Test.Wait", []byte{1}, &Ping{}) == nil) })
+	}
+	awaitCondition(t, func() bool { return service.count() > 0 })
+	time.Sleep(pause)
+	held, begun := guard.Held(), service.count()
+	close(service.release) // also if the checks fail
+	running.Wait()
+	assert.Assert(t, held <= bytes && begun < calls, "%d bytes held by %d calls", held, begun)
+	assert.Equal(t, service.count(), calls)
+}
+
 // awaitCondition polls until the condition holds.
 func awaitCondition(t *testing.T, condition func() bool) {
 	t.Helper()
