Clients that don't read their responses yield to new ones

Callers saw (in tests): no connection to a VM at its bound whose connections all have responses that nobody reads, until TCP gives up on them after 10 s; a crowd that connects again takes the places at once.

Cause: only a request that found no memory closed such connections (CloseStalled); a new connection was refused instead.

Change: if no other connection may be closed for a new one, the guard closes the one whose client has read nothing for longest, 3 s at least, as for memory.

TestUnreadResponseYieldsToANewClient failed before (no response for the third client).

--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -227,7 +227,7 @@
 			full = false
 			continue
 		}
-		if !found {
+		if !found && !g.evictStalled(func(other *tracked) bool { return other.state == serving && (!peer || other.listener == listener) }) {
 			g.report(c, reasonNoRoom)
 			_ = raw.Close() // it is refused
 			return nil
@@ -439,11 +439,16 @@
 func (g *Guard) CloseStalled() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.evictStalled(anyConnection)
+}
+
+// evictStalled is CloseStalled for connections that meet a condition.
+func (g *Guard) evictStalled(condition func(*tracked) bool) bool {
 	var worst *tracked
 	var reason closeReason
 	longest, now := time.Duration(0), time.Now()
 	for c := range g.all {
-		if c.peer {
+		if c.peer || !condition(c) {
 			continue
 		}
 		if stalled, why := c.stalled(now); stalled > longest {
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -356,6 +356,22 @@
 	})
 }
 
+// Guards against responses that nobody reads on all connections, so that no new client is served.
+func TestUnreadResponseYieldsToANewClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newHTTPServer(t, Bounds{Connections: 1, Bytes: unlimitedBytes})
+		_, unread := s.connect(t, okRequest)
+		time.Sleep(unreadTime - time.Millisecond)
+		_, early := s.connect(t, okRequest)
+		assert.Equal(t, status(early), 0, "the other client may still read")
+		time.Sleep(time.Millisecond)
+		_, reader := s.connect(t, okRequest)
+		assert.Equal(t, status(reader), http.StatusOK)
+		assert.Equal(t, status(unread), 0)
+		assert.Equal(t, closedFor(t, s.guard, reasonUnread), 1.0)
+	})
+}
+
 // Guards against uploads that are closed while they go on, and against clients that keep their place with a byte now and then.
 func TestUploadsThatGoOnHaveTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
