Lookup, readiness and metrics have half of the connections at most

Callers saw (suspected, no failure seen): a crowd at the lookup's port that reads no response came nearest to the memory limit (56.5 MB resident and 31.6 MB in sockets, which count twice, of 134 MB), and may take all connections of callers that are between two requests.

Cause: only peers' connections had a share, and that of the descriptors only, while the bound in bytes allowed all of a crowd.

Change: these listeners have half of the connections, as peers do, and the number of connections is never more than the bytes allow.

--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -53,6 +53,8 @@
 	reservedDescriptors = 200
 	connectionShare     = 0.5
 	minConnections      = 16
+	// partShare is the share of the connections that a listener other than that for callers or operators may have.
+	partShare = 0.5
 	// requestGrace is the time that a new connection has for its first request while others may be closed for it.
 	requestGrace = 100 * time.Millisecond
 	// stalledTime is the time for which a client may send nothing of the rest of a request, incompleteTime that for which
@@ -103,6 +105,7 @@
 	if memoryBytes > 0 {
 		b.Bytes = int64(memoryShare * float64(memoryBytes))
 	}
+	b.Connections = max(min(b.Connections, int(b.Bytes/connectionBytes)), minConnections)
 	b.MessageBytes = max(memoryBytes/messageShare, minMessageBytes)
 	b.PeerBuffer = membudget.LimitsFor(memoryBytes).SocketBuffer
 	return b
@@ -190,6 +193,7 @@
 	raw      net.Conn
 	listener string
 	peer     bool // of another VM
+	part     bool // its listener may have partShare of the connections
 	// progress is the time of the last byte of an incomplete request, and writing that since which a write waits for
 	// the client or 0, both in nanoseconds.
 	progress, writing atomic.Int64
@@ -208,13 +212,13 @@
 var errAtBound = errors.New("connection closed at a bound")
 
 // admit records a new connection. If there is no room for it and nothing that may be closed, it closes the connection and returns nil.
-func (g *Guard) admit(raw net.Conn, listener string, peer bool) *tracked {
+func (g *Guard) admit(c *tracked) *tracked {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := &tracked{guard: g, raw: raw, listener: listener, peer: peer}
-	limit := g.bounds.Connections
-	if peer {
-		limit = int(peerConnectionShare * float64(limit))
+	c.guard = g
+	listener, limit := c.listener, g.bounds.Connections
+	if c.part {
+		limit = int(partShare * float64(limit))
 	}
 	for full := true; full; {
 		var found bool
@@ -227,9 +231,9 @@
 			full = false
 			continue
 		}
-		if !found && !g.evictStalled(func(other *tracked) bool { return other.state == serving && (!peer || other.listener == listener) }) {
+		if !found && !g.evictStalled(func(other *tracked) bool { return other.state == serving && (!c.part || other.listener == listener) }) {
 			g.report(c, reasonNoRoom)
-			_ = raw.Close() // it is refused
+			_ = c.raw.Close() // it is refused
 			return nil
 		}
 	}
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -24,7 +24,7 @@
 // admitted returns a tracked connection and its other end.
 func admitted(g *Guard, peer bool) (*tracked, net.Conn) {
 	near, far := net.Pipe()
-	return g.admit(far, "test", peer), near
+	return g.admit(&tracked{raw: far, listener: "test", peer: peer, part: peer}), near
 }
 
 // closedFor returns how many connections the guard has closed for a reason.
@@ -160,7 +160,7 @@
 	g := testGuard(Bounds{Connections: connections, Bytes: unlimitedBytes})
 	for i := range connections {
 		c, _ := admitted(g, true)
-		assert.Equal(t, c != nil, i < connections*peerConnectionShare)
+		assert.Equal(t, c != nil, i < connections*partShare)
 		if c != nil {
 			assert.NilError(t, c.update(serving, 0))
 		}
@@ -409,6 +409,7 @@
 			t.Logf("%d connections, %.1f MB, messages of %.1f MB", b.Connections, float64(b.Bytes)/mb, float64(b.MessageBytes)/mb)
 			assert.Assert(t, b.Connections <= max(c.descriptors/2, minConnections) && b.Connections >= minConnections)
 			assert.Assert(t, c.memory == 0 || b.Bytes <= c.memory/4)
+			assert.Assert(t, int64(b.Connections)*connectionBytes <= b.Bytes)
 		})
 	}
 }
--- a/internal/connguard/http.go
+++ b/internal/connguard/http.go
@@ -40,6 +40,8 @@
 	TLS *tls.Config
 	// Limits, if set, returns the limits in force. It is called when a wait for the client begins, and for each part of a head.
 	Limits func() HTTPLimits
+	// Part limits the listener to a part of all connections, so that those of others find room.
+	Part bool
 	// ReceiveBuffer and SendBuffer are the sizes up to which the operating system's buffers of a connection are enlarged for requests
 	// and responses over InitialBuffer. With 0 they stay as the listener has set them.
 	ReceiveBuffer, SendBuffer int
@@ -108,7 +110,7 @@
 		if err != nil {
 			return nil, err // unwrapped: http.Server inspects the listener's error
 		}
-		record := l.guard.admit(raw, l.options.Name, false)
+		record := l.guard.admit(&tracked{raw: raw, listener: l.options.Name, part: l.options.Part})
 		if record == nil {
 			continue
 		}
--- a/internal/connguard/messages.go
+++ b/internal/connguard/messages.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// peerConnectionShare is the share of the connections that peers may have, so that those of clients find room.
-	peerConnectionShare = 0.5
 	// callBytes is the memory of a call apart from its messages, and guaranteedCalls are the calls of a connection that are served at a
 	// time in any case.
 	callBytes       = 8 << 10
@@ -38,7 +36,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "accept peer connection")
 		}
-		if record := l.guard.admit(raw, l.name, true); record != nil {
+		if record := l.guard.admit(&tracked{raw: raw, listener: l.name, peer: true, part: true}); record != nil {
 			return &peerConn{raw, record}, nil
 		}
 	}
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return errors.Wrap(err, "metrics")
 	}
-	l = m.guard.HTTP(m.server, l, connguard.HTTPOptions{Name: "metrics"})
+	l = m.guard.HTTP(m.server, l, connguard.HTTPOptions{Name: "metrics", Part: true})
 	go func() {
 		if err := m.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			m.log.Error("metrics server stopped unexpectedly", zap.Error(err))
--- a/internal/onplatform/common.go
+++ b/internal/onplatform/common.go
@@ -144,7 +144,7 @@
 	limits func() connguard.HTTPLimits
 	// writeTimeout limits the time from a request to the end of its response.
 	writeTimeout time.Duration
-	// shortMessages keeps the operating system's buffers of connections small.
+	// shortMessages keeps the operating system's buffers of connections small, and limits the listener to a part of all connections.
 	shortMessages bool
 }
 
@@ -155,7 +155,7 @@
 		return nil, err
 	}
 	server := &http.Server{Handler: handler, WriteTimeout: o.writeTimeout, ErrorLog: zap.NewStdLog(p.log.Named("http"))}
-	options := connguard.HTTPOptions{Name: name, Limits: o.limits}
+	options := connguard.HTTPOptions{Name: name, Limits: o.limits, Part: o.shortMessages}
 	if !o.shortMessages {
 		buffer := membudget.LimitsFor(p.settings.MemoryBytes).SocketBuffer
 		options.ReceiveBuffer, options.SendBuffer = buffer, buffer
