Buffers of a connection are enlarged, and counted, once

Found on reading the change, before any release: each response over 8 kB on a kept connection counted its enlarged buffer again, until connections held half of the bound, and connections of callers would have been closed for that. Cause: the record did not know that the buffer was enlarged. It now does, for each direction; a buffer for which there was no room is tried again.

Also: a listener that may have half of the connections closes unread ones of others only if all connections are taken; peers may have as many as before, as fleets of a thousand VMs need them.

--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -105,7 +105,6 @@
 	if memoryBytes > 0 {
 		b.Bytes = int64(memoryShare * float64(memoryBytes))
 	}
-	b.Connections = max(min(b.Connections, int(b.Bytes/connectionBytes)), minConnections)
 	b.MessageBytes = max(memoryBytes/messageShare, minMessageBytes)
 	b.PeerBuffer = membudget.LimitsFor(memoryBytes).SocketBuffer
 	return b
@@ -193,7 +192,7 @@
 	raw      net.Conn
 	listener string
 	peer     bool // of another VM
-	part     bool // its listener may have partShare of the connections
+	part     bool // of a listener that may have partShare of all connections
 	// progress is the time of the last byte of an incomplete request, and writing that since which a write waits for
 	// the client or 0, both in nanoseconds.
 	progress, writing atomic.Int64
@@ -203,9 +202,10 @@
 	since   time.Time     // when it entered the state
 	element *list.Element // in Guard.waiting, or nil
 	held    int64
-	buffers int64 // of held, for buffers that have been enlarged
-	evicted bool  // closed by the guard
-	gone    bool  // closed by either side
+	buffers int64            // of held, for buffers that have been enlarged
+	wide    [directions]bool // whose buffer has been enlarged
+	evicted bool             // closed by the guard
+	gone    bool             // closed by either side
 }
 
 // errAtBound is the error of reads from a connection that the guard has closed.
@@ -216,37 +216,45 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.guard = g
-	listener, limit := c.listener, g.bounds.Connections
-	if c.part {
-		limit = int(partShare * float64(limit))
-	}
 	for full := true; full; {
-		var found bool
+		which := anyConnection
 		switch {
-		case g.byListener[listener] >= limit:
-			found = g.evict(func(other *tracked) bool { return other.listener == listener })
+		case g.byListener[c.listener] >= g.limitFor(c):
+			which = func(other *tracked) bool { return other.listener == c.listener }
 		case g.connections >= g.bounds.Connections || g.held-g.largeHeld()+connectionBytes > g.bounds.Bytes:
-			found = g.evict(anyConnection)
 		default:
 			full = false
 			continue
 		}
-		if !found && !g.evictStalled(func(other *tracked) bool { return other.state == serving && (!c.part || other.listener == listener) }) {
+		if !g.evict(which) && !g.evictStalled(func(other *tracked) bool { return other.state == serving && which(other) }) {
 			g.report(c, reasonNoRoom)
 			_ = c.raw.Close() // it is refused
 			return nil
 		}
 	}
 	g.connections++
-	g.byListener[listener]++
+	g.byListener[c.listener]++
 	g.all[c] = struct{}{}
-	g.open.WithLabelValues(listener).Inc()
+	g.open.WithLabelValues(c.listener).Inc()
 	c.held = connectionBytes
 	g.held += c.held
 	c.enter(fresh)
 	return c
 }
 
+// limitFor returns how many connections the listener of a connection may have. VMs of a large fleet need the number that descriptors
+// allow; what their connections hold is bounded for all together.
+func (g *Guard) limitFor(c *tracked) int {
+	switch {
+	case c.peer:
+		return int(partShare * float64(g.bounds.Connections))
+	case c.part:
+		return int(partShare * float64(min(g.bounds.Connections, int(g.bounds.Bytes/connectionBytes))))
+	default:
+		return g.bounds.Connections
+	}
+}
+
 // anyConnection is a condition for evict.
 func anyConnection(*tracked) bool { return true }
 
@@ -353,25 +361,44 @@
 	return nil
 }
 
-// widen takes the memory for a larger buffer of the operating system and calls set to enlarge it, if there is room for that.
-func (c *tracked) widen(size int, set func(*net.TCPConn, int) error) {
+// direction is that of bytes on a connection.
+type direction int
+
+const (
+	received direction = iota
+	sent
+	directions
+)
+
+// widen enlarges the operating system's buffer for a direction to size bytes, if there is room for that. It reports whether the buffer
+// is enlarged now.
+func (c *tracked) widen(d direction, size int) bool {
 	conn, ok := c.raw.(*net.TCPConn)
 	cost := bufferCost * int64(size-InitialBuffer)
 	if !ok || cost <= 0 {
-		return
+		return false
 	}
 	g := c.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if c.wide[d] {
+		return true
+	}
 	if c.gone || float64(g.held+cost) > widenShare*float64(g.bounds.Bytes) {
-		return
+		return false
+	}
+	set := conn.SetReadBuffer
+	if d == sent {
+		set = conn.SetWriteBuffer
 	}
-	if set(conn, size) != nil {
-		return // the connection is being closed
+	if set(size) != nil {
+		return false // the connection is being closed
 	}
+	c.wide[d] = true
 	c.buffers += cost
 	c.held += cost
 	g.held += cost
+	return true
 }
 
 // claimLarge makes the connection of a peer the one that may exceed the bound, if its message holds so much that closing others
--- a/internal/connguard/http.go
+++ b/internal/connguard/http.go
@@ -139,8 +139,7 @@
 	held    int64
 	served  bool  // a request was served
 	refused error // the result of all further reads
-	// widened reports that the receive buffer was to be enlarged.
-	widened bool
+	widened bool  // the receive buffer has been enlarged
 	streams http2Streams
 
 	// Handlers set deadlines while another goroutine reads.
@@ -173,7 +172,7 @@
 // Write implements net.Conn. The guard knows how long a write waits for the client.
 func (c *httpConn) Write(p []byte) (int, error) {
 	if before := c.written.Add(int64(len(p))) - int64(len(p)); before <= InitialBuffer && before+int64(len(p)) > InitialBuffer {
-		c.record.widen(c.sendBuffer, (*net.TCPConn).SetWriteBuffer)
+		c.record.widen(sent, c.sendBuffer)
 	}
 	c.record.writing.Store(time.Now().UnixNano())
 	defer c.record.writing.Store(0)
@@ -190,7 +189,7 @@
 	switch {
 	case c.meter.phase == phaseHTTP2:
 		c.requestOpen.Store(true) // the deadlines of the HTTP/2 server are its own
-		c.record.widen(c.receiveBuffer, (*net.TCPConn).SetReadBuffer)
+		c.record.widen(received, c.receiveBuffer)
 		err = c.update(fresh, http2Bytes)
 	case c.meter.phase == phaseBroken && len(c.meter.whole) == 0:
 		return c.refuseRequest(c.meter.broke)
@@ -219,8 +218,7 @@
 		s = idle
 	}
 	if s == receiving && !c.widened && c.meter.largeBody() {
-		c.widened = true
-		c.record.widen(c.receiveBuffer, (*net.TCPConn).SetReadBuffer)
+		c.widened = c.record.widen(received, c.receiveBuffer)
 	}
 	c.requestOpen.Store(s >= receiving)
 	c.bodyOpen.Store(s == receiving)
--- a/internal/connguard/messages.go
+++ b/internal/connguard/messages.go
@@ -36,7 +36,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "accept peer connection")
 		}
-		if record := l.guard.admit(&tracked{raw: raw, listener: l.name, peer: true, part: true}); record != nil {
+		if record := l.guard.admit(&tracked{raw: raw, listener: l.name, peer: true}); record != nil {
 			return &peerConn{raw, record}, nil
 		}
 	}
@@ -64,9 +64,8 @@
 	calls int   // being served
 	held  int64 // by the messages of calls being served
 	// whole is the cost of whole messages that no call has taken yet.
-	whole int64
-	// widenedReads and widenedWrites report that the buffer was to be enlarged.
-	widenedReads, widenedWrites bool
+	whole   int64
+	widened bool // the receive buffer has been enlarged
 }
 
 // Bound returns a connection that bounds the messages that are read from plain. accepted is the connection that Accept
@@ -97,9 +96,8 @@
 		return 0, errors.New("peer sent a message over its limit")
 	}
 	c.whole += c.meter.takeWhole()
-	if c.record != nil && !c.widenedReads && c.meter.messages > 0 && c.meter.length > InitialBuffer {
-		c.widenedReads = true
-		c.record.widen(c.record.guard.bounds.PeerBuffer, (*net.TCPConn).SetReadBuffer)
+	if c.record != nil && !c.widened && c.meter.messages > 0 && c.meter.length > InitialBuffer {
+		c.widened = c.record.widen(received, c.record.guard.bounds.PeerBuffer)
 	}
 	if err := c.sync(); err != nil {
 		return 0, err
@@ -109,23 +107,12 @@
 
 // Write implements net.Conn.
 func (c *MessageConn) Write(p []byte) (int, error) {
-	if len(p) > InitialBuffer {
-		c.widenWrites()
+	if c.record != nil && len(p) > InitialBuffer {
+		c.record.widen(sent, c.record.guard.bounds.PeerBuffer)
 	}
 	return c.Conn.Write(p)
 }
 
-// widenWrites enlarges the send buffer.
-func (c *MessageConn) widenWrites() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.record == nil || c.widenedWrites {
-		return
-	}
-	c.widenedWrites = true
-	c.record.widen(c.record.guard.bounds.PeerBuffer, (*net.TCPConn).SetWriteBuffer)
-}
-
 // AwaitRoom waits until there is memory for another call and reports whether there is, which it is not once closed is closed. The
 // peer's further calls wait unread meanwhile.
 func (c *MessageConn) AwaitRoom(closed <-chan struct{}) bool {
