Test of buffers listens as the daemons do

The test set the sizes of the buffers on its own; liveness.Listen does that for all listeners. A doc comment of the guard says what admit returns.

--- a/internal/connguard/buffers_test.go
+++ b/internal/connguard/buffers_test.go
@@ -1,16 +1,16 @@
 package connguard
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
+	"eelgrasshollow/internal/liveness"
+
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
@@ -28,13 +28,7 @@
 // request's path says, once the body has been read.
 func bufferServer(t *testing.T) (g *Guard, address string) {
 	g = testGuard(Bounds{Connections: 100, Bytes: bufferBound})
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			assert.Check(t, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, InitialBuffer))
-			assert.Check(t, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, InitialBuffer))
-		})
-	}}
-	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	l, err := liveness.Listen(t.Context(), "127.0.0.1:0", bufferTime, InitialBuffer, InitialBuffer)
 	assert.NilError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // a body that is cut ends the request
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -211,7 +211,8 @@
 // errAtBound is the error of reads from a connection that the guard has closed.
 var errAtBound = errors.New("connection closed at a bound")
 
-// admit records a new connection. If there is no room for it and nothing that may be closed, it closes the connection and returns nil.
+// admit records a new connection and returns its record. If there is no room for it and nothing that may be closed, it closes the
+// connection and returns nil.
 func (g *Guard) admit(c *tracked) *tracked {
 	g.mu.Lock()
 	defer g.mu.Unlock()
