--- a/review/harness2/cut_off_answer.go
+++ b/review/harness2/cut_off_answer.go
@@ -13,10 +13,10 @@
 )
 
 // Times of the disruption, from the requests on: the link to the endpoint is cut for cutTime, and behind the cut the
-// endpoint's process is killed and started again.
+// endpoint's process is killed and, addrReuseS (2 s) later, started again.
 const (
-	cutAfter, killAfter, restartAfter = 600 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond
-	cutTime                           = 1600 * time.Millisecond
+	cutAfter, killAfter, restartAfter = 600 * time.Millisecond, 700 * time.Millisecond, 2800 * time.Millisecond
+	cutTime                           = 2500 * time.Millisecond
 )
 
 const cutOffConfig = `{"version":1,"routes":[
