--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -21,6 +21,7 @@
 // without the disruption.
 var cases = map[string]func(f *fleet, trouble bool) (broken []string, err error){
 	"cut-off-answer": cutOffAnswer,
+	"raised-quota":   raisedQuota,
 }
 
 func main() {
