--- a/review/harness2/endpoint.go
+++ b/review/harness2/endpoint.go
@@ -15,10 +15,7 @@
 // endpoint is a stand-in server. Its answers have no length: each ends with its connection. A request's path says of how
 // many pieces the answer consists and how long the work on each takes: PREFIX/PIECES/MILLISECONDS. Answers below
 // streamPrefix are streams of events.
-type endpoint struct {
-	id   string
-	sent chan string
-}
+type endpoint struct{ id string }
 
 const streamPrefix = "/stream/"
 
