Malformed heads of responses are no answers

What callers saw: a response in whose head the name of a field held a blank was passed on as a 200. With "Content-Length : 15" before a body of 20 bytes the client got the 20 bytes as whole; "Transfer-Encoding : chunked" beside a length passed; a line that begins with a blank became part of the value before it; the coded body of an HTTP/1.0 response with chunks reached the client; statuses 600 to 999 did. A blank in the name of a trailer only dropped the trailer. On the OpenAI interface's client a status of 000 was a response, too, and an order with such a status counted as refused though the server may have accepted it.

Cause: net/http accepts a blank in a field name and keeps the field under a name that nobody looks up, joins continued lines, and takes any three characters that are a number for a status. All readers relied on it.

Change: internal/strictresponse checks the lines of a head as they arrive (RFC 9112), those of informational ones included, and the names in the trailer. All readers use it: requests to servers, health checks, reports, lists and orders on the platform; all calls to endpoints on the OpenAI interface, also those that run once and those on kept connections; orders of placement; requests passed on to other VMs; the list of VMs.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -24,6 +24,7 @@
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/ratelimit"
 	"eelgrasshollow/internal/retryafter"
+	"eelgrasshollow/internal/strictresponse"
 	"eelgrasshollow/internal/unknownheader"
 
 	"github.com/cockroachdb/errors"
@@ -142,7 +143,7 @@
 const reportsIdleTimeout = 2 * time.Second
 
 func newHTTPClient(s Settings, dial Dial, idle time.Duration) *http.Client {
-	transport := &http.Transport{
+	transport := strictresponse.New(&http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
 		DisableKeepAlives:      idle == 0,
@@ -150,7 +151,7 @@
 		MaxIdleConnsPerHost:    s.IdleConnections,
 		MaxResponseHeaderBytes: int64(s.MaxHeader),
 		ReadBufferSize:         readBufferBytes,
-	}
+	})
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
 
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -9,8 +9,7 @@
 
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/firstwrite"
-
-	"github.com/cockroachdb/errors"
+	"eelgrasshollow/internal/strictresponse"
 )
 
 // DoOnce sends a call that must run at most once, on a new connection. It calls begin
@@ -33,7 +32,7 @@
 	defer func() { _ = once.Close() }()
 	// When ctx ends, the deadline in the past ends every read and write.
 	defer context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })()
-	response, err := c.exchange(ctx, once, call, request)
+	response, err := c.exchange(ctx, strictresponse.NewConn(once), call, request)
 	switch {
 	case err == nil:
 		return response, nil
@@ -56,6 +55,7 @@
 		return nil, classify(ctx, err)
 	}
 	limited.remaining = -1 // no limit for the body
+	strictresponse.Check(response)
 	defer func() { _ = response.Body.Close() }()
 	if err := c.checkEcho(call, response, true); err != nil {
 		return nil, err
@@ -68,13 +68,8 @@
 func readFinal(r *bufio.Reader, request *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(r, request)
-		switch {
-		case err != nil:
-			return nil, err
-		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errors.New("endpoint switched protocols instead of responding")
-		case response.StatusCode >= http.StatusOK:
-			return response, nil
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
 		}
 	}
 }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -15,6 +15,7 @@
 	"eelgrasshollow/internal/gateway"
 	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/retryafter"
+	"eelgrasshollow/internal/strictresponse"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -33,7 +34,7 @@
 
 // Client sends requests to other VMs. It implements gateway.Peers.
 type Client struct {
-	transport *http.Transport
+	transport *strictresponse.Transport
 	version   int
 	sent      *prometheus.CounterVec
 }
@@ -42,7 +43,7 @@
 // and then it would be unknown whether the request has run.
 func NewClient() *Client {
 	dialer := liveness.Dialer(connectTimeout, unackedTimeout)
-	return &Client{version: Version, transport: &http.Transport{
+	return &Client{version: Version, transport: strictresponse.New(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -52,7 +53,7 @@
 			return firstwrite.New(conn, begin), nil
 		},
 		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}, sent: prometheus.NewCounterVec(prometheus.CounterOpts{
+	}), sent: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "eelgrass", Subsystem: "forward", Name: "sent_total", Help: "Requests sent to other VMs, by result: answered, lost, or the reason why not run.",
 	}, []string{"result"})}
 }
@@ -115,7 +116,7 @@
 // decode returns the response of another VM, or an error if that VM can't serve the request and
 // has not run it, or if another process has written the response.
 func (c *Client) decode(response *http.Response) (*gateway.Reply, string, error) {
-	if response.Header.Get(headerForwarded) == "" || response.StatusCode < http.StatusOK {
+	if response.Header.Get(headerForwarded) == "" {
 		_ = response.Body.Close() // it is of no use
 		if response.StatusCode == http.StatusNotFound {
 			// A build that takes no forwarded requests.
--- a/internal/membership/platform.go
+++ b/internal/membership/platform.go
@@ -8,6 +8,7 @@
 
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/strictresponse"
 
 	"github.com/cockroachdb/errors"
 )
@@ -27,7 +28,8 @@
 
 // NewPlatformClient returns a client of the platform at address (IP and port).
 func NewPlatformClient(address string) *PlatformClient {
-	return &PlatformClient{client: &http.Client{Timeout: platformTimeout}, url: "http://" + address + "/vms"}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	return &PlatformClient{client: &http.Client{Timeout: platformTimeout, Transport: strictresponse.New(transport)}, url: "http://" + address + "/vms"}
 }
 
 // List fetches the list. A failed request is errkind EndpointFailed.
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -11,6 +11,7 @@
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/liveness"
+	"eelgrasshollow/internal/strictresponse"
 )
 
 const (
@@ -35,7 +36,8 @@
 type httpClient struct{ http *http.Client }
 
 func newHTTPClient() *httpClient {
-	return &httpClient{&http.Client{Transport: &http.Transport{DialContext: liveness.AbortingDialer(dialTimeout, unackedTimeout).DialContext, DisableKeepAlives: true}}}
+	dialer := liveness.AbortingDialer(dialTimeout, unackedTimeout)
+	return &httpClient{&http.Client{Transport: strictresponse.New(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true})}}
 }
 
 // Load implements Client.
--- /dev/null
+++ b/internal/strictresponse/head.go
@@ -0,0 +1,97 @@
+package strictresponse
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrMalformed marks the error of a response that is not valid HTTP/1.
+var ErrMalformed = errors.New("malformed response")
+
+const (
+	// checkedBytes of each line are checked: the version and the status, or the name of a field.
+	checkedBytes = 256
+	// tokenPunctuation are the characters other than letters and digits of a field name (RFC 9110, section 5.6.2).
+	tokenPunctuation = "!#$%&'*+-.^_`|~"
+)
+
+// head checks the lines of a response's head as they arrive, and those of informational responses before it. It
+// rejects what net/http accepts although RFC 9112 does not.
+type head struct {
+	line          []byte // the first checkedBytes of the current line
+	inFields      bool   // the status line has been read
+	informational bool   // another head follows this one
+	http10        bool
+	ended         bool // the rest is the body
+}
+
+// check checks the next bytes of a response and returns how many of them precede the first error, including the byte
+// that shows it.
+func (h *head) check(p []byte) (int, error) {
+	for i := 0; i < len(p) && !h.ended; i++ {
+		if p[i] != '\n' {
+			if len(h.line) < checkedBytes {
+				h.line = append(h.line, p[i])
+			}
+			continue
+		}
+		if err := h.endLine(bytes.TrimSuffix(h.line, []byte("\r"))); err != nil {
+			return i + 1, errors.Mark(err, ErrMalformed)
+		}
+		h.line = h.line[:0]
+	}
+	return len(p), nil
+}
+
+// endLine checks a line, of which it gets the first checkedBytes.
+func (h *head) endLine(line []byte) error {
+	switch {
+	case !h.inFields:
+		h.inFields = true
+		return h.checkStatusLine(line)
+	case len(line) > 0:
+		return h.checkField(line)
+	case h.informational:
+		h.inFields = false
+	default:
+		h.ended = true
+	}
+	return nil
+}
+
+// checkStatusLine checks "HTTP/1.x NNN reason".
+func (h *head) checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	status, _, _ := bytes.Cut(rest, []byte(" "))
+	if len(status) != 3 || bytes.ContainsFunc(status, func(r rune) bool { return r < '0' || r > '9' }) || status[0] < '1' || status[0] > '5' {
+		return errors.Newf("invalid status in %q", line)
+	}
+	if string(status) == "101" {
+		return errors.New("server switched protocols instead of responding")
+	}
+	h.informational, h.http10 = status[0] == '1', string(version) == "HTTP/1.0"
+	return nil
+}
+
+// checkField checks the name of a field. A line that starts with a blank continues the value of the field before it
+// (RFC 9112, section 5.2), or is a field whose name starts with a blank: it is rejected, too.
+func (h *head) checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !validName(string(name)) {
+		return errors.Newf("invalid field name in %q", line)
+	}
+	if h.http10 && strings.EqualFold(string(name), "Transfer-Encoding") {
+		return errors.New("HTTP/1.0 response with a transfer coding") // net/http would pass on the coded body
+	}
+	return nil
+}
+
+// validName reports whether name can be the name of a header or trailer field.
+func validName(name string) bool {
+	return name != "" && !strings.ContainsFunc(name, func(r rune) bool {
+		letterOrDigit := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		return !letterOrDigit && !strings.ContainsRune(tokenPunctuation, r)
+	})
+}
