An end of the connection during the upload is no end of the response

Cause: the operating system reports a reset to one system call only, and the end of the connection to those after it. If the write of the upload gets the reset, the read of the response ends as if the server had closed the connection in order. Gateway.checkEnd and the client for endpoints only asked whether the server still accepts connections.

Change: the check of the end moves into internal/strictresponse, which every reader uses, and has a second condition: a body without a length or chunks ends with its connection only if the whole request had been written by then. The bytes that the connection has taken are counted, so the verdict does not depend on the order of reader and writer; a blocked write ends at once, and the client need not wait.

Why it works: the end is taken for the body's only if no write has failed or is missing, so no write can have got a reset that the read did not.

Answers that come before the server has read a long upload still pass if their framing or an end after the upload proves them.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -87,7 +87,7 @@
 }
 
 // Dial opens a connection to an address.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+type Dial = strictresponse.Dial
 
 // Client sends requests to endpoints.
 type Client struct {
@@ -234,10 +234,6 @@
 	if int64(len(body)) > limit {
 		return nil, errkind.New(errkind.EndpointFailed, "response body is larger than %d bytes", limit)
 	}
-	// The connections of a crashed endpoint are closed in order, too.
-	if liveness.EndsWithConnection(response) && liveness.Refused(c.Probe(ctx, response.Request.URL.Host)) {
-		return nil, classify(ctx, io.ErrUnexpectedEOF)
-	}
 	return &Response{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -32,7 +32,7 @@
 	defer func() { _ = once.Close() }()
 	// When ctx ends, the deadline in the past ends every read and write.
 	defer context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })()
-	response, err := c.exchange(ctx, strictresponse.NewConn(once), call, request)
+	response, err := c.exchange(ctx, strictresponse.NewConn(once, request.ContentLength), call, request)
 	switch {
 	case err == nil:
 		return response, nil
@@ -45,7 +45,7 @@
 }
 
 // exchange writes the request to conn and reads the whole response.
-func (c *Client) exchange(ctx context.Context, conn net.Conn, call Call, request *http.Request) (*Response, error) {
+func (c *Client) exchange(ctx context.Context, conn *strictresponse.Conn, call Call, request *http.Request) (*Response, error) {
 	if err := request.Write(conn); err != nil {
 		return nil, classify(ctx, err)
 	}
@@ -55,7 +55,7 @@
 		return nil, classify(ctx, err)
 	}
 	limited.remaining = -1 // no limit for the body
-	strictresponse.Check(response)
+	strictresponse.Check(response, conn, c.dial)
 	defer func() { _ = response.Body.Close() }()
 	if err := c.checkEcho(call, response, true); err != nil {
 		return nil, err
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -11,7 +10,6 @@
 	"eelgrasshollow/internal/cachespace"
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/fleetview"
-	"eelgrasshollow/internal/liveness"
 	"eelgrasshollow/internal/routing"
 
 	"github.com/cockroachdb/errors"
@@ -394,9 +392,6 @@
 	}
 	body, err := g.buffers.read(reply.Body)
 	defer body.release()
-	if err == nil {
-		err = g.checkEnd(ctx, x, reply)
-	}
 	if err != nil {
 		return brokenResponse(ctx, err)
 	}
@@ -427,15 +422,6 @@
 	return nil
 }
 
-// checkEnd returns an error if the end of a body may be that of its server: a body without a length
-// ends with its connection, and those of a crashed server are closed in order, too.
-func (g *Gateway) checkEnd(ctx context.Context, x *exchange, reply *Reply) error {
-	if reply.Unframed && liveness.Refused(g.Upstream.Probe(ctx, x.decision.Address)) {
-		return io.ErrUnexpectedEOF
-	}
-	return nil
-}
-
 // errServerFailed is the error of an attempt that a server answered with a 5xx status,
 // when the request may be repeated and the retry has already been spent.
 var errServerFailed = errkind.New(errkind.Internal, "server failed to serve the request")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -170,7 +170,8 @@
 	Stream              bool
 	// Unframed reports that the body has neither a length nor chunks: it ends with its connection.
 	Unframed bool
-	Body     io.ReadCloser
+	// Body ends with io.EOF only if its end is proven, as far as it can be; see package strictresponse.
+	Body io.ReadCloser
 }
 
 // Upstream sends requests to servers.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,10 +50,8 @@
 				// The end of a stream that the server may not know is not that of the client's.
 				return errkind.New(errkind.StreamBroken, "resumed stream ended without event %d or a later one", lastID)
 			default:
-				if err = g.checkEnd(ctx, x, reply); err == nil {
-					x.writeHead(reply) // a stream may have no events
-					return nil
-				}
+				x.writeHead(reply) // a stream may have no events
+				return nil
 			}
 		}
 		if err != nil {
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -87,3 +87,7 @@
 	err := c.Control(func(fd uintptr) { setErr = unix.SetsockoptInt(int(fd), level, option, value) })
 	return errors.CombineErrors(err, setErr)
 }
+
+// Refused reports whether err is that of a connection that was refused: no process listens at the
+// address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
