Memory of responses is counted on both ways in

Cause: only the bodies and what is read ahead on the platform were counted in the budget of responses. An event may have 1 MiB, a response to the OpenAI interface 16 MiB, each in a buffer that is copied when it grows, and nothing bounded them together. Bounds were per response.

Change: membudget.Lease holds a part of a budget; 64 kB are included, so that ordinary responses never compete. The lease of a request on the OpenAI interface ends with the request. Reports and cache events of endpoints are bounded too. The entry daemon serves the metrics of that budget.

Heads, lines, informational heads, bodies and trailers on the platform were bounded before.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -22,6 +22,7 @@
 	"eelgrasshollow/internal/errkind"
 	"eelgrasshollow/internal/firstwrite"
 	"eelgrasshollow/internal/liveness"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/ratelimit"
 	"eelgrasshollow/internal/retryafter"
 	"eelgrasshollow/internal/strictresponse"
@@ -49,6 +50,9 @@
 	// Repeated is set if a request with this ID may have been sent before. It gets a connection of
 	// its own: the ID does not tell a late response to the earlier one from its own.
 	Repeated bool
+	// Lease holds the memory of the response, or is nil. The caller, who got it from NewLease, releases it when it no longer
+	// needs the response. Without it, memory is held while the response is read.
+	Lease *membudget.Lease
 }
 
 // Response is a response with its whole body.
@@ -99,6 +103,7 @@
 	// stayed open only because of load reports.
 	reports *http.Client
 	headers *unknownheader.Watch // of responses to requests
+	memory  *membudget.Budget    // of responses
 }
 
 // responseHeaders may be in an endpoint's response.
@@ -106,15 +111,19 @@
 	engineapi.HeaderIncarnation, engineapi.HeaderRequestID, engineapi.HeaderLeaving, engineapi.HeaderLimit,
 }
 
-// New returns a client. If dial is nil, it opens TCP connections with liveness timeouts.
-func New(s Settings, dial Dial, log *zap.Logger) *Client {
+// New returns a client. If dial is nil, it opens TCP connections with liveness timeouts. memory bounds what is held of all
+// responses; nil sets a fixed bound.
+func New(s Settings, dial Dial, memory *membudget.Budget, log *zap.Logger) *Client {
 	if dial == nil {
 		dial = liveness.Dialer(s.ConnectTimeout, s.AckTimeout).DialContext
 	}
+	if memory == nil {
+		memory = membudget.New(maxResponseMemory, "responses")
+	}
 	single := newHTTPClient(s, singleUse(dial), 0)
 	c := &Client{
 		settings: s, dial: dial, http: single, single: single, reports: newHTTPClient(s, dial, reportsIdleTimeout),
-		headers: unknownheader.New(log, responseHeaders...),
+		headers: unknownheader.New(log, responseHeaders...), memory: memory,
 	}
 	if s.IdleTimeout > 0 && s.RequireEcho { // without an ID only the connection tells whose a response is
 		c.http = newHTTPClient(s, dial, s.IdleTimeout)
@@ -182,7 +191,7 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	return c.readResponse(ctx, response)
+	return c.readResponse(ctx, response, call.Lease)
 }
 
 // FirstByteTimeout returns how long to wait for the first byte of a response to a prompt of
@@ -225,14 +234,19 @@
 }
 
 // readResponse reads the response body, which may be at most Settings.MaxAnswer bytes.
-func (c *Client) readResponse(ctx context.Context, response *http.Response) (*Response, error) {
-	limit := int64(c.settings.MaxAnswer)
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil {
-		return nil, classify(ctx, err)
+func (c *Client) readResponse(ctx context.Context, response *http.Response, lease *membudget.Lease) (*Response, error) {
+	if lease == nil {
+		lease = c.NewLease()
+		defer lease.Release()
 	}
-	if int64(len(body)) > limit {
-		return nil, errkind.New(errkind.EndpointFailed, "response body is larger than %d bytes", limit)
+	body, err := lease.ReadAll(response.Body, int(c.settings.MaxAnswer))
+	switch {
+	case errors.Is(err, membudget.ErrTooLarge):
+		return nil, errkind.New(errkind.EndpointFailed, "response body is larger than %d bytes", c.settings.MaxAnswer)
+	case errors.Is(err, membudget.ErrExhausted):
+		return nil, errkind.New(errkind.EndpointFailed, "no memory for the rest of the response")
+	case err != nil:
+		return nil, classify(ctx, err)
 	}
 	return &Response{
 		Status:      response.StatusCode,
--- a/internal/engine/cut_head_test.go
+++ b/internal/engine/cut_head_test.go
@@ -47,7 +47,7 @@
 		for n := range response {
 			address := cutEngine(t, response, n)
 			for mode, settings := range map[string]Settings{"kept": kept, "single": single} {
-				c, call := New(settings, nil, zap.NewNop()), Call{Address: address, ID: "1D", Method: "POST", Path: "/x", Body: []byte("{}")}
+				c, call := New(settings, nil, nil, zap.NewNop()), Call{Address: address, ID: "1D", Method: "POST", Path: "/x", Body: []byte("{}")}
 				answer, err := c.Do(t.Context(), call, time.Second)
 				assert.Assert(t, err != nil, "%s, %s: %+v after %q", name, mode, answer, response[:n])
 				assert.Equal(t, errkind.Of(err).Outcome, errkind.Unknown, "%s, %s: after %q", name, mode, response[:n])
--- a/internal/engine/early_response_test.go
+++ b/internal/engine/early_response_test.go
@@ -41,7 +41,7 @@
 					}()
 				}
 			}()
-			c := New(testSettings(), nil, zap.NewNop())
+			c := New(testSettings(), nil, nil, zap.NewNop())
 			t.Cleanup(c.Close)
 			call := Call{Address: l.Addr().String(), ID: "id-1", Method: "POST", Path: "/x", Body: make([]byte, uploadBytes)}
 			response, err := c.Do(t.Context(), call, 2*time.Second)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -14,6 +14,7 @@
 
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/membudget"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -41,9 +42,12 @@
 		handle(w, r)
 	}))
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	return New(testSettings(), nil, zap.NewNop()), Call{Address: s.Listener.Addr().String(), ID: "id-1", Method: "POST", Path: "/x", Body: []byte("{}")}
+	return New(testSettings(), nil, nil, zap.NewNop()), Call{Address: s.Listener.Addr().String(), ID: "id-1", Method: "POST", Path: "/x", Body: []byte("{}")}
 }
 
+// testLease returns a lease that is never refused.
+func testLease() *membudget.Lease { return membudget.New(1<<30, "test").Lease(0) }
+
 func allowBegin() error { return nil }
 
 func TestDoOnceCallsBeginBeforeFirstByte(t *testing.T) {
@@ -72,7 +76,7 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nsome bytes", engineapi.HeaderRequestID, r.Header.Get(engineapi.HeaderRequestID))
 			_ = conn.Close()
 		}))
-		c, call := New(testSettings(), nil, zap.NewNop()), Call{Address: s.Listener.Addr().String(), ID: "id-1", Method: "POST", Path: "/x"}
+		c, call := New(testSettings(), nil, nil, zap.NewNop()), Call{Address: s.Listener.Addr().String(), ID: "id-1", Method: "POST", Path: "/x"}
 		response, err := c.DoOnce(t.Context(), call, allowBegin)
 		if crashes {
 			assert.Equal(t, errkind.Of(err).Outcome, errkind.Unknown)
@@ -106,7 +110,7 @@
 	assert.NilError(t, err)
 	address := l.Addr().String()
 	assert.NilError(t, l.Close())
-	c := New(testSettings(), nil, zap.NewNop())
+	c := New(testSettings(), nil, nil, zap.NewNop())
 	call := Call{Address: address, ID: "i", Method: "GET", Path: "/"}
 	_, err = c.Do(t.Context(), call, time.Second)
 	assert.Equal(t, errkind.Of(err).Outcome, errkind.NotRun)
@@ -182,13 +186,13 @@
 }
 
 func TestEventReaderLimitsAndTruncation(t *testing.T) {
-	r := NewEventReader(strings.NewReader(": note\r\n\r\nid: 3\r\nevent: e\r\ndata: a\r\ndata:b\r\n\r\ndata: "+strings.Repeat("x", 2000)+"\n\n"), 1000)
+	r := NewEventReader(strings.NewReader(": note\r\n\r\nid: 3\r\nevent: e\r\ndata: a\r\ndata:b\r\n\r\ndata: "+strings.Repeat("x", 2000)+"\n\n"), 1000, testLease())
 	e, err := r.Next()
 	assert.NilError(t, err)
 	assert.Equal(t, fmt.Sprint(e.ID, e.Type, string(e.Data)), "3ea\nb")
 	_, err = r.Next()
 	assert.Assert(t, errkind.Is(err, errkind.StreamBroken))
-	_, err = NewEventReader(strings.NewReader("data: cut"), 1000).Next()
+	_, err = NewEventReader(strings.NewReader("data: cut"), 1000, testLease()).Next()
 	assert.Equal(t, err, io.ErrUnexpectedEOF)
 }
 
@@ -198,7 +202,7 @@
 	}
 	const limit = 256
 	f.Fuzz(func(t *testing.T, input []byte) {
-		r := NewEventReader(strings.NewReader(string(input)), limit)
+		r := NewEventReader(strings.NewReader(string(input)), limit, testLease())
 		for {
 			e, err := r.Next()
 			if err != nil {
--- a/internal/engine/foreign_answers_test.go
+++ b/internal/engine/foreign_answers_test.go
@@ -69,7 +69,7 @@
 		}
 		return last + headWithID(http.StatusOK, r.Header.Get(engineapi.HeaderRequestID))
 	})
-	c := New(testSettings(), nil, zap.NewNop())
+	c := New(testSettings(), nil, nil, zap.NewNop())
 	t.Cleanup(c.Close)
 	call := Call{Address: address, ID: "id-1", Method: "POST", Path: "/x", Body: []byte("{}"), AllowUnidentifiedErrors: true}
 	first, err := c.Do(t.Context(), call, time.Second)
@@ -90,7 +90,7 @@
 		}
 		return last + headWithID(status, r.Header.Get(engineapi.HeaderRequestID))
 	})
-	c := New(testSettings(), nil, zap.NewNop())
+	c := New(testSettings(), nil, nil, zap.NewNop())
 	t.Cleanup(c.Close)
 	call := Call{Address: address, ID: "id-1", Method: "POST", Path: "/refused", Body: []byte("{}")}
 	response, err := c.Do(t.Context(), call, time.Second)
@@ -114,7 +114,7 @@
 	c := New(s, func(ctx context.Context, network, address string) (net.Conn, error) {
 		dials++
 		return (&net.Dialer{}).DialContext(ctx, network, address)
-	}, zap.NewNop())
+	}, nil, zap.NewNop())
 	t.Cleanup(c.Close)
 	for i := range 3 {
 		_, err := c.Do(t.Context(), Call{Address: address, ID: fmt.Sprint("id-", i), Method: "GET", Path: "/x"}, time.Second)
@@ -137,7 +137,7 @@
 		address := keptEndpoint(t, func(r *http.Request, _ string) string {
 			return c.before + headWithID(http.StatusOK, r.Header.Get(engineapi.HeaderRequestID))
 		})
-		response, err := New(testSettings(), nil, zap.NewNop()).DoOnce(t.Context(), Call{Address: address, ID: "id-1", Method: "POST", Path: "/x"}, allowBegin)
+		response, err := New(testSettings(), nil, nil, zap.NewNop()).DoOnce(t.Context(), Call{Address: address, ID: "id-1", Method: "POST", Path: "/x"}, allowBegin)
 		if !c.ok {
 			assert.Equal(t, errkind.Of(err).Outcome, errkind.Unknown, name)
 			continue
@@ -153,7 +153,7 @@
 	address := keptEndpoint(t, func(r *http.Request, last string) string {
 		return last + headWithID(http.StatusOK, r.Header.Get(engineapi.HeaderRequestID))
 	})
-	c := New(testSettings(), nil, zap.NewNop())
+	c := New(testSettings(), nil, nil, zap.NewNop())
 	t.Cleanup(c.Close)
 	_, err := c.Load(t.Context(), address)
 	assert.NilError(t, err)
--- a/internal/engine/keep.go
+++ b/internal/engine/keep.go
@@ -28,7 +28,7 @@
 		return reply, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	whole, err := c.readResponse(ctx, response)
+	whole, err := c.readResponse(ctx, response, nil)
 	if err != nil {
 		return reply, err
 	}
--- a/internal/engine/malformed_response_test.go
+++ b/internal/engine/malformed_response_test.go
@@ -41,7 +41,7 @@
 					}
 					return head + engineapi.HeaderRequestID + ": " + id + "\r\nContent-Length: 2\r\n\r\n{}"
 				})
-				c := New(settings, nil, zap.NewNop())
+				c := New(settings, nil, nil, zap.NewNop())
 				t.Cleanup(c.Close)
 				call := Call{Address: address, ID: "id-1", Method: "POST", Path: "/x", Body: []byte("{}")}
 				for earlier := range 2 {
@@ -78,7 +78,7 @@
 	address := keptEndpoint(t, func(r *http.Request, _ string) string {
 		return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + engineapi.HeaderRequestID + ": id-1\r\n\r\n2\r\n{}\r\n0\r\nX Broken: a\r\n\r\n"
 	})
-	c := New(testSettings(), nil, zap.NewNop())
+	c := New(testSettings(), nil, nil, zap.NewNop())
 	t.Cleanup(c.Close)
 	call := Call{Address: address, ID: "id-1", Method: "POST", Path: "/x", Body: []byte("{}")}
 	_, err := c.Do(t.Context(), call, time.Second)
--- a/internal/engine/module.go
+++ b/internal/engine/module.go
@@ -5,6 +5,7 @@
 
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/kernel"
+	"eelgrasshollow/internal/membudget"
 
 	"go.uber.org/zap"
 )
@@ -14,9 +15,9 @@
 	client *Client
 }
 
-// NewModule returns the module.
-func NewModule(s Settings, log *zap.Logger) *Module {
-	return &Module{client: New(s, nil, log.Named("engine"))}
+// NewModule returns the module. memory bounds what is held of all responses.
+func NewModule(s Settings, memory *membudget.Budget, log *zap.Logger) *Module {
+	return &Module{client: New(s, nil, memory, log.Named("engine"))}
 }
 
 // Client returns the client for endpoints.
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	c.headers.Check(call.Address, response.Header)
-	return c.readResponse(ctx, response)
+	return c.readResponse(ctx, response, call.Lease)
 }
 
 // readFinal reads the head of the response to a request, after any informational ones.
--- a/internal/engine/reports.go
+++ b/internal/engine/reports.go
@@ -25,7 +25,7 @@
 		return load, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	whole, err := c.readResponse(ctx, response)
+	whole, err := c.readResponse(ctx, response, nil)
 	if err != nil {
 		return load, err
 	}
@@ -45,7 +45,9 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	events := NewEventReader(response.Body, int(c.settings.MaxEvent))
+	lease := c.NewLease()
+	defer lease.Release()
+	events := NewEventReader(response.Body, int(c.settings.MaxEvent), lease)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/membudget"
 
 	"github.com/cockroachdb/errors"
 )
@@ -21,23 +22,29 @@
 // EventReader reads server-sent events of limited size.
 type EventReader struct {
 	r     *bufio.Reader
-	limit int    // size of an event, in bytes
-	data  []byte // current event
+	limit int              // size of an event, in bytes
+	lease *membudget.Lease // memory of the current event
+	data  []byte           // current event
+	line  []byte           // current line, for Next
 }
 
 // readBufferBytes is the size of the read buffer of a connection or stream.
 const readBufferBytes = 4 << 10
 
-// NewEventReader returns a reader of events of at most limit bytes each from r.
-func NewEventReader(r io.Reader, limit int) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, readBufferBytes), limit: limit}
+// keptBufferBytes is the size up to which the buffer of an event is kept for the next one.
+const keptBufferBytes = 8 << 10
+
+// NewEventReader returns a reader of events of at most limit bytes each from r. The lease holds the memory of the current
+// event; the caller releases it.
+func NewEventReader(r io.Reader, limit int, lease *membudget.Lease) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(r, readBufferBytes), limit: limit, lease: lease}
 }
 
 // Next returns the next event that has data. If the input ends between two events, the
 // error is io.EOF; if it ends within an event, the error is io.ErrUnexpectedEOF.
 func (e *EventReader) Next() (Event, error) {
 	var event Event
-	e.data = e.data[:0]
+	e.begin()
 	inEvent := false
 	for {
 		line, err := e.readLine()
@@ -71,6 +78,9 @@
 		if len(e.data)+len(value)+1 > e.limit {
 			return errTooLarge(e.limit)
 		}
+		if err := e.hold(len(value) + 1); err != nil {
+			return err
+		}
 		e.data = append(append(e.data, value...), '\n')
 	case "id":
 		if n, err := strconv.Atoi(string(value)); err == nil && n > 0 {
@@ -96,20 +106,16 @@
 // valid until the next call. Errors at the end of the input are those of Next.
 func (e *EventReader) NextRaw() (RawEvent, error) {
 	event := RawEvent{Blank: true}
-	e.data = e.data[:0]
+	e.begin()
 	for {
-		raw, err := e.readRawLine()
-		if err != nil {
-			if err == io.EOF && len(e.data)+len(raw) > 0 {
+		start := len(e.data)
+		if err := e.appendLine(&e.data); err != nil {
+			if err == io.EOF && len(e.data) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return RawEvent{}, err
 		}
-		if len(e.data)+len(raw) > e.limit {
-			return RawEvent{}, errTooLarge(e.limit)
-		}
-		e.data = append(e.data, raw...)
-		line := trimLineEnding(raw)
+		line := trimLineEnding(e.data[start:])
 		if len(line) == 0 {
 			event.Bytes = e.data
 			return event, nil
@@ -133,27 +139,48 @@
 	}
 }
 
+// begin drops the event before and gives back its memory.
+func (e *EventReader) begin() {
+	e.data, e.line = e.data[:0], e.line[:0]
+	if cap(e.data) > keptBufferBytes {
+		e.data = nil
+	}
+	if cap(e.line) > keptBufferBytes {
+		e.line = nil
+	}
+	e.lease.Release()
+}
+
+// hold takes memory for n more bytes of the current event.
+func (e *EventReader) hold(n int) error {
+	if held := cap(e.data) + cap(e.line) + n; !e.lease.Resize(membudget.BufferCost * int64(held)) {
+		return errkind.New(errkind.StreamBroken, "no memory for an event of %d bytes", len(e.data)+len(e.line)+n)
+	}
+	return nil
+}
+
 // readLine returns the next line without its line ending; it is valid until the next read.
 func (e *EventReader) readLine() ([]byte, error) {
-	raw, err := e.readRawLine()
-	return trimLineEnding(raw), err
+	e.line = e.line[:0]
+	err := e.appendLine(&e.line)
+	return trimLineEnding(e.line), err
 }
 
-// readRawLine returns the next line with its line ending; it is valid until the next read.
-func (e *EventReader) readRawLine() ([]byte, error) {
-	part, err := e.r.ReadSlice('\n')
-	if !errors.Is(err, bufio.ErrBufferFull) {
-		return part, err
-	}
-	long := bytes.Clone(part)
-	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(long) > e.limit {
-			return nil, errTooLarge(e.limit)
+// appendLine appends the next line with its line ending to data or line, which may hold at most limit bytes.
+func (e *EventReader) appendLine(buffer *[]byte) error {
+	for {
+		part, err := e.r.ReadSlice('\n')
+		if len(*buffer)+len(part) > e.limit {
+			return errTooLarge(e.limit)
+		}
+		if err := e.hold(len(part)); err != nil {
+			return err
+		}
+		*buffer = append(*buffer, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
 		}
-		part, err = e.r.ReadSlice('\n')
-		long = append(long, part...)
 	}
-	return long, err
 }
 
 func trimLineEnding(line []byte) []byte {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -32,6 +32,7 @@
 	timer   *time.Timer
 	silence time.Duration // longest time between two events
 	begun   bool          // an event has been received
+	release func()        // gives back the memory of the events, unless the caller of Client.Stream does
 }
 
 // Stream sends a call whose response is a stream of events. The first event must be received
@@ -48,14 +49,19 @@
 	s := &Stream{
 		Status: response.StatusCode, Incarnation: response.Header.Get(engineapi.HeaderIncarnation),
 		Notice: noticeOf(response),
-		ctx:    ctx, cancel: cancel, body: response.Body, timer: timer, silence: c.settings.SilenceTimeout,
+		ctx:    ctx, cancel: cancel, body: response.Body, timer: timer, silence: c.settings.SilenceTimeout, release: func() {},
 	}
 	if response.StatusCode == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		s.events = NewEventReader(response.Body, int(c.settings.MaxEvent))
+		lease := call.Lease
+		if lease == nil {
+			lease = c.NewLease()
+			s.release = lease.Release
+		}
+		s.events = NewEventReader(response.Body, int(c.settings.MaxEvent), lease)
 		return s, nil
 	}
 	defer s.Close()
-	s.Response, err = c.readResponse(ctx, response)
+	s.Response, err = c.readResponse(ctx, response, call.Lease)
 	return s, err
 }
 
@@ -92,6 +98,7 @@
 	s.timer.Stop()
 	s.cancel(nil)
 	_ = s.body.Close()
+	s.release()
 }
 
 // Cancel sends the endpoint, on another connection than the stream, a request to stop working on
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -20,6 +20,7 @@
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/engineapi"
 	"eelgrasshollow/internal/keys"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/prefix"
 	"eelgrasshollow/internal/routing"
 	"eelgrasshollow/internal/standin"
@@ -40,7 +41,7 @@
 	view := state.NewView(testConfiguration(hasher, token))
 	return NewFront(s, Deps{
 		Directory: &fakeDirectory{view: view, changed: make(chan struct{})}, Limiter: &fakeLimiter{}, Journal: &fakeJournal{},
-		Router: oneEndpoint{address}, Engine: engine.New(e, dial, zap.NewNop()), Hasher: hasher, Log: zap.NewNop(),
+		Router: oneEndpoint{address}, Engine: engine.New(e, dial, nil, zap.NewNop()), Hasher: hasher, Log: zap.NewNop(),
 	}), token.Text()
 }
 
@@ -80,7 +81,7 @@
 	response, err := http.DefaultClient.Do(r)
 	assert.NilError(b, err)
 	defer func() { _ = response.Body.Close() }()
-	events := engine.NewEventReader(response.Body, 1<<20)
+	events := engine.NewEventReader(response.Body, 1<<20, membudget.New(1<<30, "test").Lease(0))
 	var first, last time.Time
 	n := 0
 	for {
--- a/internal/entry/crashing_prompts_test.go
+++ b/internal/entry/crashing_prompts_test.go
@@ -56,7 +56,7 @@
 func (b *testFront) routeTo(endpoints ...routing.Endpoint) {
 	_, engineSettings := defaults(b.t)
 	router := routing.NewModule(routing.Settings{QueuePerEndpoint: 8, LongestWait: time.Second, TrackedPrefixes: 1000, RetryShare: 1},
-		fixedInventory{endpoints}, engine.New(engineSettings, nil, zap.NewNop()), time.Now)
+		fixedInventory{endpoints}, engine.New(engineSettings, nil, nil, zap.NewNop()), time.Now)
 	k := kernel.New(zap.NewNop())
 	k.Register(routing.ModuleName, router)
 	assert.NilError(b.t, k.Start(b.t.Context()))
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -256,7 +256,7 @@
 	b.logs = logs
 	b.front = NewFront(entrySettings, Deps{
 		Directory: b.directory, Limiter: b.limiter, Journal: b.journal, Router: b.router,
-		Engine: engine.New(engineSettings, nil, zap.New(core)), Hasher: hasher, Log: zap.New(core),
+		Engine: engine.New(engineSettings, nil, nil, zap.New(core)), Hasher: hasher, Log: zap.New(core),
 		Fleet: singleVMFleet{watch.VM{Name: "e1", Address: "127.0.0.1:7001", FailureDomain: "a"}}, Memory: membudget.New(membudget.LimitsFor(0).Requests, "requests"),
 	})
 	b.server = httptest.NewUnstartedServer(nil)
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -138,6 +138,7 @@
 	headWritten  bool // the response header has been written
 	dryRun       bool // nothing may be changed; see Front.DryRun
 	held         *membudget.Held
+	response     *membudget.Lease // memory of what is read of endpoints' responses
 	open         *openRequest
 	// actAs is the client account of a dry run without a key.
 	actAs string
@@ -151,9 +152,10 @@
 		defer cancel(nil)
 		x := &exchange{
 			w: w, control: http.NewResponseController(w), r: r, ctx: ctx,
-			id: uuid.NewString(), token: bearerToken(r), start: time.Now(), held: membudget.NewHeld(f.memory, 1),
+			id: uuid.NewString(), token: bearerToken(r), start: time.Now(), held: membudget.NewHeld(f.memory, 1), response: f.engine.NewLease(),
 		}
 		defer x.held.Release()
+		defer x.response.Release()
 		w.Header().Set(engineapi.HeaderRequestID, x.id)
 		w.Header().Set(HeaderRequest, x.id)
 		f.echoRequestID(x)
--- a/internal/entry/front_test.go
+++ b/internal/entry/front_test.go
@@ -14,6 +14,7 @@
 	pb "eelgrasshollow/gen/eelgrass/v1"
 	"eelgrasshollow/internal/engine"
 	"eelgrasshollow/internal/errkind"
+	"eelgrasshollow/internal/membudget"
 	"eelgrasshollow/internal/standin"
 
 	"github.com/openai/openai-go"
@@ -25,7 +26,7 @@
 // without gaps after from.
 func readEvents(t *testing.T, body string, from int) []string {
 	t.Helper()
-	r := engine.NewEventReader(strings.NewReader(body), 1<<20)
+	r := engine.NewEventReader(strings.NewReader(body), 1<<20, membudget.New(1<<30, "test").Lease(0))
 	var list []string
 	for {
 		e, err := r.Next()
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -32,6 +32,8 @@
 	// Guard bounds the connections, and Memory what requests hold.
 	Guard  *connguard.Guard
 	Memory *membudget.Budget
+	// ResponseMemory bounds what the module entry.engine holds of responses; its metrics are served here.
+	ResponseMemory *membudget.Budget
 }
 
 // Module is the kernel module entry.http: the listener for clients and its graceful stop.
@@ -69,7 +71,7 @@
 	m.front = NewFront(m.config.Settings, d)
 	m.front.metrics.registry.MustRegister(d.Engine.Collectors()...)
 	m.front.metrics.registry.MustRegister(m.config.Guard.Collectors()...)
-	m.front.metrics.registry.MustRegister(m.config.Memory.Collectors()...)
+	m.front.metrics.registry.MustRegister(append(m.config.Memory.Collectors(), m.config.ResponseMemory.Collectors()...)...)
 	if server, err := kernel.Lookup[peerServer](k, peer.ServerName); err == nil {
 		return server.Register(dryrun.ServiceName, dryrun.NewReceiver(m.front.DryRun))
 	}
--- a/internal/entry/module_test.go
+++ b/internal/entry/module_test.go
@@ -89,10 +89,12 @@
 	k.Register("entry.grants", limiterModule{fakeLimiter: b.limiter})
 	k.Register("entry.journal", journalModule{fakeJournal: b.journal})
 	k.Register("entry.routing", routerModule{fakeRouter: b.router})
-	k.Register("entry.engine", engine.NewModule(engineSettings, zap.NewNop()))
+	responseMemory := membudget.New(membudget.LimitsFor(0).Responses, "responses")
+	k.Register("entry.engine", engine.NewModule(engineSettings, responseMemory, zap.NewNop()))
 	k.Register("entry.http", NewModule(Config{
 		Settings: b.front.settings, TLS: s, Hasher: keys.NewHasher(testHashKey), Self: watch.VM{Name: "e1", Address: address},
 		Guard: connguard.New(connguard.BoundsFor(0, 0), zap.NewNop()), Memory: membudget.New(membudget.LimitsFor(0).Requests, "requests"),
+		ResponseMemory: responseMemory,
 	}), Dependencies()...)
 	assert.NilError(t, k.Start(t.Context()))
 	return k, address
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -102,7 +102,7 @@
 	if x.account != "" {
 		header.Set(HeaderAccount, x.account)
 	}
-	return engine.Call{ID: x.id, Method: x.r.Method, Path: x.r.URL.Path, Query: x.r.URL.RawQuery, Header: header, Body: body}
+	return engine.Call{ID: x.id, Method: x.r.Method, Path: x.r.URL.Path, Query: x.r.URL.RawQuery, Header: header, Body: body, Lease: x.response}
 }
 
 // runIdempotent runs an idempotent call and retries it at another endpoint after a failure.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -87,6 +87,7 @@
 	call := engine.Call{
 		Address: d.Address, ID: j.id, Method: http.MethodPost, Path: j.path, Body: body, Tail: tail,
 		Header: http.Header{"Content-Type": {"application/json"}}, AllowUnidentifiedErrors: true, Repeated: j.failed,
+		Lease: j.response,
 	}
 	if err := j.awaitCancel(d.Address); err != nil {
 		return err
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -111,7 +111,7 @@
 }
 
 func (f *Front) relayRest(j *job, ref streamRef, address string) error {
-	call := engine.Call{Address: address, ID: ref.ID, Method: http.MethodGet, Path: engine.StreamPath(ref.ID), Header: http.Header{}, AllowUnidentifiedErrors: true, Repeated: true}
+	call := engine.Call{Address: address, ID: ref.ID, Method: http.MethodGet, Path: engine.StreamPath(ref.ID), Header: http.Header{}, AllowUnidentifiedErrors: true, Repeated: true, Lease: j.response}
 	if j.delivered > 0 {
 		call.Header[engineapi.HeaderLastEventID] = j.r.Header[engineapi.HeaderLastEventID]
 	}
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -94,7 +94,8 @@
 	memoryBytes := membudget.ProcessBytes(int64(s.Node.Memory))
 	membudget.LimitRuntime(memoryBytes)
 	guard := connguard.New(connguard.BoundsFor(memoryBytes, s.Node.Descriptors), log.Named("connections"))
-	memory := membudget.New(membudget.LimitsFor(memoryBytes).Requests, "requests")
+	bounds := membudget.LimitsFor(memoryBytes)
+	memory, responseMemory := membudget.New(bounds.Requests, "requests"), membudget.New(bounds.Responses, "responses")
 	memory.ReclaimWith(guard.CloseStalled)
 	if err := registerPeers(k, s, log, guard); err != nil {
 		return err
@@ -102,12 +103,12 @@
 	k.Register(watch.ClientName, newDirectory(s, log), peer.PoolName)
 	k.Register("entry.grants", grants.NewHolderModule(s.Grants, false, clock.Boot), peer.PoolName)
 	k.Register("entry.journal", journal.NewClientModule(s.Journal), peer.PoolName)
-	k.Register("entry.engine", engine.NewModule(s.Engine, log))
+	k.Register("entry.engine", engine.NewModule(s.Engine, responseMemory, log))
 	k.Register("entry.routing", routing.NewModule(s.Routing, nil, nil, clock.Boot), watch.ClientName, "entry.engine", peer.ServerName, peer.PoolName)
 	front := entry.NewModule(entry.Config{
 		Settings: s.Entry, TLS: s.TLS, Hasher: keys.NewHasher(strings.TrimSpace(string(hashKey))),
 		Self:  watch.VM{Name: s.Node.Name, Address: s.Node.Address, FailureDomain: s.Node.FailureDomain},
-		Guard: guard, Memory: memory,
+		Guard: guard, Memory: memory, ResponseMemory: responseMemory,
 	})
 	k.Register("entry.http", front, entry.Dependencies()...)
 	return nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,6 +14,8 @@
 const (
 	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 1 << 20
+	// includedEventMemory is the memory that each stream has for its events apart from the budget of all responses.
+	includedEventMemory = 64 << 10
 	// maxIdleBytes limits what a server may send between two events that continue a stream, such
 	// as comments, and maxReplayBytes the events that the client has received already.
 	maxIdleBytes   = 16 << 10
@@ -28,7 +30,9 @@
 	resumed := x.headWritten // by the server of an earlier attempt
 	body := g.readAheadOf(x, reply)
 	defer body.end()
-	events := engine.NewEventReader(body, maxEventBytes)
+	lease := g.Memory.Lease(includedEventMemory)
+	defer lease.Release()
+	events := engine.NewEventReader(body, maxEventBytes, lease)
 	controller := http.NewResponseController(x.w)
 	lastID, err := strconv.Atoi(x.LastEventID)
 	if err != nil {
