A call that runs once doesn't wait for the end of a refused response

What callers saw: an endpoint of a call that runs once sends a body without end, with a length or in chunks. The entry VM gives it up at its limit, and reads on until the call's time is up (10 s by default); only then the client learns that the outcome is unknown.

Cause: closing the body of http.ReadResponse reads its rest. The transport of all other calls closes the connection instead.

Change: the body is left open; DoOnce closes the connection.

--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -44,7 +44,8 @@
 	return nil, errkind.Of(err).WithOutcome(errkind.Unknown)
 }
 
-// exchange writes the request to conn and reads the whole response.
+// exchange writes the request to conn and reads the whole response. It leaves the body open, as closing it reads the rest,
+// which may have no end; DoOnce closes the connection.
 func (c *Client) exchange(ctx context.Context, conn *strictresponse.Conn, call Call, request *http.Request) (*Response, error) {
 	if err := request.Write(conn); err != nil {
 		return nil, classify(ctx, err)
@@ -56,7 +57,6 @@
 	}
 	limited.remaining = -1 // no limit for the body
 	strictresponse.Check(response, conn, c.dial)
-	defer func() { _ = response.Body.Close() }()
 	if err := c.checkEcho(call, response, true); err != nil {
 		return nil, err
 	}
