A response has 500 fields at most

Cause: a head may have 64 kB, which are over 8,000 fields of 8 bytes; net/http keeps each in a multiple of that.

Change: the check of heads counts the fields, those of informational responses included.

--- a/internal/crowd/server.go
+++ b/internal/crowd/server.go
@@ -16,6 +16,16 @@
 	Start, Unit string
 }
 
+// distinctFields are fields with different names, more than a head may have.
+func distinctFields() string {
+	const fields = 20_000
+	var text strings.Builder
+	for i := range fields {
+		text.WriteString(ShortField(i))
+	}
+	return text.String()
+}
+
 // EndlessResponses returns the forms that bytes without end can have. identity are the fields by which a response belongs to
 // its request; %s stands for the request's ID.
 func EndlessResponses(identity string) []Endless {
@@ -29,6 +39,7 @@
 		{"name of a field", false, head, long},
 		{"value of a field", false, head + "X-Long: ", long},
 		{"fields", false, head, "A: b\r\n"},
+		{"distinct fields", false, head, distinctFields()},
 		{"folded field", false, head + "X-Long: a\r\n", " " + long + "\r\n"},
 		{"informational heads", false, "", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"},
 		{"body", false, head + "\r\n", long},
@@ -104,9 +115,12 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_, err = io.WriteString(conn, strings.ReplaceAll(response.Start, "%s", r.Header.Get(s.IDHeader)))
-	block := []byte(strings.Repeat(response.Unit, 1+faultyBlock/len(response.Unit)))
-	for err == nil {
-		_, err = conn.Write(block)
-		time.Sleep(faultyPause)
+	units := []byte(strings.Repeat(response.Unit, 1+faultyBlock/len(response.Unit)))
+	for rest := units; err == nil; time.Sleep(faultyPause) {
+		n := min(faultyBlock, len(rest))
+		_, err = conn.Write(rest[:n])
+		if rest = rest[n:]; len(rest) == 0 {
+			rest = units
+		}
 	}
 }
--- a/internal/strictresponse/head.go
+++ b/internal/strictresponse/head.go
@@ -13,6 +13,8 @@
 const (
 	// checkedBytes of each line are checked: the version and the status, or the name of a field.
 	checkedBytes = 256
+	// maxFields is the number of fields that a response may have: each takes a multiple of its bytes in memory.
+	maxFields = 500
 	// tokenPunctuation are the characters other than letters and digits of a field name (RFC 9110, section 5.6.2).
 	tokenPunctuation = "!#$%&'*+-.^_`|~"
 )
@@ -24,6 +26,7 @@
 	inFields      bool   // the status line has been read
 	informational bool   // another head follows this one
 	http10        bool
+	fields        int  // in the heads so far
 	ended         bool // the rest is the body
 }
 
@@ -82,6 +85,9 @@
 	if !found || !validName(string(name)) {
 		return errors.Newf("invalid field name in %q", line)
 	}
+	if h.fields++; h.fields > maxFields {
+		return errors.Newf("more than %d fields", maxFields)
+	}
 	if h.http10 && strings.EqualFold(string(name), "Transfer-Encoding") {
 		return errors.New("HTTP/1.0 response with a transfer coding") // net/http would pass on the coded body
 	}
--- a/internal/strictresponse/head_test.go
+++ b/internal/strictresponse/head_test.go
@@ -25,7 +25,10 @@
 func TestHeadCheck(t *testing.T) {
 	long := strings.Repeat("x", 10*checkedBytes)
 	for response, sound := range map[string]bool{
-		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na b: c\r\n": true, // the body may hold anything
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na b: c\r\n":                                         true, // the body may hold anything
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", maxFields) + "\r\n":                           true,
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", maxFields+1):                                  false,
+		"HTTP/1.1 103 X\r\n" + strings.Repeat("A: b\r\n", maxFields) + "\r\nHTTP/1.1 200 OK\r\nA: b\r\n": false,
 		"HTTP/1.1 200\r\n\r\n":          true,
 		"HTTP/1.0 200 OK\nA: b\n\nbody": true,
 		"HTTP/1.1 599 \r\n!#$%&'*+-.^_`|~09azAZ:\r\nA: " + long + "\r\n\r\n":             true,
