--- a/internal/onplatform/control.go
+++ b/internal/onplatform/control.go
@@ -138,7 +138,7 @@
 	k.Register(fleetcontrol.ModuleName, fleet, consensus.ModuleName)
 	k.Register("control.operator", &listenerModule{process: p, name: "operators", address: s.OperatorAddress,
 		handler: func() http.Handler { return p.operatorHandler(fleet, operators) }, options: listenerOptions{writeTimeout: operatorWriteTimeout}}, fleetcontrol.ModuleName)
-	k.Register("control.metrics", &metricsModule{registry: p.registry}, consensus.ModuleName, fleetcontrol.ModuleName, grants.OwnerName)
+	k.Register("control.metrics", &metricsModule{registry: p.registry, calls: serverClient.CallCollectors()}, consensus.ModuleName, fleetcontrol.ModuleName, grants.OwnerName)
 	go p.watchSettings(ctx, func(s *platform.Settings) { groupModule.AddPeers(s.Seeds) })
 	err = k.Run(ctx, controlStopTimeout)
 	cause := context.Cause(ctx)
--- a/internal/onplatform/entry.go
+++ b/internal/onplatform/entry.go
@@ -142,7 +142,7 @@
 	e.registry.MustRegister(holder, retries)
 	e.registry.MustRegister(e.view.Collectors()...)
 	e.registry.MustRegister(router.Collectors()...)
-	e.registry.MustRegister(client.Collectors()...)
+	e.registry.MustRegister(append(client.Collectors(), client.CallCollectors()...)...)
 	limiter := grants.NewFallbackLimiter(holder, e.grant, grantTolerance(s), e.view.VMCount, clock.Boot)
 	e.registry.MustRegister(limiter)
 	forwarding := e.newForwarding(client)
--- a/internal/onplatform/metrics.go
+++ b/internal/onplatform/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 
 	"eelgrasshollow/internal/consensus"
 	"eelgrasshollow/internal/fleetcontrol"
@@ -17,6 +18,7 @@
 // several replicas one after another.
 type metricsModule struct {
 	registry   *prometheus.Registry
+	calls      []prometheus.Collector // of calls to servers and the platform
 	collectors []prometheus.Collector
 }
 
@@ -31,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	m.collectors = append(append(replica.Collectors(), fleet.Collectors()...),
+	m.collectors = append(slices.Concat(replica.Collectors(), fleet.Collectors(), m.calls),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "eelgrass_control_list_age_seconds", Help: "Time since this replica read the list of servers; only a leader does. NaN before the first time.",
 		}, func() float64 {
