--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -1,4 +1,4 @@
-// Package crowd plays clients that don't behave against a process of a test, and reads what the process holds.
+// Package crowd plays clients and servers that don't behave against a process of a test, and reads what the process holds.
 package crowd
 
 import (
