Heads are checked line by line without a copy

Cause: each byte of a head was copied, and each name converted to a string and compared with closures, for each response. Change: whole lines are checked where they arrived, names by a table.

--- a/internal/strictresponse/head.go
+++ b/internal/strictresponse/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -15,8 +14,8 @@
 	checkedBytes = 256
 	// maxFields is the number of fields that a response may have: each takes a multiple of its bytes in memory.
 	maxFields = 500
-	// tokenPunctuation are the characters other than letters and digits of a field name (RFC 9110, section 5.6.2).
-	tokenPunctuation = "!#$%&'*+-.^_`|~"
+	// nameBytes are the bytes of field names (RFC 9110, section 5.6.2).
+	nameBytes = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
 )
 
 // head checks the lines of a response's head as they arrive, and those of informational responses before it. It
@@ -33,21 +32,30 @@
 // check checks the next bytes of a response and returns how many of them precede the first error, including the byte
 // that shows it.
 func (h *head) check(p []byte) (int, error) {
-	for i := 0; i < len(p) && !h.ended; i++ {
-		if p[i] != '\n' {
-			if len(h.line) < checkedBytes {
-				h.line = append(h.line, p[i])
-			}
-			continue
+	for rest := p; len(rest) > 0 && !h.ended; {
+		end := bytes.IndexByte(rest, '\n')
+		if end < 0 {
+			h.line = appendChecked(h.line, rest)
+			break
 		}
-		if err := h.endLine(bytes.TrimSuffix(h.line, []byte("\r"))); err != nil {
-			return i + 1, errors.Mark(err, ErrMalformed)
+		line := rest[:min(end, checkedBytes)]
+		if len(h.line) > 0 { // it began in bytes that arrived before
+			line = appendChecked(h.line, line)
+			h.line = h.line[:0]
+		}
+		rest = rest[end+1:]
+		if err := h.endLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return len(p) - len(rest), errors.Mark(err, ErrMalformed)
 		}
-		h.line = h.line[:0]
 	}
 	return len(p), nil
 }
 
+// appendChecked appends to the first checkedBytes of a line.
+func appendChecked(line, p []byte) []byte {
+	return append(line, p[:min(len(p), checkedBytes-len(line))]...)
+}
+
 // endLine checks a line, of which it gets the first checkedBytes.
 func (h *head) endLine(line []byte) error {
 	switch {
@@ -82,22 +90,32 @@
 // (RFC 9112, section 5.2), or is a field whose name starts with a blank: it is rejected, too.
 func (h *head) checkField(line []byte) error {
 	name, _, found := bytes.Cut(line, []byte(":"))
-	if !found || !validName(string(name)) {
+	if !found || !validName(name) {
 		return errors.Newf("invalid field name in %q", line)
 	}
 	if h.fields++; h.fields > maxFields {
 		return errors.Newf("more than %d fields", maxFields)
 	}
-	if h.http10 && strings.EqualFold(string(name), "Transfer-Encoding") {
+	if h.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 		return errors.New("HTTP/1.0 response with a transfer coding") // net/http would pass on the coded body
 	}
 	return nil
 }
 
 // validName reports whether name can be the name of a header or trailer field.
-func validName(name string) bool {
-	return name != "" && !strings.ContainsFunc(name, func(r rune) bool {
-		letterOrDigit := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
-		return !letterOrDigit && !strings.ContainsRune(tokenPunctuation, r)
-	})
+func validName[T string | []byte](name T) bool {
+	for i := range len(name) {
+		if !inName[name[i]] {
+			return false
+		}
+	}
+	return len(name) > 0
 }
+
+// inName tells which bytes a field name may have.
+var inName = func() (allowed [256]bool) {
+	for _, b := range []byte(nameBytes) {
+		allowed[b] = true
+	}
+	return allowed
+}()
