--- a/internal/onplatform/faulty_servers_test.go
+++ b/internal/onplatform/faulty_servers_test.go
@@ -44,9 +44,9 @@
 	return d, faulty
 }
 
-// TestBytesWithoutEndOfServers guards against a VM that keeps what a faulty server sends without end until its memory is used
+// TestCrowdOfEndlessResponses guards against a VM that keeps what a faulty server sends without end until its memory is used
 // up and the requests of all its clients end with it. Many clients get such a response at once.
-func TestBytesWithoutEndOfServers(t *testing.T) {
+func TestCrowdOfEndlessResponses(t *testing.T) {
 	const clients = 200
 	d, faulty := newFaultyDeployment(t)
 	const identity = "X-Request-Id: %s\r\nX-Response-Stamp: stamp\r\n"
--- a/internal/scenario/faulty_endpoints_test.go
+++ b/internal/scenario/faulty_endpoints_test.go
@@ -57,10 +57,10 @@
 	assert.NilError(t, err)
 }
 
-// TestBytesWithoutEndOfEndpoints guards against an entry VM that keeps what a faulty endpoint sends without end until its
+// TestCrowdOfEndlessResponses guards against an entry VM that keeps what a faulty endpoint sends without end until its
 // memory is used up and the requests of all its clients end with it. Many clients get such a response at once, to each kind of
 // call.
-func TestBytesWithoutEndOfEndpoints(t *testing.T) {
+func TestCrowdOfEndlessResponses(t *testing.T) {
 	// concurrent is the number of requests that reach an endpoint at the same time.
 	const clients, concurrent = 64, 16
 	f, _ := crowdFleet(t)
