A response of another HTTP version is malformed

What callers saw: a response "HTTP/0.9 200" with chunks reached the client as a 200 whose body was the coded one; found on reading the change again.

Change: the version is HTTP/1.0 or HTTP/1.1.

--- a/internal/strictresponse/head.go
+++ b/internal/strictresponse/head.go
@@ -72,9 +72,18 @@
 	return nil
 }
 
+// Versions that a response may have. net/http accepts others, and applies the rules of the nearest one.
+const (
+	http10 = "HTTP/1.0"
+	http11 = "HTTP/1.1"
+)
+
 // checkStatusLine checks "HTTP/1.x NNN reason".
 func (h *head) checkStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
+	if string(version) != http10 && string(version) != http11 {
+		return errors.Newf("invalid version in %q", line)
+	}
 	status, _, _ := bytes.Cut(rest, []byte(" "))
 	if len(status) != 3 || bytes.ContainsFunc(status, func(r rune) bool { return r < '0' || r > '9' }) || status[0] < '1' || status[0] > '5' {
 		return errors.Newf("invalid status in %q", line)
@@ -82,7 +91,7 @@
 	if string(status) == "101" {
 		return errors.New("server switched protocols instead of responding")
 	}
-	h.informational, h.http10 = status[0] == '1', string(version) == "HTTP/1.0"
+	h.informational, h.http10 = status[0] == '1', string(version) == http10
 	return nil
 }
 
--- a/internal/strictresponse/head_test.go
+++ b/internal/strictresponse/head_test.go
@@ -34,6 +34,8 @@
 		"HTTP/1.1 599 \r\n!#$%&'*+-.^_`|~09azAZ:\r\nA: " + long + "\r\n\r\n":             true,
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n": true,
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":                 true,
+		"HTTP/0.9 200 OK\r\n":                                 false,
+		"HTTP/2.0 200 OK\r\n":                                 false,
 		"HTTP/1.1 000 X\r\n":                                  false,
 		"HTTP/1.1 099 X\r\n":                                  false,
 		"HTTP/1.1 600 X\r\n":                                  false,
