Buffered bodies hold a lease

Cause: the count of what a buffered body has taken from the budget of responses stood in the gateway and, since this issue, in membudget.Lease. Change: the body holds a lease that includes its first 64 kB.

--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -22,23 +22,21 @@
 // bufferedBody is a body, or what was read of it.
 type bufferedBody struct {
 	chunks [][]byte
-	space  *membudget.Budget
-	shared int64 // bytes taken from space
+	lease  *membudget.Lease // includes unsharedBytes
 }
 
 // read reads a whole body. The result must be released, also after an error.
 func (b *bodyBuffers) read(r io.Reader) (*bufferedBody, error) {
-	body := &bufferedBody{space: b.space}
+	body := &bufferedBody{lease: b.space.Lease(unsharedBytes)}
 	chunk, err := io.ReadAll(io.LimitReader(r, unsharedBytes))
 	for {
 		body.chunks = append(body.chunks, chunk)
 		if err != nil || len(chunk) < unsharedBytes {
 			return body, err
 		}
-		if !b.space.TryAcquire(unsharedBytes) {
-			return body, errkind.New(errkind.EndpointFailed, "no space to buffer more than %d bytes of the response", body.size())
+		if size := body.size(); !body.lease.Resize(int64(size + unsharedBytes)) {
+			return body, errkind.New(errkind.EndpointFailed, "no space to buffer more than %d bytes of the response", size)
 		}
-		body.shared += unsharedBytes
 		chunk, err = io.ReadAll(io.LimitReader(r, unsharedBytes))
 	}
 }
@@ -55,6 +53,5 @@
 // release gives the body's space back.
 func (b *bufferedBody) release() {
 	b.chunks = nil
-	b.space.Release(b.shared)
-	b.shared = 0
+	b.lease.Release()
 }
